--- /dev/null
+++ b/libraries/savorymount/runtime/log_event.cpp
@@ -0,0 +1,67 @@
+#include <savorymount/runtime/log_event.hpp>
+
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace savorymount::runtime
+{
+namespace
+{
+
+void append_quoted(std::string& line, std::string_view value)
+{
+    if (!value.empty() && value.find_first_of(" \"=\n\r\t") == std::string_view::npos)
+    {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (char const it : value)
+    {
+        if (it == '"' || it == '\\')
+            line += '\\';
+        line += static_cast<unsigned char>(it) < 0x20 ? ' ' : it;
+    }
+    line += '"';
+}
+
+} // namespace
+
+void configure_log(std::string_view program)
+{
+    el::Configurations settings;
+    settings.setToDefault();
+    settings.setGlobally(el::ConfigurationType::Format,
+                         "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} program=" + std::string(program) +
+                             " level=%levshort %msg");
+    settings.setGlobally(el::ConfigurationType::ToFile, "false");
+    settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    el::Loggers::reconfigureLogger("default", settings);
+}
+
+void log(log_event const& event, std::vector<log_field> const& fields)
+{
+    std::string line = "event=" + std::to_string(event.number) + " name=" + std::string(event.name);
+    for (auto const& it : fields)
+    {
+        line += ' ';
+        line += it.key;
+        line += '=';
+        append_quoted(line, it.value);
+    }
+    switch (event.level)
+    {
+    case log_level::info:
+        LOG(INFO) << line;
+        break;
+    case log_level::warning:
+        LOG(WARNING) << line;
+        break;
+    case log_level::error:
+        LOG(ERROR) << line;
+        break;
+    }
+}
+
+} // namespace savorymount::runtime
--- /dev/null
+++ b/libraries/savorymount/runtime/log_event.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace savorymount::runtime
+{
+
+enum class log_level
+{
+    info,
+    warning,
+    error
+};
+
+/// One kind of log line. Every kind is declared in `log_events.hpp` and listed in
+/// docs/LOG-EVENTS.md.
+struct log_event
+{
+    int number;
+    log_level level;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+/// One `key=value` pair of a log line.
+struct log_field
+{
+    std::string_view key;
+    std::string value;
+
+    log_field(std::string_view name, std::string text) : key(name), value(std::move(text)) {}
+    log_field(std::string_view name, std::string_view text) : key(name), value(text) {}
+    log_field(std::string_view name, char const* text) : key(name), value(text) {}
+    template <typename Number>
+    requires std::is_arithmetic_v<Number> log_field(std::string_view name, Number number)
+        : key(name), value(std::to_string(number))
+    {
+    }
+};
+
+/// Sends log lines to standard error, one line each; no log file is written.
+void configure_log(std::string_view program);
+
+/// Writes `event=<number> name=<name>` and the fields. Values with spaces or quotes are quoted.
+void log(log_event const& event, std::vector<log_field> const& fields = {});
+
+} // namespace savorymount::runtime
--- /dev/null
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <savorymount/runtime/log_event.hpp>
+
+#include <array>
+
+namespace savorymount::runtime::log_events
+{
+
+inline constexpr log_event started{100, log_level::info, "started",
+                                   "The process serves; shows its addresses."};
+inline constexpr log_event stopping{101, log_level::info, "stopping",
+                                    "SIGTERM arrived; running requests are finished first."};
+inline constexpr log_event stopped{102, log_level::info, "stopped", "The process ends."};
+inline constexpr log_event settings_rejected{103, log_level::error, "settings_rejected",
+                                             "A setting is wrong; the process does not start."};
+inline constexpr log_event configuration_adopted{200, log_level::info, "configuration_adopted",
+                                                 "A newer configuration version is in force here."};
+inline constexpr log_event configuration_rejected{
+    201, log_level::warning, "configuration_rejected",
+    "A change in the log was not accepted; shows why."};
+inline constexpr log_event snapshot_appended{202, log_level::info, "snapshot_appended",
+                                             "This instance appended a configuration snapshot."};
+inline constexpr log_event log_record_ignored{
+    203, log_level::warning, "log_record_ignored",
+    "A record in the log is corrupt or of an unknown kind."};
+inline constexpr log_event log_unavailable{300, log_level::warning, "log_unavailable",
+                                           "The platform's log does not answer; traffic goes on."};
+inline constexpr log_event log_available{301, log_level::info, "log_available",
+                                         "The platform's log answers again."};
+inline constexpr log_event list_unavailable{
+    302, log_level::warning, "list_unavailable",
+    "The platform's instance list does not answer; the last list is kept."};
+inline constexpr log_event list_available{303, log_level::info, "list_available",
+                                          "The platform's instance list answers again."};
+inline constexpr log_event peer_connected{
+    400, log_level::info, "peer_connected",
+    "A connection to another instance is open and authenticated."};
+inline constexpr log_event peer_lost{401, log_level::warning, "peer_lost",
+                                     "A connection to another instance ended or went silent."};
+inline constexpr log_event peer_rejected{
+    402, log_level::warning, "peer_rejected",
+    "A peer did not prove the shared secret or sent malformed data."};
+inline constexpr log_event upstream_unhealthy{500, log_level::warning, "upstream_unhealthy",
+                                              "The upstream does not answer its load report."};
+inline constexpr log_event upstream_healthy{501, log_level::info, "upstream_healthy",
+                                            "The upstream answers; shows its process id string."};
+inline constexpr log_event upstream_crashed{502, log_level::error, "upstream_crashed",
+                                            "The upstream's process ended while it ran requests."};
+inline constexpr log_event cache_index_discarded{
+    503, log_level::info, "cache_index_discarded",
+    "The cache index was dropped after an engine start or a gap in the events."};
+inline constexpr log_event order_sent{504, log_level::info, "order_sent",
+                                      "An order went to the upstream."};
+inline constexpr log_event order_refused{505, log_level::warning, "order_refused",
+                                         "The upstream refused an order."};
+inline constexpr log_event request_quarantined{
+    506, log_level::warning, "request_quarantined",
+    "A request that crashed upstreams twice is refused from now on."};
+inline constexpr log_event lease_acquired{600, log_level::info, "lease_acquired",
+                                          "This agent owns a workspace's token bucket."};
+inline constexpr log_event lease_lost{601, log_level::warning, "lease_lost",
+                                      "This agent no longer owns a workspace's token bucket."};
+inline constexpr log_event stream_resumed{700, log_level::info, "stream_resumed",
+                                          "A stream goes on over another connection or upstream."};
+inline constexpr log_event stream_broken{701, log_level::warning, "stream_broken",
+                                         "A stream ended early and its caller was told."};
+
+/// Every event above, in the order of their numbers.
+inline constexpr std::array all{started,
+                                stopping,
+                                stopped,
+                                settings_rejected,
+                                configuration_adopted,
+                                configuration_rejected,
+                                snapshot_appended,
+                                log_record_ignored,
+                                log_unavailable,
+                                log_available,
+                                list_unavailable,
+                                list_available,
+                                peer_connected,
+                                peer_lost,
+                                peer_rejected,
+                                upstream_unhealthy,
+                                upstream_healthy,
+                                upstream_crashed,
+                                cache_index_discarded,
+                                order_sent,
+                                order_refused,
+                                request_quarantined,
+                                lease_acquired,
+                                lease_lost,
+                                stream_resumed,
+                                stream_broken};
+
+} // namespace savorymount::runtime::log_events
--- /dev/null
+++ b/libraries/savorymount/runtime/settings_parser.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <savorymount/base/error.hpp>
+
+#include <boost/program_options.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace savorymount::runtime
+{
+
+/// One value in force and where it came from: `flag`, `environment` or `default`.
+struct setting_value
+{
+    std::string text;
+    std::string source;
+
+    bool operator==(setting_value const&) const = default;
+};
+
+/// The result of parsing a command line together with `SAVORYMOUNT_*` environment variables.
+struct parsed_settings
+{
+    std::map<std::string, setting_value> values;
+    bool help = false;
+    bool version = false;
+    bool print_settings = false;
+
+    /// The value of a declared setting.
+    std::string const& text(std::string const& name) const { return values.at(name).text; }
+};
+
+/// Declares text settings and reads them from flags, then environment, then defaults.
+class settings_parser
+{
+public:
+    explicit settings_parser(std::string program);
+
+    /// Declares `--name`, also read from `SAVORYMOUNT_NAME`. Without a default it is required.
+    /// A secret is masked by `describe`.
+    settings_parser& add(std::string const& name, std::optional<std::string> fallback,
+                         std::string const& meaning, bool secret = false);
+
+    /// Fails with `invalid_input` on an unknown flag or a missing required setting.
+    std::optional<parsed_settings> parse(int argc, char const* const* argv,
+                                         base::error& reason) const;
+
+    /// The text for `--help`.
+    std::string help() const;
+
+    /// One line a setting: `name=value (source)`.
+    std::string describe(parsed_settings const& settings) const;
+
+private:
+    struct declaration
+    {
+        std::string name;
+        std::optional<std::string> fallback;
+        bool secret;
+    };
+
+    std::string program_;
+    std::vector<declaration> declarations_;
+    boost::program_options::options_description options_;
+};
+
+/// A whole number in [minimum, maximum]; `reason` names the setting and the bounds.
+std::optional<std::int64_t> parse_number(std::string const& name, std::string const& text,
+                                         std::int64_t minimum, std::int64_t maximum,
+                                         base::error& reason);
+
+/// `IP:port` of a peer or service.
+struct network_address
+{
+    std::string host;
+    std::uint16_t port = 0;
+
+    auto operator<=>(network_address const&) const = default;
+};
+
+/// Reads `IP:port`; the host must be an IPv4 number, since instances are reached by IP number only.
+std::optional<network_address> parse_address(std::string const& name, std::string const& text,
+                                             base::error& reason);
+
+std::string to_string(network_address const& address);
+
+} // namespace savorymount::runtime
