--- a/libraries/savorymount/runtime/event_loop.cpp
+++ b/libraries/savorymount/runtime/event_loop.cpp
@@ -33,7 +33,7 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-event_loop::~event_loop()
+event_loop::~event_loop() noexcept
 {
     tasks_ = nullptr;
     for (event* it : signal_events_)
--- a/libraries/savorymount/runtime/event_loop.hpp
+++ b/libraries/savorymount/runtime/event_loop.hpp
@@ -15,7 +15,7 @@
 {
 public:
     event_loop();
-    ~event_loop();
+    ~event_loop() noexcept;
     event_loop(event_loop const&) = delete;
     event_loop& operator=(event_loop const&) = delete;
 
