Declare the configuration module's interface

Cause: entry and agent are written against this module at the same time. No implementation yet, so nothing links against them. Conclusion: the interface is fixed; the implementation follows.

--- /dev/null
+++ b/libraries/savorymount/configuration/configuration.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <savorymount/configuration/documents.hpp>
+#include <savorymount/configuration/route.hpp>
+#include <savorymount/configuration/system_settings.hpp>
+#include <savorymount/configuration/upstream_group.hpp>
+#include <savorymount/configuration/workspace_contract.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace savorymount::configuration
+{
+
+/// The workspace that requests on open routes run for.
+inline constexpr std::string_view open_workspace = "open";
+
+/// A parsed and cross-checked set of documents. Immutable; copies share the parsed documents.
+class configuration
+{
+public:
+    /// Version 0: no documents.
+    configuration() = default;
+
+    /// Log offset of the last accepted change; 0 before the first.
+    std::uint64_t version() const { return version_; }
+
+    /// Null if there is no such document.
+    workspace_contract const* find_workspace(std::string const& workspace) const;
+    route const* find_route(std::string const& name) const;
+    upstream_group const* find_group(std::string const& group) const;
+
+    /// The route with the longest path prefix of `target` (path with or without a query), or null.
+    /// Matches whole segments of the percent-decoded path; a path with `.` or `..` segments or with
+    /// malformed percent escapes has no route.
+    route const* match_route(std::string_view target) const;
+
+    /// The workspace that holds the key `key_id`, or null.
+    workspace_contract const* find_workspace_of_key(std::string const& key_id) const;
+
+    /// The key `key_id`, or null. Agents check with this that a key is not withdrawn.
+    key_record const* find_key(std::string const& key_id) const;
+
+    system_settings const& settings() const { return settings_; }
+
+    /// All contracts, routes and groups in the order of their names.
+    std::vector<workspace_contract const*> workspaces() const;
+    std::vector<route const*> routes() const;
+    std::vector<upstream_group const*> groups() const;
+
+    /// The configuration after `changes` (a null value removes its document). Parses only the
+    /// changed documents. Fails with `invalid_input` if the result is not valid.
+    std::optional<configuration> changed(std::uint64_t version, documents::map_type const& changes,
+                                         base::error& reason) const;
+
+private:
+    bool apply_document(std::string const& name, nlohmann::json const& value, base::error& reason);
+    bool check_references(base::error& reason) const;
+    bool index_keys(base::error& reason);
+    bool index_routes(base::error& reason);
+
+    std::uint64_t version_ = 0;
+    std::map<std::string, std::shared_ptr<workspace_contract const>> workspaces_;
+    std::map<std::string, std::shared_ptr<route const>> routes_;
+    std::map<std::string, std::shared_ptr<upstream_group const>> groups_;
+    system_settings settings_;
+    std::unordered_map<std::string, std::shared_ptr<workspace_contract const>> keys_;
+    std::map<std::string, std::shared_ptr<route const>> prefixes_;
+};
+
+/// Parses and cross-checks a whole set. Fails with `invalid_input`.
+std::optional<configuration> parse_configuration(std::uint64_t version, documents const& documents,
+                                                 base::error& reason);
+
+} // namespace savorymount::configuration
--- /dev/null
+++ b/libraries/savorymount/configuration/header.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+namespace savorymount::configuration
+{
+
+/// One HTTP header field.
+struct header
+{
+    std::string name;
+    std::string value;
+
+    auto operator<=>(header const&) const = default;
+};
+
+} // namespace savorymount::configuration
