--- /dev/null
+++ b/libraries/savorymount/routing/cache_hints.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <savorymount/base/time.hpp>
+#include <savorymount/routing/upstream_id.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace savorymount::routing
+{
+
+struct cache_hints_options
+{
+    /// Number of digests that are remembered, rounded up to a power of two.
+    std::size_t digests = std::size_t{1} << 18;
+    /// Age at which a hint is forgotten.
+    base::duration max_age = std::chrono::seconds(30);
+};
+
+/// One upstream that probably holds a block.
+struct cache_hint
+{
+    upstream_id upstream = 0;
+    base::duration age{0};
+
+    bool operator==(cache_hint const&) const = default;
+};
+
+/// Which upstreams probably hold which blocks, learned from outcomes. Bounded in memory; forgets
+/// the oldest first, and everything about an upstream whose engine process changed. A hint may be
+/// wrong.
+class cache_hints
+{
+public:
+    static constexpr std::size_t upstreams_per_digest = 4;
+
+    /// The hints of one digest, newest first.
+    struct found
+    {
+        std::array<cache_hint, upstreams_per_digest> hints;
+        std::size_t size = 0;
+
+        cache_hint const* begin() const { return hints.data(); }
+        cache_hint const* end() const { return hints.data() + size; }
+    };
+
+    explicit cache_hints(cache_hints_options const& options);
+
+    /// Records that `upstream` holds these blocks.
+    void learn(base::time_point now, std::span<std::uint64_t const> digests, upstream_id upstream);
+
+    /// Records that `upstream` doesn't hold these blocks.
+    void forget(std::span<std::uint64_t const> digests, upstream_id upstream);
+
+    /// Notes the process id of the engine behind `upstream`. On a new one, drops its hints and
+    /// returns true. The id of the process before the current one is ignored, since reports may
+    /// arrive late.
+    bool note_engine(base::time_point now, upstream_id upstream, std::string_view engine);
+
+    /// Drops everything known about an upstream, for example when its handle is released.
+    void forget_upstream(base::time_point now, upstream_id upstream);
+
+    /// The upstreams that probably hold the block.
+    found find(base::time_point now, std::uint64_t digest) const;
+
+    /// Number of digests with at least one slot in use, including outdated ones.
+    std::size_t size() const { return used_; }
+
+    /// Memory held by the table and the state per upstream.
+    std::size_t memory_bytes() const;
+
+private:
+    static constexpr std::size_t ways = 8;
+
+    struct slot
+    {
+        upstream_id upstream = 0;
+        /// Milliseconds since the first call plus one; zero marks a free slot.
+        std::uint32_t tick = 0;
+    };
+    struct entry
+    {
+        std::uint64_t digest = 0;
+        std::array<slot, upstreams_per_digest> slots;
+    };
+    struct engine_state
+    {
+        std::uint64_t current = 0;
+        std::uint64_t previous = 0;
+        std::uint32_t valid_since = 0;
+    };
+
+    std::uint32_t tick(base::time_point now) const;
+    bool alive(std::uint32_t now, slot const& it) const;
+    entry* find_entry(std::uint64_t digest);
+    entry const* find_entry(std::uint64_t digest) const;
+    entry& entry_for(std::uint64_t digest);
+    engine_state& state_of(upstream_id upstream);
+
+    std::vector<entry> entries_;
+    std::vector<engine_state> engines_;
+    std::uint32_t max_age_ms_;
+    std::size_t used_ = 0;
+};
+
+} // namespace savorymount::routing
--- /dev/null
+++ b/libraries/savorymount/routing/candidate_pool.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <savorymount/routing/upstream_id.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace savorymount::routing
+{
+
+/// The upstreams that hold one model, adapter and version, prepared for rendezvous hashing. Built
+/// when the membership changes, not per request. Instances that know the same names derive the same
+/// order.
+class candidate_pool
+{
+public:
+    /// Takes handle and name of each member.
+    explicit candidate_pool(std::vector<std::pair<upstream_id, std::string>> const& members);
+
+    std::size_t size() const { return members_.size(); }
+
+    /// The handle at a position below `size()`.
+    upstream_id at(std::size_t position) const { return members_[position].id; }
+
+    /// Writes up to `count` distinct members in the order of preference of `digest`, best first.
+    /// Exact rendezvous hashing for small pools; for large ones the order is sampled in logarithmic
+    /// time.
+    void preferred(std::uint64_t digest, std::size_t count, std::vector<upstream_id>& out) const;
+
+    std::size_t memory_bytes() const;
+
+private:
+    struct member
+    {
+        upstream_id id;
+        std::uint64_t hash;
+    };
+    struct ring_point
+    {
+        std::uint64_t position;
+        std::uint32_t member;
+    };
+
+    std::vector<member> members_;
+    std::vector<ring_point> ring_;
+};
+
+} // namespace savorymount::routing
--- /dev/null
+++ b/libraries/savorymount/routing/router.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <savorymount/base/random_source.hpp>
+#include <savorymount/routing/cache_hints.hpp>
+#include <savorymount/routing/route_request.hpp>
+#include <savorymount/routing/upstream_load.hpp>
+
+#include <string_view>
+#include <vector>
+
+namespace savorymount::routing
+{
+
+struct router_options
+{
+    cache_hints_options hints;
+    /// Lag of load reports when they arrive.
+    base::duration report_lag = std::chrono::milliseconds(200);
+    /// Time to compute one prompt token.
+    std::chrono::nanoseconds prefill_per_token{100'000};
+    /// Time by which each open request delays a new one.
+    base::duration delay_per_request = std::chrono::milliseconds(2);
+    double bytes_per_token = 4.0;
+    /// Length of a ranked choice.
+    std::size_t ranked = 4;
+};
+
+/// Chooses the upstream with the least expected time to the first token: prefill of the blocks that
+/// are probably not cached there plus expected wait. Looks at a bounded number of candidates.
+class router
+{
+public:
+    router(router_options const& options, base::random_source& random);
+
+    ranked_choice choose(base::time_point now, route_request const& request,
+                         candidates const& upstreams);
+
+    /// The request was sent to an upstream of its choice.
+    void sent(base::time_point now, route_request const& request, ranked_upstream const& choice);
+
+    /// The first token arrived, or the request ended without one. Call once per sent request.
+    void started(base::time_point now, ranked_upstream const& choice);
+
+    /// The request ended; call `started` before. `held_blocks` is the number of leading blocks that
+    /// the engine holds now; pass zero when the outcome doesn't say.
+    void finished(base::time_point now, route_request const& request, ranked_upstream const& choice,
+                  std::string_view engine, std::size_t held_blocks);
+
+    /// A load report with the engine's process id, which may be empty for plain services.
+    void load_reported(base::time_point now, upstream_id upstream, std::string_view engine,
+                       load_report const& load);
+
+    /// Drops everything known about an upstream.
+    void forget(base::time_point now, upstream_id upstream);
+
+    cache_hints const& hints() const { return hints_; }
+    upstream_load const& load() const { return load_; }
+
+    /// Memory of hints and load state; pools are counted by their owner.
+    std::size_t memory_bytes() const;
+
+private:
+    struct considered
+    {
+        upstream_id upstream;
+        /// Expected cached bytes, weighted with the confidence in each source.
+        double cached_bytes;
+        std::size_t blocks;
+        /// Position in the order of preference; lower wins among equal costs.
+        std::uint32_t rank;
+    };
+
+    router_options options_;
+    base::random_source& random_;
+    cache_hints hints_;
+    upstream_load load_;
+    std::vector<considered> considered_;
+    std::vector<upstream_id> preferred_;
+};
+
+} // namespace savorymount::routing
--- /dev/null
+++ b/libraries/savorymount/routing/upstream_id.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstdint>
+
+namespace savorymount::routing
+{
+
+/// Dense handle of an upstream within one process, issued by `upstream_directory`.
+using upstream_id = std::uint32_t;
+
+} // namespace savorymount::routing
