--- /dev/null
+++ b/libraries/savorymount/deduplication/claim_batch.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <savorymount/base/time.hpp>
+#include <savorymount/deduplication/claim.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace savorymount::deduplication
+{
+
+/// Collects claims for one append, because the log takes only a few hundred appends a second.
+class claim_batch
+{
+public:
+    claim_batch(std::size_t count, base::duration wait) : count_(count), wait_(wait) {}
+
+    void add(claim it, base::time_point now);
+
+    /// The claims to append now: all of them once `count` are there or the first has waited for
+    /// `wait`, else none.
+    std::vector<claim> take(base::time_point now);
+
+    /// When `take` has to be called next; none while the batch is empty.
+    std::optional<base::time_point> due() const;
+
+private:
+    std::size_t count_;
+    base::duration wait_;
+    base::time_point first_at_;
+    std::vector<claim> claims_;
+};
+
+} // namespace savorymount::deduplication
--- /dev/null
+++ b/libraries/savorymount/deduplication/outcome_store.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <savorymount/base/digest.hpp>
+#include <savorymount/base/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+namespace savorymount::deduplication
+{
+
+struct outcome_limits
+{
+    base::duration retention = std::chrono::minutes(10);
+    /// Finished outcomes kept in full.
+    std::size_t count = 20'000;
+    /// Sum of the sizes given to `finish`.
+    std::size_t bytes = 32 * 1024 * 1024;
+    /// Request ids kept as digests only, after their outcome had to go.
+    std::size_t forgotten = 200'000;
+};
+
+/// What the store knows about a request id.
+enum class outcome_state
+{
+    absent,
+    running,
+    finished,
+    /// It ran, but the outcome is no longer held.
+    unknown
+};
+
+/// Result of `begin`.
+enum class begin_verdict
+{
+    started,
+    running,
+    finished,
+    unknown,
+    /// Refused as not run: one more request could not be remembered for the whole retention.
+    overloaded
+};
+
+/// Request ids and outcomes of one agent. An id that was started is never started again within
+/// `retention` of its end, whatever the bounds drop: an outcome that is dropped early leaves a
+/// 64-bit digest of its id, which answers `unknown` until the outcome itself would have expired.
+/// When not even digests fit, new requests are refused rather than old ids forgotten. A digest
+/// collision answers `unknown` for a new id and never causes a second run.
+template <typename Payload>
+class outcome_store
+{
+public:
+    /// An outcome; `payload` is null unless the state is `finished`.
+    struct lookup
+    {
+        outcome_state state = outcome_state::absent;
+        Payload const* payload = nullptr;
+    };
+
+    explicit outcome_store(outcome_limits limits = {}) : limits_(limits) {}
+
+    /// Registers `id` as running if the store knows nothing of it; otherwise says what it knows.
+    begin_verdict begin(std::string const& id, base::time_point now);
+
+    /// Keeps the outcome of a running request; `bytes` is its size. Returns false if `id` is not
+    /// running.
+    bool finish(std::string const& id, Payload payload, std::size_t bytes, base::time_point now);
+
+    /// Removes a running request that was refused before anything reached the upstream, so that it
+    /// may be sent again. Returns false if `id` is not running.
+    bool withdraw(std::string const& id);
+
+    lookup find(std::string const& id, base::time_point now);
+
+    /// Drops what is older than the retention. The other functions do so as well.
+    void expire(base::time_point now);
+
+    std::size_t running() const { return entries_.size() - finished_.size(); }
+    std::size_t finished() const { return finished_.size(); }
+    std::size_t forgotten() const { return forgotten_.size(); }
+    std::size_t bytes() const { return bytes_; }
+
+private:
+    struct entry
+    {
+        bool finished = false;
+        std::size_t bytes = 0;
+        Payload payload{};
+    };
+    struct finish_time
+    {
+        base::time_point at;
+        std::string id;
+    };
+    struct forget_time
+    {
+        base::time_point at;
+        std::uint64_t digest;
+    };
+
+    static std::uint64_t digest(std::string_view id) { return base::chain_digest(0, id); }
+    void remove_oldest_finished(bool remember);
+
+    outcome_limits limits_;
+    std::size_t bytes_ = 0;
+    std::unordered_map<std::string, entry> entries_;
+    std::deque<finish_time> finished_;
+    std::unordered_set<std::uint64_t> forgotten_;
+    std::deque<forget_time> forgotten_order_;
+};
+
+} // namespace savorymount::deduplication
--- /dev/null
+++ b/libraries/savorymount/streams/replay_buffer.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <savorymount/base/error.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace savorymount::streams
+{
+
+/// Part of an answer that covers the positions [position, end): token indexes for event streams,
+/// byte offsets for other answers. Events without a token (usage, end) have `position == end`.
+struct replay_chunk
+{
+    std::uint64_t position = 0;
+    std::uint64_t end = 0;
+    std::string bytes;
+
+    bool operator==(replay_chunk const&) const = default;
+};
+
+/// The agent's copy of the most recent chunks of one answer, for an entry that attaches over a new
+/// connection.
+class replay_buffer
+{
+public:
+    explicit replay_buffer(std::size_t capacity_bytes) : capacity_bytes_(capacity_bytes) {}
+
+    /// Adds the next chunk and drops the oldest ones above the capacity; the newest chunk always
+    /// stays. Fails with `invalid_input` if the chunk does not start where the last one ended.
+    bool append(replay_chunk chunk, base::error& reason);
+
+    /// The chunks that hold everything from `position` on, starting with the one that contains it:
+    /// the receiver drops what it already has. Fails with `not_found` if that part is no longer
+    /// held and with `invalid_input` if the answer has not got that far.
+    std::optional<std::vector<replay_chunk>> from(std::uint64_t position,
+                                                  base::error& reason) const;
+
+    /// Drops the chunks that end at or below `position`, because the entry holds them. Chunks
+    /// without a token at `position` stay.
+    void release(std::uint64_t position);
+
+    /// Lowest position that `from` accepts. Above `end()` if nothing can be replayed any more.
+    std::uint64_t first() const { return first_; }
+
+    /// Position behind the newest chunk.
+    std::uint64_t end() const { return end_; }
+
+    std::size_t bytes() const { return bytes_; }
+
+private:
+    void drop_oldest();
+
+    std::size_t capacity_bytes_;
+    std::size_t bytes_ = 0;
+    std::uint64_t first_ = 0;
+    std::uint64_t end_ = 0;
+    std::deque<replay_chunk> chunks_;
+};
+
+} // namespace savorymount::streams
--- /dev/null
+++ b/libraries/savorymount/streams/stream_relay.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <savorymount/base/error.hpp>
+#include <savorymount/streams/chat_usage.hpp>
+#include <savorymount/streams/stream_event.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace savorymount::streams
+{
+
+/// The entry's side of one streamed answer. It outlives connections and upstreams: events of any of
+/// them go through it, and the caller gets each token event once and in order.
+class stream_relay
+{
+public:
+    /// Appends `event.raw` to `output` if the caller has not had the event yet. Token events below
+    /// the position and repeated usage or end events are dropped without an error. Returns false
+    /// and fills `reason`, with nothing appended, when the source must be given up:
+    /// `invalid_input` for a gap, an event without a position, a token after the usage or an end
+    /// before it; `crashed` for an error event of the upstream. The relay stays usable: another
+    /// source may go on from `position()`.
+    bool take(stream_event const& event, std::string& output, base::error& reason);
+
+    /// Token events forwarded, which is the index of the next one.
+    std::uint64_t position() const { return position_; }
+
+    /// True once the usage and then `[DONE]` were forwarded.
+    bool complete() const { return done_; }
+
+    /// True after `break_off`.
+    bool broken() const { return broken_; }
+
+    /// The counts of the usage event, once it was forwarded.
+    std::optional<chat_usage> const& usage() const { return usage_; }
+
+    /// Ends a stream that can't go on. Returns the error event for the caller, whose `execution` is
+    /// `partial` after the first token and `unknown` before it; empty if the stream is already
+    /// complete or broken. Afterwards `take` forwards nothing. The caller of this function aborts
+    /// the chunked encoding after the event.
+    std::string break_off(base::error const& cause);
+
+private:
+    bool take_token(stream_event const& event, std::string& output, base::error& reason);
+    bool take_end(stream_event const& event, std::string& output, base::error& reason);
+
+    std::uint64_t position_ = 0;
+    std::optional<chat_usage> usage_;
+    bool done_ = false;
+    bool broken_ = false;
+};
+
+} // namespace savorymount::streams
