--- a/libraries/savorymount/runtime/peer_connection.cpp
+++ b/libraries/savorymount/runtime/peer_connection.cpp
@@ -89,6 +89,15 @@
     *alive_ = false;
 }
 
+void peer_connection::close()
+{
+    *alive_ = false;
+    opened_ = false;
+    ++generation_;
+    heartbeat_timer_ = {};
+    retry_timer_ = {};
+}
+
 wire::Peer::Client peer_connection::peer()
 {
     return KJ_REQUIRE_NONNULL(session_->peer);
--- a/libraries/savorymount/runtime/peer_connection.hpp
+++ b/libraries/savorymount/runtime/peer_connection.hpp
@@ -41,6 +41,9 @@
 
     bool usable() const { return opened_; }
 
+    /// Closes the connection for good and calls no further hook.
+    void close();
+
     /// The remote interface; only while `usable()`.
     wire::Peer::Client peer();
 
--- a/libraries/savorymount/wire/savorymount.capnp
+++ b/libraries/savorymount/wire/savorymount.capnp
@@ -46,6 +46,8 @@
   stream @18 :Bool;
   requestDigest @19 :Text;
   # Digest of workspace, method, target and body: names the same request when a caller resends it.
+  idempotencyKey @20 :Text;
+  # SHA-256 of the caller's idempotency key; empty for none.
 }
 
 struct LoadReport {
@@ -89,6 +91,9 @@
   retryAfterMs @2 :UInt32;
   # Zero when waiting does not help.
   retryElsewhere @3 :Bool;
+  attachInstance @4 :Text;
+  # If not empty, another call with the same idempotency key runs there under `attachRequest`.
+  attachRequest @5 :Text;
 }
 
 struct Failure {
@@ -122,9 +127,10 @@
   attach @3 (context :Context, requestId :Text, position :UInt64, sink :AnswerSink)
       -> (context :Context, found :Bool, outcome :Outcome);
   cancel @4 (context :Context, requestId :Text) -> ();
-  reserve @5 (context :Context, workspace :Text, fence :UInt64, tokens :UInt64)
-      -> (context :Context, grant :Grant, refusal :Refusal);
-  # A grant with zero tokens means refused.
+  reserve @5 (context :Context, workspace :Text, fence :UInt64, tokens :UInt64, least :UInt64)
+      -> (context :Context, grant :Grant, retryAfterMs :UInt32, owner :Bool);
+  # A grant with zero tokens means refused; `owner` is false if the receiver does not own the bucket
+  # under this fencing token.
   settle @6 (context :Context, workspace :Text, fence :UInt64, grantId :UInt64, used :UInt64, unused :UInt64)
       -> (context :Context);
 }
--- a/libraries/savorymount/wire/savorymount.capnp.h
+++ b/libraries/savorymount/wire/savorymount.capnp.h
@@ -100,7 +100,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8c552cd669b5e0d1, 5, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(8c552cd669b5e0d1, 5, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -180,7 +180,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d7ea917cb1213bc8, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d7ea917cb1213bc8, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -504,7 +504,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cb12ce40040f3af7, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(cb12ce40040f3af7, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -519,7 +519,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(85a6460cecd3873b, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(85a6460cecd3873b, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -891,6 +891,9 @@
   inline bool hasRequestDigest() const;
   inline  ::capnp::Text::Reader getRequestDigest() const;
 
+  inline bool hasIdempotencyKey() const;
+  inline  ::capnp::Text::Reader getIdempotencyKey() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1032,6 +1035,13 @@
   inline void adoptRequestDigest(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRequestDigest();
 
+  inline bool hasIdempotencyKey();
+  inline  ::capnp::Text::Builder getIdempotencyKey();
+  inline void setIdempotencyKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIdempotencyKey(unsigned int size);
+  inline void adoptIdempotencyKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIdempotencyKey();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1513,6 +1523,12 @@
 
   inline bool getRetryElsewhere() const;
 
+  inline bool hasAttachInstance() const;
+  inline  ::capnp::Text::Reader getAttachInstance() const;
+
+  inline bool hasAttachRequest() const;
+  inline  ::capnp::Text::Reader getAttachRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1561,6 +1577,20 @@
   inline bool getRetryElsewhere();
   inline void setRetryElsewhere(bool value);
 
+  inline bool hasAttachInstance();
+  inline  ::capnp::Text::Builder getAttachInstance();
+  inline void setAttachInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttachInstance(unsigned int size);
+  inline void adoptAttachInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttachInstance();
+
+  inline bool hasAttachRequest();
+  inline  ::capnp::Text::Builder getAttachRequest();
+  inline void setAttachRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttachRequest(unsigned int size);
+  inline void adoptAttachRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttachRequest();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3309,6 +3339,8 @@
 
   inline  ::uint64_t getTokens() const;
 
+  inline  ::uint64_t getLeast() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3357,6 +3389,9 @@
   inline  ::uint64_t getTokens();
   inline void setTokens( ::uint64_t value);
 
+  inline  ::uint64_t getLeast();
+  inline void setLeast( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3407,8 +3442,9 @@
   inline bool hasGrant() const;
   inline  ::savorymount::wire::Grant::Reader getGrant() const;
 
-  inline bool hasRefusal() const;
-  inline  ::savorymount::wire::Refusal::Reader getRefusal() const;
+  inline  ::uint32_t getRetryAfterMs() const;
+
+  inline bool getOwner() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3452,12 +3488,11 @@
   inline void adoptGrant(::capnp::Orphan< ::savorymount::wire::Grant>&& value);
   inline ::capnp::Orphan< ::savorymount::wire::Grant> disownGrant();
 
-  inline bool hasRefusal();
-  inline  ::savorymount::wire::Refusal::Builder getRefusal();
-  inline void setRefusal( ::savorymount::wire::Refusal::Reader value);
-  inline  ::savorymount::wire::Refusal::Builder initRefusal();
-  inline void adoptRefusal(::capnp::Orphan< ::savorymount::wire::Refusal>&& value);
-  inline ::capnp::Orphan< ::savorymount::wire::Refusal> disownRefusal();
+  inline  ::uint32_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::uint32_t value);
+
+  inline bool getOwner();
+  inline void setOwner(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3479,7 +3514,6 @@
 
   inline  ::savorymount::wire::Context::Pipeline getContext();
   inline  ::savorymount::wire::Grant::Pipeline getGrant();
-  inline  ::savorymount::wire::Refusal::Pipeline getRefusal();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4731,6 +4765,40 @@
       ::capnp::bounded<12>() * ::capnp::POINTERS));
 }
 
+inline bool Request::Reader::hasIdempotencyKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasIdempotencyKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Request::Reader::getIdempotencyKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Request::Builder::getIdempotencyKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setIdempotencyKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Request::Builder::initIdempotencyKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), size);
+}
+inline void Request::Builder::adoptIdempotencyKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownIdempotencyKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
 inline bool LoadReport::Reader::hasEngine() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5333,6 +5401,74 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Refusal::Reader::hasAttachInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Refusal::Builder::hasAttachInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Refusal::Reader::getAttachInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Refusal::Builder::getAttachInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Refusal::Builder::setAttachInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Refusal::Builder::initAttachInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Refusal::Builder::adoptAttachInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Refusal::Builder::disownAttachInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Refusal::Reader::hasAttachRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Refusal::Builder::hasAttachRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Refusal::Reader::getAttachRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Refusal::Builder::getAttachRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Refusal::Builder::setAttachRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Refusal::Builder::initAttachRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Refusal::Builder::adoptAttachRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Refusal::Builder::disownAttachRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Failure::Reader::hasKind() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6679,6 +6815,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Peer::ReserveParams::Reader::getLeast() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::ReserveParams::Builder::getLeast() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ReserveParams::Builder::setLeast( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::ReserveResults::Reader::hasContext() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6757,43 +6907,32 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ReserveResults::Reader::hasRefusal() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::ReserveResults::Builder::hasRefusal() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::savorymount::wire::Refusal::Reader Peer::ReserveResults::Reader::getRefusal() const {
-  return ::capnp::_::PointerHelpers< ::savorymount::wire::Refusal>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::savorymount::wire::Refusal::Builder Peer::ReserveResults::Builder::getRefusal() {
-  return ::capnp::_::PointerHelpers< ::savorymount::wire::Refusal>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::uint32_t Peer::ReserveResults::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::savorymount::wire::Refusal::Pipeline Peer::ReserveResults::Pipeline::getRefusal() {
-  return  ::savorymount::wire::Refusal::Pipeline(_typeless.getPointerField(2));
+
+inline  ::uint32_t Peer::ReserveResults::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void Peer::ReserveResults::Builder::setRefusal( ::savorymount::wire::Refusal::Reader value) {
-  ::capnp::_::PointerHelpers< ::savorymount::wire::Refusal>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Peer::ReserveResults::Builder::setRetryAfterMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::savorymount::wire::Refusal::Builder Peer::ReserveResults::Builder::initRefusal() {
-  return ::capnp::_::PointerHelpers< ::savorymount::wire::Refusal>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline bool Peer::ReserveResults::Reader::getOwner() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ReserveResults::Builder::adoptRefusal(
-    ::capnp::Orphan< ::savorymount::wire::Refusal>&& value) {
-  ::capnp::_::PointerHelpers< ::savorymount::wire::Refusal>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool Peer::ReserveResults::Builder::getOwner() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::savorymount::wire::Refusal> Peer::ReserveResults::Builder::disownRefusal() {
-  return ::capnp::_::PointerHelpers< ::savorymount::wire::Refusal>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Peer::ReserveResults::Builder::setOwner(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Peer::SettleParams::Reader::hasContext() const {
