--- /dev/null
+++ b/libraries/savorymount/agent/request_table.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <savorymount/agent/agent_request.hpp>
+#include <savorymount/agent/agent_settings.hpp>
+#include <savorymount/agent/bucket_service.hpp>
+#include <savorymount/agent/claim_service.hpp>
+#include <savorymount/agent/upstream_monitor.hpp>
+#include <savorymount/deduplication/outcome_store.hpp>
+#include <savorymount/limits/token_estimator.hpp>
+#include <savorymount/queueing/fair_queue.hpp>
+#include <savorymount/retries/crash_quarantine.hpp>
+#include <savorymount/runtime/kernel.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace savorymount::agent
+{
+
+/// All requests of this agent: checks, admission, queue, run, outcome, deduplication.
+class request_table
+{
+public:
+    request_table(runtime::kernel& owner, agent_settings const& settings,
+                  runtime::upstream_adapter const& adapter, upstream_monitor& monitor,
+                  bucket_service& buckets, claim_service& claims);
+
+    /// Takes a request; the promise resolves once it has its outcome.
+    kj::Promise<runtime::request_outcome> submit(submitted_request request,
+                                                 wire::AnswerSink::Client sink);
+
+    /// Continues the answer of a known request; nothing if it is unknown here.
+    kj::Promise<std::optional<runtime::request_outcome>>
+    attach(std::string const& id, std::uint64_t position, wire::AnswerSink::Client sink);
+
+    /// The caller has gone: removes a waiting request, stops a repeatable one.
+    void cancel(std::string const& id);
+
+    std::size_t running() const { return running_; }
+    std::size_t waiting() const { return queue_.size(); }
+    std::uint64_t queued_tokens() const { return queue_.tokens(); }
+
+private:
+    using request_pointer = std::shared_ptr<agent_request>;
+
+    std::optional<runtime::request_outcome> check(submitted_request const& request) const;
+    void admit(request_pointer const& it);
+    void admitted(request_pointer const& it, limits::admission const& answer);
+    void enqueue(request_pointer const& it);
+    void dispatch();
+    void start(request_pointer const& it);
+    void run(request_pointer const& it);
+    void ended(request_pointer const& it, runtime::request_outcome outcome);
+    void finish(request_pointer const& it, runtime::request_outcome outcome);
+    void refuse(request_pointer const& it, base::error reason, base::duration retry_after,
+                bool elsewhere);
+    void check_crash(request_pointer const& it, runtime::request_outcome outcome);
+    void note_crash(request_pointer const& it);
+    void abandon(request_pointer const& it);
+    void handle_crash_record(runtime::log_record const& record);
+    kj::Promise<runtime::request_outcome> wait(request_pointer const& it);
+    std::uint64_t cost(submitted_request const& request) const;
+
+    runtime::kernel& kernel_;
+    agent_settings const& settings_;
+    runtime::upstream_adapter const& adapter_;
+    upstream_monitor& monitor_;
+    bucket_service& buckets_;
+    claim_service& claims_;
+    deduplication::outcome_store<request_pointer> outcomes_;
+    std::unordered_map<std::string, request_pointer> active_;
+    std::unordered_map<std::string, queueing::queued_request> taken_;
+    queueing::fair_queue queue_;
+    limits::token_estimator estimator_;
+    retries::crash_quarantine quarantine_;
+    std::size_t running_ = 0;
+    runtime::timer_service::subscription tick_;
+};
+
+} // namespace savorymount::agent
--- a/libraries/savorymount/plugins/http_platform_log.cpp
+++ b/libraries/savorymount/plugins/http_platform_log.cpp
@@ -110,18 +110,19 @@
 {
     auto const target =
         "/log/read?from=" + std::to_string(from) + "&limit=" + std::to_string(limit);
-    runtime::http_fetch(loop, make_request(address, "GET", target, ""), max_page_bytes,
-                        [done = std::move(done)](std::optional<runtime::http_answer> const& answer,
-                                                 std::optional<runtime::http_failure> const& failure)
-                        {
-                            if (!answer || answer->status != 200)
-                            {
-                                done(std::nullopt, describe(answer, failure));
-                                return;
-                            }
-                            auto page = parse_page(answer->body);
-                            done(std::move(page), page ? base::error{} : malformed("page"));
-                        });
+    runtime::http_fetch(
+        loop, make_request(address, "GET", target, ""), max_page_bytes,
+        [done = std::move(done)](std::optional<runtime::http_answer> const& answer,
+                                 std::optional<runtime::http_failure> const& failure)
+        {
+            if (!answer || answer->status != 200)
+            {
+                done(std::nullopt, describe(answer, failure));
+                return;
+            }
+            auto page = parse_page(answer->body);
+            done(std::move(page), page ? base::error{} : malformed("page"));
+        });
 }
 
 runtime::platform_log make_log(runtime::event_loop& loop, runtime::network_address const& address)
@@ -133,9 +134,11 @@
         nlohmann::json const record{{"id", std::move(id)}, {"body", std::move(body)}};
         append(loop, address, record, std::move(done));
     };
-    out.read =
-        [&loop, address](std::uint64_t from, std::size_t limit, runtime::platform_log::read_done done)
-    { read(loop, address, from, limit, std::move(done)); };
+    out.read = [&loop, address](std::uint64_t from, std::size_t limit,
+                                runtime::platform_log::read_done done)
+    {
+        read(loop, address, from, limit, std::move(done));
+    };
     return out;
 }
 
--- a/libraries/savorymount/plugins/http_upstreams.cpp
+++ b/libraries/savorymount/plugins/http_upstreams.cpp
@@ -149,9 +149,12 @@
 void send_order(runtime::event_loop& loop, runtime::network_address const& address,
                 runtime::upstream_order const& order, runtime::upstream_adapter::order_done done)
 {
-    nlohmann::json const body{{"kind", order.kind},           {"model", order.model.model},
-                              {"adapter", order.model.adapter}, {"version", order.model.version},
-                              {"role", order.role},           {"fence", order.fence}};
+    nlohmann::json const body{{"kind", order.kind},
+                              {"model", order.model.model},
+                              {"adapter", order.model.adapter},
+                              {"version", order.model.version},
+                              {"role", order.role},
+                              {"fence", order.fence}};
     runtime::http_fetch(
         loop, control_request(address, "POST", "/orders", body.dump()), max_report_bytes,
         [done = std::move(done)](std::optional<runtime::http_answer> const& answer,
@@ -162,9 +165,9 @@
             else if (answer->status == 200)
                 done(true, {});
             else
-                done(false, {base::error_kind::conflict,
-                             "the upstream refused the order with status " +
-                                 std::to_string(answer->status)});
+                done(false,
+                     {base::error_kind::conflict, "the upstream refused the order with status " +
+                                                      std::to_string(answer->status)});
         });
 }
 
@@ -172,15 +175,18 @@
                                      runtime::network_address const& address)
 {
     runtime::upstream_adapter out;
-    out.run = [&loop, address](runtime::upstream_request const& request,
-                               runtime::http_call_hooks hooks)
-    { return run(loop, address, request, std::move(hooks)); };
+    out.run =
+        [&loop, address](runtime::upstream_request const& request, runtime::http_call_hooks hooks)
+    {
+        return run(loop, address, request, std::move(hooks));
+    };
     out.report = [&loop, address](runtime::upstream_adapter::report_done done)
     {
         fetch_parsed<runtime::upstream_report>(loop, control_request(address, "GET", "/load"),
                                                parse_report, std::move(done));
     };
-    out.cancel = [](std::string const&) {};
+    out.cancel = [](std::string const&) {
+    };
     return out;
 }
 
@@ -188,8 +194,8 @@
                                      runtime::network_address const& address)
 {
     auto out = make_plain(loop, address);
-    out.cache_events = [&loop, address](std::uint64_t after,
-                                        runtime::upstream_adapter::events_done done)
+    out.cache_events =
+        [&loop, address](std::uint64_t after, runtime::upstream_adapter::events_done done)
     {
         auto const target = "/cache/events?after=" + std::to_string(after);
         fetch_parsed<runtime::cache_event_page>(loop, control_request(address, "GET", target),
@@ -197,7 +203,9 @@
     };
     out.order = [&loop, address](runtime::upstream_order const& order,
                                  runtime::upstream_adapter::order_done done)
-    { send_order(loop, address, order, std::move(done)); };
+    {
+        send_order(loop, address, order, std::move(done));
+    };
     out.cancel = [&loop, address](std::string const& id)
     {
         runtime::http_fetch(loop, control_request(address, "DELETE", "/v1/requests/" + id),
--- a/libraries/savorymount/runtime/kernel.cpp
+++ b/libraries/savorymount/runtime/kernel.cpp
@@ -1,5 +1,4 @@
 #include <savorymount/runtime/kernel.hpp>
-
 #include <savorymount/runtime/log_events.hpp>
 #include <savorymount/runtime/plugin_registry.hpp>
 
@@ -70,8 +69,14 @@
 {
     peer_connection_options out;
     out.secret = settings_.shared_secret;
-    out.write_context = [this](wire::Context::Builder context) { write_context(context); };
-    out.local_peer = [this] { return make_peer_(nullptr); };
+    out.write_context = [this](wire::Context::Builder context)
+    {
+        write_context(context);
+    };
+    out.local_peer = [this]
+    {
+        return make_peer_(nullptr);
+    };
     out.on_heartbeat = [this, name](wire::Context::Reader context, wire::LoadReport::Reader load)
     {
         auto* const connection = peers_.find(name);
@@ -81,8 +86,12 @@
         for (auto const& it : heartbeat_hooks_)
             it(name, context, load);
     };
-    out.on_open = [] {};
-    out.on_lost = [this, name] { directory_.fall_silent(membership::parse_instance_name(name)); };
+    out.on_open = [] {
+    };
+    out.on_lost = [this, name]
+    {
+        directory_.fall_silent(membership::parse_instance_name(name));
+    };
     return out;
 }
 
@@ -116,7 +125,10 @@
     return true;
 }
 
-void kernel::run() { loop_->run(); }
+void kernel::run()
+{
+    loop_->run();
+}
 
 void kernel::handle_status(std::shared_ptr<http_exchange> const& exchange)
 {
--- a/libraries/savorymount/runtime/list_follower.cpp
+++ b/libraries/savorymount/runtime/list_follower.cpp
@@ -1,5 +1,4 @@
 #include <savorymount/runtime/list_follower.hpp>
-
 #include <savorymount/runtime/log_events.hpp>
 
 #include <utility>
@@ -20,16 +19,20 @@
 {
 }
 
-void list_follower::start() { read(); }
+void list_follower::start()
+{
+    read();
+}
 
 void list_follower::read()
 {
-    list_.read(
-        [this, sent = timers_.now()](std::optional<std::vector<instance_record>> const& list,
-                                     base::error const& reason) { handle(sent, list, reason); });
+    list_.read([this, sent = timers_.now()](std::optional<std::vector<instance_record>> const& list,
+                                            base::error const& reason)
+               { handle(sent, list, reason); });
 }
 
-void list_follower::handle(base::time_point sent, std::optional<std::vector<instance_record>> const& list,
+void list_follower::handle(base::time_point sent,
+                           std::optional<std::vector<instance_record>> const& list,
                            base::error const& reason)
 {
     if (std::exchange(available_, list.has_value()) != list.has_value())
