--- /dev/null
+++ b/libraries/savorymount/limits/bucket_lease.hpp
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <savorymount/base/time.hpp>
+#include <savorymount/limits/agent_list.hpp>
+#include <savorymount/limits/lease_directory.hpp>
+#include <savorymount/limits/lease_record.hpp>
+#include <savorymount/limits/limit_timing.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace savorymount::limits
+{
+
+/// Append this record to the log under the id; repeat the append with the same id while the
+/// answer is lost. Report the end through `append_ended`.
+struct append_lease
+{
+    std::string id;
+    lease_record record;
+
+    bool operator==(append_lease const&) const = default;
+};
+
+/// Create the bucket and grant from it under `fence`.
+struct start_owning
+{
+    std::uint64_t fence = 0;
+    /// True for the first owner ever: the bucket starts full. Otherwise it starts empty.
+    bool full = false;
+
+    bool operator==(start_owning const&) const = default;
+};
+
+/// Grant nothing more under `fence`. `resumable` says that `start_owning` may follow with the same
+/// fence: keep the bucket until then.
+struct stop_owning
+{
+    std::uint64_t fence = 0;
+    bool resumable = false;
+
+    bool operator==(stop_owning const&) const = default;
+};
+
+/// Continue to grant from the kept bucket under `fence`.
+struct resume_owning
+{
+    std::uint64_t fence = 0;
+
+    bool operator==(resume_owning const&) const = default;
+};
+
+using lease_action = std::variant<append_lease, start_owning, stop_owning, resume_owning>;
+
+/// One agent's part in the ownership of one workspace's bucket: decides when to append a lease
+/// record, when to start and when to stop granting.
+///
+/// The caller asks `may_grant(now)` with a fresh clock reading before each grant.
+class bucket_lease
+{
+public:
+    /// `renewal` is a quarter of the log's retention: the holder appends its lease again after this
+    /// time, and without the log the list alone confirms it for at most twice this time.
+    /// `retry` is the time between appends whose fate is unknown or that were refused.
+    bucket_lease(std::string workspace, std::string agent, std::string incarnation,
+                 limit_timing timing = {}, base::duration renewal = std::chrono::hours(6),
+                 base::duration retry = std::chrono::seconds(1));
+
+    /// Lease records have been folded into `directory`, but perhaps not up to the log's end.
+    std::vector<lease_action> log_record(base::time_point now, lease_directory const& directory);
+
+    /// A log read sent at `sent` reached the log's end, and all its records are in `directory`.
+    std::vector<lease_action> log_read(base::time_point now, base::time_point sent,
+                                       lease_directory const& directory);
+
+    /// A list read sent at `sent` returned `list`.
+    std::vector<lease_action> list_read(base::time_point now, base::time_point sent,
+                                        agent_list const& list);
+
+    /// The append is known to be done (`appended`) or has failed or has an unknown fate. Only the
+    /// log decides whether the record was accepted.
+    std::vector<lease_action> append_ended(base::time_point now, std::string const& id,
+                                           bool appended);
+
+    std::vector<lease_action> tick(base::time_point now);
+
+    /// The process is leaving: stop granting. The release is appended once `grants_ended` is
+    /// reported.
+    std::vector<lease_action> leave(base::time_point now);
+    std::vector<lease_action> grants_ended(base::time_point now);
+
+    /// True while this agent may hand out grants. Check before each grant with the current time.
+    bool may_grant(base::time_point now) const;
+
+    /// The fencing token of this agent's lease; 0 if it holds none.
+    std::uint64_t fence() const { return fence_; }
+
+    /// True when nothing is left to do before the process ends.
+    bool released() const;
+
+private:
+    enum class phase
+    {
+        /// Another agent holds the lease, or nobody does.
+        outside,
+        /// The lease is this agent's, but grants of an earlier owner may be alive.
+        waiting,
+        /// Grants are handed out.
+        owning,
+        /// The lease is this agent's, but nothing confirmed it within `hold`.
+        unconfirmed
+    };
+
+    void follow(base::time_point now, lease_directory const& directory,
+                std::vector<lease_action>& out);
+    void become_holder(base::time_point now, lease_holder const& holder);
+    void lose(std::vector<lease_action>& out);
+    void advance(base::time_point now, std::vector<lease_action>& out);
+    void consider_append(base::time_point now, std::vector<lease_action>& out);
+    std::optional<lease_record> wanted_record(base::time_point now) const;
+    bool confirmed(base::time_point now) const;
+    bool absent_long_enough(base::time_point now) const;
+    std::string own_list_id() const { return agent_ + "#" + incarnation_; }
+
+    std::string workspace_;
+    std::string agent_;
+    std::string incarnation_;
+    limit_timing timing_;
+    base::duration renewal_;
+    base::duration retry_;
+
+    phase phase_ = phase::outside;
+    std::uint64_t fence_ = 0;
+    bool starts_full_ = false;
+    base::time_point start_at_{};
+    base::time_point renewed_at_{};
+
+    std::optional<lease_holder> newest_;
+    bool log_seen_ = false;
+    bool log_complete_ = false;
+    std::optional<base::time_point> log_confirmed_;
+    std::optional<base::time_point> list_confirmed_;
+    /// Set when the list showed this agent as absent: list reads confirm nothing until the log has.
+    std::optional<base::time_point> list_denied_;
+
+    bool candidate_ = false;
+    /// The foreign holder that the list lacks, and the first read that lacked it.
+    std::string absent_id_;
+    std::optional<base::time_point> absent_since_;
+    std::optional<base::time_point> last_list_read_;
+
+    bool appending_ = false;
+    std::string append_id_;
+    std::uint64_t append_count_ = 0;
+    base::time_point append_after_{};
+
+    bool leaving_ = false;
+    bool grants_ended_ = false;
+};
+
+} // namespace savorymount::limits
--- /dev/null
+++ b/libraries/savorymount/limits/token_estimator.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace savorymount::limits
+{
+
+/// Estimates prompt tokens from bytes, per model, calibrated from reported usage.
+class token_estimator
+{
+public:
+    /// Remembers at most `capacity` models; the least recently used one is forgotten first.
+    explicit token_estimator(std::size_t capacity = 64);
+
+    /// The engine reported `tokens` prompt tokens for a prompt of `bytes` bytes.
+    void observe(std::string const& model, std::uint64_t bytes, std::uint64_t tokens);
+
+    /// A worst case for a prompt of `bytes` bytes: the mean ratio with a safety factor from the
+    /// observed spread. For an unknown model it assumes `cautious_bytes_per_token`.
+    std::uint64_t estimate(std::string const& model, std::uint64_t bytes) const;
+
+    std::size_t size() const { return models_.size(); }
+
+    static constexpr double cautious_bytes_per_token = 2.0;
+
+private:
+    struct calibration
+    {
+        std::string model;
+        /// Tokens per byte: weighted mean, mean square deviation, and the largest of late.
+        double mean = 0;
+        double variance = 0;
+        double largest = 0;
+        std::uint64_t samples = 0;
+    };
+
+    std::size_t capacity_;
+    std::list<calibration> order_;
+    std::unordered_map<std::string_view, std::list<calibration>::iterator> models_;
+};
+
+} // namespace savorymount::limits
--- /dev/null
+++ b/libraries/savorymount/limits/token_grant.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <savorymount/base/time.hpp>
+
+#include <cstdint>
+
+namespace savorymount::limits
+{
+
+/// Tokens that a bucket owner handed to an agent.
+struct token_grant
+{
+    /// Unique per owner and fencing token.
+    std::uint64_t id = 0;
+    std::uint64_t tokens = 0;
+    /// Counted by the agent's clock from before it sent the request for the grant.
+    base::duration lifetime{};
+    std::uint64_t fence = 0;
+
+    bool operator==(token_grant const&) const = default;
+};
+
+} // namespace savorymount::limits
