--- a/libraries/savorymount/limits/bucket_lease.hpp
+++ b/libraries/savorymount/limits/bucket_lease.hpp
@@ -62,9 +62,11 @@
 class bucket_lease
 {
 public:
+    /// `renewal` is a quarter of the log's retention: the holder appends its lease again after this
+    /// time, and without the log the list alone confirms it for at most twice this time.
     /// `retry` is the time between appends whose fate is unknown or that were refused.
     bucket_lease(std::string workspace, std::string agent, std::string incarnation,
-                 limit_timing timing = {}, base::duration renewal = std::chrono::minutes(10),
+                 limit_timing timing = {}, base::duration renewal = std::chrono::hours(6),
                  base::duration retry = std::chrono::seconds(1));
 
     /// Lease records have been folded into `directory`, but perhaps not up to the log's end.
--- a/libraries/savorymount/limits/lease_directory.hpp
+++ b/libraries/savorymount/limits/lease_directory.hpp
@@ -35,31 +35,31 @@
 class lease_directory
 {
 public:
-    /// Called with the oldest kept offset of each log read, before the read's records. Leases
-    /// below it may have expired unseen.
-    void log_starts_at(std::uint64_t first);
+    /// Called for each log read that started at offset `from`, before the read's records, with the
+    /// oldest offset that the log keeps. Leases below it are forgotten, since a reader that
+    /// starts now can't know them either; fencing tokens are kept.
+    void begin_read(std::uint64_t from, std::uint64_t first_kept);
 
     /// Applies the record at `offset`, in log order. True if the record is accepted.
     bool apply(std::uint64_t offset, lease_record const& record);
 
-    /// Takes over the fold of another reader (from a snapshot or a peer) if it is newer.
-    void adopt(std::string const& workspace, lease_holder const& holder);
-
     /// Null if no lease of the workspace has been seen.
     lease_holder const* newest(std::string const& workspace) const;
 
     /// The newest fencing token of the workspace; 0 if none.
     std::uint64_t fence(std::string const& workspace) const;
 
-    /// True if the log has been read from its very first record.
+    /// True if every record since the log's first one has been read.
     bool complete() const { return complete_; }
 
 private:
-    bool acceptable(std::uint64_t offset, lease_record const& record) const;
+    lease_holder const* find(std::string const& workspace) const;
 
     std::unordered_map<std::string, lease_holder> newest_;
-    std::uint64_t first_ = 0;
+    std::unordered_map<std::string, std::uint64_t> fences_;
+    std::uint64_t first_kept_ = 0;
     std::uint64_t applied_ = 0;
+    bool started_ = false;
     bool complete_ = false;
 };
 
