Implement routing and retries with unit and property tests

The router looks at a bounded number of candidates: hinted upstreams, the first members of the rendezvous order, and a few random ones in large pools.

--- a/libraries/savorymount/retries/crash_quarantine.hpp
+++ b/libraries/savorymount/retries/crash_quarantine.hpp
@@ -61,7 +61,7 @@
     struct record
     {
         std::string first_engine;
-        base::time_point first_at{};
+        /// Time of the crash that decides: the second one if quarantined, else the first.
         bool quarantined = false;
         base::time_point last_at{};
         std::uint64_t sequence = 0;
--- a/libraries/savorymount/retries/retry_policy.hpp
+++ b/libraries/savorymount/retries/retry_policy.hpp
@@ -55,7 +55,8 @@
 /// Most attempts of one request.
 constexpr std::uint32_t most_attempts = 4;
 
-/// Decides whether a request goes to another agent. Takes from `budget` only for `try_elsewhere`.
+/// Decides whether a request goes to another agent. Takes from `budget` only for
+/// `try_elsewhere`, and not after an attempt of which no byte was sent.
 retry_verdict decide_retry(base::time_point now, attempt const& last, retry_budget& budget);
 
 } // namespace savorymount::retries
--- a/libraries/savorymount/routing/baselines.hpp
+++ b/libraries/savorymount/routing/baselines.hpp
@@ -14,9 +14,10 @@
 choose_function make_round_robin_choice();
 
 /// The candidate with the least estimated load; scans all candidates.
-choose_function make_least_loaded_choice(upstream_load const& load);
+choose_function make_least_loaded_choice(upstream_load const& load, base::random_source& random);
 
-/// The first candidate in the order of preference of the whole prompt's last digest.
+/// The first candidate in the order of preference of the whole prefix, which is the prompt without
+/// its last message.
 choose_function make_consistent_hash_choice();
 
 } // namespace savorymount::routing
--- a/libraries/savorymount/routing/cache_hints.hpp
+++ b/libraries/savorymount/routing/cache_hints.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -36,7 +37,7 @@
 class cache_hints
 {
 public:
-    static constexpr std::size_t upstreams_per_digest = 4;
+    static constexpr std::size_t upstreams_per_digest = 8;
 
     /// The hints of one digest, newest first.
     struct found
@@ -79,7 +80,7 @@
     struct slot
     {
         upstream_id upstream = 0;
-        /// Milliseconds since the first call plus one; zero marks a free slot.
+        /// Low bits of the time of learning in milliseconds; zero marks a free slot.
         std::uint32_t tick = 0;
     };
     struct entry
@@ -91,11 +92,11 @@
     {
         std::uint64_t current = 0;
         std::uint64_t previous = 0;
-        std::uint32_t valid_since = 0;
+        /// Hints learned before this time are outdated, in milliseconds.
+        std::int64_t valid_since = 0;
     };
 
-    std::uint32_t tick(base::time_point now) const;
-    bool alive(std::uint32_t now, slot const& it) const;
+    std::optional<std::int64_t> age_of(std::int64_t now_ms, slot const& it) const;
     entry* find_entry(std::uint64_t digest);
     entry const* find_entry(std::uint64_t digest) const;
     entry& entry_for(std::uint64_t digest);
@@ -103,7 +104,7 @@
 
     std::vector<entry> entries_;
     std::vector<engine_state> engines_;
-    std::uint32_t max_age_ms_;
+    std::int64_t max_age_ms_;
     std::size_t used_ = 0;
 };
 
--- a/libraries/savorymount/routing/candidate_pool.hpp
+++ b/libraries/savorymount/routing/candidate_pool.hpp
@@ -25,6 +25,9 @@
     /// The handle at a position below `size()`.
     upstream_id at(std::size_t position) const { return members_[position].id; }
 
+    /// Whether the upstream is a member.
+    bool contains(upstream_id id) const { return id < contained_.size() && contained_[id]; }
+
     /// Writes up to `count` distinct members in the order of preference of `digest`, best first.
     /// Exact rendezvous hashing for small pools; for large ones the order is sampled in logarithmic
     /// time.
@@ -46,6 +49,7 @@
 
     std::vector<member> members_;
     std::vector<ring_point> ring_;
+    std::vector<bool> contained_;
 };
 
 } // namespace savorymount::routing
--- a/libraries/savorymount/routing/router.hpp
+++ b/libraries/savorymount/routing/router.hpp
@@ -5,6 +5,7 @@
 #include <savorymount/routing/route_request.hpp>
 #include <savorymount/routing/upstream_load.hpp>
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -21,6 +22,10 @@
     /// Time by which each open request delays a new one.
     base::duration delay_per_request = std::chrono::milliseconds(2);
     double bytes_per_token = 4.0;
+    /// Age at which half of the hinted blocks are expected to be evicted.
+    base::duration hint_half_life = std::chrono::seconds(20);
+    /// Expected share of the first levels that their preferred upstream holds without a hint.
+    double preferred_confidence = 0.5;
     /// Length of a ranked choice.
     std::size_t ranked = 4;
 };
@@ -42,9 +47,9 @@
     void started(base::time_point now, ranked_upstream const& choice);
 
     /// The request ended; call `started` before. `held_blocks` is the number of leading blocks that
-    /// the engine holds now; pass zero when the outcome doesn't say.
+    /// the engine holds now, empty when the outcome doesn't say. `engine` is its process id.
     void finished(base::time_point now, route_request const& request, ranked_upstream const& choice,
-                  std::string_view engine, std::size_t held_blocks);
+                  std::string_view engine, std::optional<std::size_t> held_blocks);
 
     /// A load report with the engine's process id, which may be empty for plain services.
     void load_reported(base::time_point now, upstream_id upstream, std::string_view engine,
@@ -60,22 +65,36 @@
     std::size_t memory_bytes() const;
 
 private:
+    /// An upstream under consideration for the current request.
     struct considered
     {
-        upstream_id upstream;
-        /// Expected cached bytes, weighted with the confidence in each source.
-        double cached_bytes;
-        std::size_t blocks;
-        /// Position in the order of preference; lower wins among equal costs.
-        std::uint32_t rank;
+        upstream_id upstream = 0;
+        /// Expected number of leading bytes that are cached there.
+        double cached_bytes = 0;
+        /// Leading blocks behind `cached_bytes`.
+        std::size_t blocks = 0;
+        /// Position in the order of preference of the placement digest.
+        std::size_t rank = 0;
+        base::duration cost{0};
     };
 
+    void consider(candidates const& upstreams, route_request const& request, upstream_id upstream,
+                  std::size_t rank);
+    void collect(base::time_point now, route_request const& request, candidates const& upstreams);
+    void apply_hints(base::time_point now, route_request const& request,
+                     candidates const& upstreams, std::size_t block);
+    void apply_placement(prompt_prefix const& prefix);
+    void price(base::time_point now);
+
     router_options options_;
     base::random_source& random_;
     cache_hints hints_;
     upstream_load load_;
+    // Scratch space of one decision, kept to avoid allocations.
     std::vector<considered> considered_;
     std::vector<upstream_id> preferred_;
+    std::vector<upstream_id> rejected_;
+    std::vector<double> ends_;
 };
 
 } // namespace savorymount::routing
--- a/libraries/savorymount/routing/upstream_load.hpp
+++ b/libraries/savorymount/routing/upstream_load.hpp
@@ -3,6 +3,7 @@
 #include <savorymount/base/time.hpp>
 #include <savorymount/routing/upstream_id.hpp>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -61,24 +62,24 @@
     std::size_t memory_bytes() const;
 
 private:
-    /// Changes within one lag period.
+    /// Changes by this entry within a stretch of time.
     struct changes
     {
         std::int64_t tokens = 0;
         std::int32_t requests = 0;
     };
+    /// Stretches per lag; with the current one they cover the time that a report can't contain.
+    static constexpr std::size_t stretches_per_lag = 4;
+
     struct state
     {
         load_report last;
         base::time_point reported_at{};
         bool reported = false;
-        /// Start of the current lag period.
-        base::time_point period_start{};
-        /// Changes in the current and in the previous lag period that the last report can't
-        /// contain.
-        changes current;
-        changes previous;
-        /// Changes before those, which the last report can't contain either.
+        /// Number of the current stretch since the epoch of the clock.
+        std::int64_t stretch = 0;
+        std::array<changes, stretches_per_lag + 1> recent;
+        /// Changes before the recent ones that the last report doesn't contain.
         changes older;
         /// Open requests of this entry.
         std::int64_t own_tokens = 0;
@@ -86,12 +87,11 @@
     };
 
     state& state_of(upstream_id upstream);
-    void roll(state& it, base::time_point now) const;
-    void add(base::time_point now, upstream_id upstream, std::int64_t tokens,
-             std::int32_t requests);
+    void advance(state& it, base::time_point now) const;
+    void add(base::time_point now, state& it, std::int64_t tokens, std::int32_t requests) const;
 
     std::vector<state> states_;
-    base::duration lag_;
+    base::duration stretch_;
 };
 
 } // namespace savorymount::routing
--- /dev/null
+++ b/tests/libraries/retries/crash_quarantine_test.cpp
@@ -0,0 +1,106 @@
+#include <savorymount/retries/crash_quarantine.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+
+namespace savorymount::retries
+{
+namespace
+{
+
+using std::chrono::seconds;
+
+base::time_point at(base::duration since_start)
+{
+    return base::time_point(since_start + std::chrono::hours(1));
+}
+
+// Guards against a request that crashes one upstream after the other.
+TEST(crash_quarantine, two_crashes_of_different_engines_refuse_the_request)
+{
+    crash_quarantine quarantine({seconds(600), 100});
+    quarantine.crashed(at(seconds(0)), "bad", "engine-1");
+    EXPECT_EQ(quarantine.refused_for(at(seconds(0)), "bad"), std::nullopt);
+    quarantine.crashed(at(seconds(1)), "bad", "engine-1");
+    EXPECT_EQ(quarantine.refused_for(at(seconds(1)), "bad"), std::nullopt)
+        << "the log and the outcome report one crash twice";
+    quarantine.crashed(at(seconds(10)), "bad", "engine-2");
+    EXPECT_EQ(quarantine.refused_for(at(seconds(10)), "bad"), seconds(600));
+    EXPECT_EQ(quarantine.refused_for(at(seconds(10)), "good"), std::nullopt);
+    EXPECT_EQ(quarantine.refused_for(at(seconds(609)), "bad"), seconds(1));
+    EXPECT_EQ(quarantine.refused_for(at(seconds(610)), "bad"), std::nullopt);
+}
+
+// Guards against two unrelated crashes, far apart, that refuse an innocent request.
+TEST(crash_quarantine, old_crashes_do_not_count)
+{
+    crash_quarantine quarantine({seconds(600), 100});
+    quarantine.crashed(at(seconds(0)), "rare", "engine-1");
+    quarantine.crashed(at(seconds(600)), "rare", "engine-2");
+    EXPECT_EQ(quarantine.refused_for(at(seconds(600)), "rare"), std::nullopt);
+    quarantine.crashed(at(seconds(700)), "rare", "engine-3");
+    EXPECT_TRUE(quarantine.refused_for(at(seconds(700)), "rare"));
+}
+
+// Guards against a slow or unreachable upstream that counts as crashed, and against a missed crash.
+TEST(crash_quarantine, a_slow_upstream_is_not_a_crashed_one)
+{
+    EXPECT_FALSE(is_crash({false, false, "a", "a"}));
+    EXPECT_FALSE(is_crash({false, true, "a", "b"})) << "only silence";
+    EXPECT_FALSE(is_crash({true, false, "a", "a"})) << "a lost connection to a living process";
+    EXPECT_FALSE(is_crash({true, false, "a", ""})) << "nothing is known about the process";
+    EXPECT_FALSE(is_crash({true, false, "", "b"}));
+    EXPECT_TRUE(is_crash({true, false, "a", "b"}));
+    EXPECT_TRUE(is_crash({true, true, "a", ""}));
+}
+
+// Guards against memory that a caller can fill with crashing requests, and against dropping a
+// quarantine although there is room.
+TEST(crash_quarantine, memory_is_bounded)
+{
+    crash_quarantine quarantine({seconds(600), 100});
+    for (int i = 0; i < 10'000; ++i)
+        quarantine.crashed(at(seconds(0)), "digest-" + std::to_string(i), "engine-1");
+    EXPECT_EQ(quarantine.size(), 100U);
+    quarantine.crashed(at(seconds(0)), "digest-9999", "engine-2");
+    EXPECT_TRUE(quarantine.refused_for(at(seconds(0)), "digest-9999"));
+    quarantine.crashed(at(seconds(2000)), "other", "engine-1");
+    EXPECT_EQ(quarantine.size(), 1U) << "expired records go";
+}
+
+// Guards against a verdict that differs from the rule for any order of crash records.
+RC_GTEST_PROP(crash_quarantine_properties, follow_the_rule, ())
+{
+    crash_quarantine quarantine({seconds(100), 1000});
+    struct expected
+    {
+        std::string engine;
+        base::time_point last;
+        bool refused = false;
+    };
+    std::map<std::string, expected> model;
+    base::time_point now = at(seconds(0));
+    int const steps = *rc::gen::inRange(1, 100);
+    for (int i = 0; i < steps; ++i)
+    {
+        now += seconds(*rc::gen::inRange(0, 60));
+        std::string const digest(1, static_cast<char>('a' + *rc::gen::inRange(0, 3)));
+        std::string const engine = std::to_string(*rc::gen::inRange(0, 3));
+        quarantine.crashed(now, digest, engine);
+        auto const it = model.find(digest);
+        if (it == model.end() || now - it->second.last >= seconds(100))
+            model[digest] = {engine, now, false};
+        else if (!it->second.refused && it->second.engine != engine)
+            it->second = {engine, now, true};
+        for (auto const& [name, state] : model)
+        {
+            bool const refused = state.refused && now - state.last < seconds(100);
+            RC_ASSERT(quarantine.refused_for(now, name).has_value() == refused);
+        }
+    }
+}
+
+} // namespace
+} // namespace savorymount::retries
--- /dev/null
+++ b/tests/libraries/routing/upstream_load_test.cpp
@@ -0,0 +1,110 @@
+#include <savorymount/routing/upstream_load.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace savorymount::routing
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+base::time_point at(base::duration since_start)
+{
+    return base::time_point(since_start + std::chrono::hours(1));
+}
+
+// Guards against a burst sent to one upstream because its lagging report still says idle.
+TEST(upstream_load, counts_what_was_sent_since_the_report)
+{
+    upstream_load load(milliseconds(200));
+    load.report(at(seconds(0)), 3, {2, 1, 1000});
+    load.sent(at(milliseconds(300)), 3, 500);
+    load_estimate const estimate = load.estimate(at(milliseconds(310)), 3);
+    EXPECT_EQ(estimate.queued_tokens, 1500U);
+    EXPECT_EQ(estimate.requests, 4U);
+    EXPECT_EQ(estimate.report_age, milliseconds(310));
+    load.started(at(milliseconds(400)), 3, 500);
+    load.finished(at(milliseconds(500)), 3);
+    EXPECT_EQ(load.estimate(at(milliseconds(500)), 3).queued_tokens, 1000U);
+    EXPECT_EQ(load.estimate(at(milliseconds(500)), 3).requests, 3U);
+}
+
+// Guards against a report that hides requests sent too late for it to contain.
+TEST(upstream_load, requests_within_the_lag_survive_a_report)
+{
+    upstream_load load(milliseconds(200));
+    load.report(at(seconds(0)), 3, {});
+    load.sent(at(milliseconds(100)), 3, 100);
+    load.sent(at(milliseconds(950)), 3, 500);
+    load.report(at(seconds(1)), 3, {1, 0, 100});
+    EXPECT_EQ(load.estimate(at(seconds(1)), 3).queued_tokens, 600U);
+    load.report(at(seconds(2)), 3, {2, 0, 600});
+    EXPECT_EQ(load.estimate(at(seconds(2)), 3).queued_tokens, 600U) << "now it contains them";
+}
+
+// Guards against an upstream that is avoided for good because its last report was bad.
+TEST(upstream_load, stale_reports_do_not_count)
+{
+    upstream_load load(milliseconds(200));
+    load.report(at(seconds(0)), 3, {9, 9, 1'000'000});
+    load.sent(at(seconds(1)), 3, 40);
+    EXPECT_EQ(load.estimate(at(seconds(4)), 3).queued_tokens, 1'000'040U);
+    EXPECT_EQ(load.estimate(at(seconds(6)), 3).queued_tokens, 40U);
+}
+
+// Guards against ends of requests sent before a restart that make the new engine look idle.
+TEST(upstream_load, ends_after_forget_do_not_count)
+{
+    upstream_load load(milliseconds(200));
+    load.sent(at(seconds(0)), 3, 500);
+    load.forget(3);
+    load.report(at(seconds(1)), 3, {4, 0, 800});
+    load.started(at(seconds(1)), 3, 500);
+    load.finished(at(seconds(1)), 3);
+    EXPECT_EQ(load.estimate(at(seconds(1)), 3).queued_tokens, 800U);
+    EXPECT_EQ(load.estimate(at(seconds(1)), 3).requests, 4U);
+    EXPECT_EQ(load.estimate(at(seconds(1)), 99), load_estimate{});
+}
+
+// Guards against an estimate below what this entry knows to be open, whatever the reports say.
+RC_GTEST_PROP(upstream_load_properties, never_below_own_open_requests, ())
+{
+    upstream_load load(milliseconds(200));
+    std::vector<std::uint64_t> waiting;
+    std::uint64_t open = 0;
+    base::time_point now = at(seconds(0));
+    int const steps = *rc::gen::inRange(1, 100);
+    for (int i = 0; i < steps; ++i)
+    {
+        now += milliseconds(*rc::gen::inRange(0, 500));
+        int const event = *rc::gen::inRange(0, 4);
+        if (event == 0)
+            load.report(now, 0, {*rc::gen::inRange(0U, 9U), 0, *rc::gen::inRange(0U, 999U)});
+        if (event == 1)
+        {
+            waiting.push_back(*rc::gen::inRange(0U, 1000U));
+            load.sent(now, 0, waiting.back());
+            ++open;
+        }
+        if (event == 2 && !waiting.empty())
+        {
+            load.started(now, 0, waiting.back());
+            load.finished(now, 0);
+            waiting.pop_back();
+            --open;
+        }
+        std::uint64_t sum = 0;
+        for (std::uint64_t it : waiting)
+            sum += it;
+        load_estimate const estimate = load.estimate(now, 0);
+        RC_ASSERT(estimate.queued_tokens >= sum);
+        RC_ASSERT(estimate.requests >= open);
+        RC_ASSERT(estimate.queued_tokens <= 1'000'000U);
+    }
+}
+
+} // namespace
+} // namespace savorymount::routing
