--- a/libraries/savorymount/agent/agent_peer.cpp
+++ b/libraries/savorymount/agent/agent_peer.cpp
@@ -28,13 +28,13 @@
     std::string const id = call.getParams().getRequestId();
     return requests_.attach(id, call.getParams().getPosition(), call.getParams().getSink())
         .then(
-            [this, call](std::optional<runtime::request_outcome>&& outcome) mutable
+            [this, call](request_table::attach_result&& result) mutable
             {
                 auto results = call.getResults();
                 owner().write_context(results.initContext());
-                results.setFound(outcome.has_value());
-                if (outcome)
-                    runtime::write_outcome(*outcome, results.initOutcome());
+                results.setFound(result.found);
+                if (result.found)
+                    runtime::write_outcome(result.outcome, results.initOutcome());
             });
 }
 
--- a/libraries/savorymount/agent/agent_request.cpp
+++ b/libraries/savorymount/agent/agent_request.cpp
@@ -11,6 +11,12 @@
 // The usage of an answer that is not streamed is read from its text, up to this length.
 constexpr std::size_t max_usage_text_bytes = std::size_t{1024} * 1024;
 
+/// The caller's request id, which stays the same over all attempts.
+std::string upstream_id(std::string const& attempt_id)
+{
+    return attempt_id.substr(0, attempt_id.rfind('.'));
+}
+
 bool is_event_stream(runtime::http_headers const& headers)
 {
     auto const type = runtime::find_header(headers, "content-type");
@@ -32,6 +38,11 @@
         else
             call_->resume();
     };
+    callbacks.on_lost = [this]
+    {
+        if (on_entry_lost)
+            on_entry_lost();
+    };
     pump_ = std::make_shared<answer_pump>(loop_, std::move(callbacks));
 }
 
@@ -40,7 +51,7 @@
 {
     ended_ = std::move(ended);
     runtime::upstream_request out;
-    out.id = request_.id;
+    out.id = upstream_id(request_.id);
     out.method = request_.method;
     out.target = request_.target;
     out.headers = request_.headers;
@@ -80,6 +91,7 @@
     request_.body.clear();
     request_.body.shrink_to_fit();
     request_.headers.clear();
+    on_entry_lost = nullptr;
     json_.clear();
 }
 
--- a/libraries/savorymount/agent/agent_request.hpp
+++ b/libraries/savorymount/agent/agent_request.hpp
@@ -25,6 +25,7 @@
     agent_request(runtime::event_loop& loop, submitted_request request);
 
     submitted_request const& request() const { return request_; }
+    /// Unique per attempt; the part before the last dot is the caller's request.
     std::string const& id() const { return request_.id; }
     answer_pump& pump() { return *pump_; }
 
@@ -37,9 +38,6 @@
 
     bool running() const { return call_ != nullptr; }
 
-    /// Whether every byte of the request was held back from the upstream.
-    bool written() const { return written_; }
-
     /// The engine process that was known when the request was sent.
     std::string engine_before;
     /// Tokens reserved for the request, and the reservation's number.
@@ -52,6 +50,9 @@
     /// Runs while no entry is connected; ends a repeatable request.
     runtime::timer_service::subscription abandoned;
 
+    /// Called when the connection to the entry fails while the request is not finished.
+    std::function<void()> on_entry_lost;
+
     /// Drops what only a running request needs.
     void release_body();
 
--- a/libraries/savorymount/agent/bucket_service.cpp
+++ b/libraries/savorymount/agent/bucket_service.cpp
@@ -152,6 +152,9 @@
             agents.push_back({it.id, it.state == "leaving"});
     }
     limits::agent_list const view(std::move(agents));
+    kernel_.peers().retain(
+        [this, &view](std::string const& name)
+        { return view.contains(name) || kernel_.peers().find(name) != nullptr; });
     auto const now = kernel_.now();
     for (auto& it : workspaces_)
     {
--- a/libraries/savorymount/agent/request_table.cpp
+++ b/libraries/savorymount/agent/request_table.cpp
@@ -71,13 +71,17 @@
     kernel_.shutdown().begin_request();
     auto const it = std::make_shared<agent_request>(kernel_.loop(), std::move(request));
     active_[it->id()] = it;
+    it->on_entry_lost = [this, it = it.get()]
+    {
+        entry_lost(it->shared_from_this());
+    };
     it->pump().attach(kj::mv(sink), it->request().resume_from);
     auto outcome = wait(it);
     admit(it);
     return outcome;
 }
 
-kj::Promise<std::optional<runtime::request_outcome>>
+kj::Promise<request_table::attach_result>
 request_table::attach(std::string const& id, std::uint64_t position, wire::AnswerSink::Client sink)
 {
     request_pointer it;
@@ -89,12 +93,31 @@
         auto const found = outcomes_.find(id, kernel_.now());
         if (found.payload != nullptr)
             it = *found.payload;
+        else if (found.state == deduplication::outcome_state::absent)
+            it = refuse_for_good(id);
     }
     if (!it || !it->pump().attach(kj::mv(sink), position))
-        return std::optional<runtime::request_outcome>();
+        return attach_result{};
     it->abandoned = {};
-    return wait(it).then([](runtime::request_outcome&& outcome)
-                         { return std::optional<runtime::request_outcome>(std::move(outcome)); });
+    return wait(it).then(
+        [](runtime::request_outcome&& outcome) {
+            return attach_result{true, std::move(outcome)};
+        });
+}
+
+request_table::request_pointer request_table::refuse_for_good(std::string const& id)
+{
+    auto const now = kernel_.now();
+    if (outcomes_.begin(id, now) != begin_verdict::started)
+        return nullptr;
+    submitted_request placeholder;
+    placeholder.id = id;
+    auto it = std::make_shared<agent_request>(kernel_.loop(), std::move(placeholder));
+    it->outcome = refusal(
+        {base::error_kind::unavailable, "the request did not reach the instance; send it again"},
+        1s, true);
+    outcomes_.finish(id, it, outcome_overhead_bytes, now);
+    return it;
 }
 
 void request_table::cancel(std::string const& id)
@@ -279,6 +302,7 @@
         if (outcome.prompt_tokens > 0)
             estimator_.observe(it->request().model, it->request().body.size(),
                                outcome.prompt_tokens);
+        release_slot(it, outcome);
         // The outcome follows the last chunk, so that the entry never ends an answer too early.
         it->pump().when_confirmed([this, it, outcome] { finish(it, outcome); });
         return;
@@ -344,6 +368,25 @@
     finish(it, refusal(std::move(reason), retry_after, elsewhere));
 }
 
+void request_table::release_slot(request_pointer const& it, runtime::request_outcome const& outcome)
+{
+    std::uint64_t used = 0;
+    if (outcome.end == outcome_kind::completed && outcome.prompt_tokens > 0)
+        used = outcome.prompt_tokens + outcome.answer_tokens;
+    else if (outcome.end != outcome_kind::refused)
+        used = it->reserved_tokens;
+    auto const reservation = std::exchange(it->reservation, 0);
+    if (reservation != 0)
+        buckets_.complete(it->request().workspace, reservation, used);
+    auto const taken = taken_.find(it->id());
+    if (taken == taken_.end())
+        return;
+    queue_.completed(kernel_.now(), taken->second, used);
+    taken_.erase(taken);
+    --running_;
+    kernel_.loop().defer([this] { dispatch(); });
+}
+
 void request_table::finish(request_pointer const& it, runtime::request_outcome outcome)
 {
     auto const id = it->id();
@@ -351,20 +394,7 @@
         return;
     auto const now = kernel_.now();
     bool const ran = outcome.end != outcome_kind::refused;
-    std::uint64_t used = 0;
-    if (outcome.end == outcome_kind::completed && outcome.prompt_tokens > 0)
-        used = outcome.prompt_tokens + outcome.answer_tokens;
-    else if (ran)
-        used = it->reserved_tokens;
-    if (it->reservation != 0)
-        buckets_.complete(it->request().workspace, it->reservation, used);
-    auto const taken = taken_.find(id);
-    if (taken != taken_.end())
-    {
-        queue_.completed(now, taken->second, used);
-        taken_.erase(taken);
-        --running_;
-    }
+    release_slot(it, outcome);
     it->abandoned = {};
     it->release_body();
     it->pump().finish();
@@ -377,17 +407,29 @@
         waiter->fulfill();
     it->waiters.clear();
     kernel_.shutdown().end_request();
-    kernel_.loop().defer([this] { dispatch(); });
 }
 
 void request_table::abandon(request_pointer const& it)
 {
     if (!it->running())
         return;
-    adapter_.cancel(it->id());
+    adapter_.cancel(it->id().substr(0, it->id().rfind('.')));
     it->stop({base::error_kind::deadline, "the caller has gone"});
 }
 
+void request_table::entry_lost(request_pointer const& it)
+{
+    // Work that nobody will read is stopped; a request that may not be repeated runs to its end.
+    if (!it->request().repeatable)
+        return;
+    it->abandoned = kernel_.timers().after(abandoned_after,
+                                           [this, weak = std::weak_ptr<agent_request>(it)]
+                                           {
+                                               if (auto const request = weak.lock())
+                                                   cancel(request->id());
+                                           });
+}
+
 kj::Promise<runtime::request_outcome> request_table::wait(request_pointer const& it)
 {
     if (it->outcome)
--- a/libraries/savorymount/agent/request_table.hpp
+++ b/libraries/savorymount/agent/request_table.hpp
@@ -31,9 +31,17 @@
     kj::Promise<runtime::request_outcome> submit(submitted_request request,
                                                  wire::AnswerSink::Client sink);
 
-    /// Continues the answer of a known request; nothing if it is unknown here.
-    kj::Promise<std::optional<runtime::request_outcome>>
-    attach(std::string const& id, std::uint64_t position, wire::AnswerSink::Client sink);
+    /// Whether a request is known here, and how it ended.
+    struct attach_result
+    {
+        bool found = false;
+        runtime::request_outcome outcome;
+    };
+
+    /// Continues the answer of a known request. An id that never arrived is refused from now on, so
+    /// that the answer `not run` stays true if the lost message still arrives.
+    kj::Promise<attach_result> attach(std::string const& id, std::uint64_t position,
+                                      wire::AnswerSink::Client sink);
 
     /// The caller has gone: removes a waiting request, stops a repeatable one.
     void cancel(std::string const& id);
@@ -53,7 +61,10 @@
     void start(request_pointer const& it);
     void run(request_pointer const& it);
     void ended(request_pointer const& it, runtime::request_outcome outcome);
+    void release_slot(request_pointer const& it, runtime::request_outcome const& outcome);
     void finish(request_pointer const& it, runtime::request_outcome outcome);
+    request_pointer refuse_for_good(std::string const& id);
+    void entry_lost(request_pointer const& it);
     void refuse(request_pointer const& it, base::error reason, base::duration retry_after,
                 bool elsewhere);
     void check_crash(request_pointer const& it, runtime::request_outcome outcome);
--- a/libraries/savorymount/runtime/bufferevent_stream.cpp
+++ b/libraries/savorymount/runtime/bufferevent_stream.cpp
@@ -93,7 +93,10 @@
 
 void bufferevent_stream::on_read(bufferevent*, void* self)
 {
-    static_cast<bufferevent_stream*>(self)->complete_read();
+    auto* const stream = static_cast<bufferevent_stream*>(self);
+    if (stream->on_activity)
+        stream->on_activity();
+    stream->complete_read();
 }
 
 void bufferevent_stream::on_write(bufferevent*, void* self)
--- a/libraries/savorymount/runtime/bufferevent_stream.hpp
+++ b/libraries/savorymount/runtime/bufferevent_stream.hpp
@@ -6,6 +6,7 @@
 #include <kj/async-io.h>
 
 #include <cstddef>
+#include <functional>
 
 namespace savorymount::runtime
 {
@@ -27,6 +28,9 @@
     void shutdownWrite() override;
     void abortRead() override;
 
+    /// Called each time bytes arrive.
+    std::function<void()> on_activity;
+
 private:
     struct pending_read
     {
--- a/libraries/savorymount/runtime/kernel.cpp
+++ b/libraries/savorymount/runtime/kernel.cpp
@@ -51,7 +51,7 @@
       shutdown_(leaving_announcement),
       peers_(*loop_, timers_, [this](std::string const& name) { return peer_options(name); }),
       internal_server_(
-          *loop_, settings_.shared_secret,
+          *loop_, timers_, settings_.shared_secret,
           [this](wire::Context::Reader remote, wire::Peer::Client caller)
           {
               read_context(remote, caller);
--- a/libraries/savorymount/runtime/rpc_server.cpp
+++ b/libraries/savorymount/runtime/rpc_server.cpp
@@ -21,6 +21,13 @@
 // Bounds what one message may make this process allocate: 32 MiB, above the largest request body.
 constexpr std::uint64_t max_message_words = std::uint64_t{4} * 1024 * 1024;
 
+using namespace std::chrono_literals;
+
+// Clients send a heartbeat each second; a connection without bytes for this long is dead, even if
+// TCP has not noticed.
+constexpr base::duration silence_limit = 6s;
+constexpr base::duration silence_check_interval = 1s;
+
 } // namespace
 
 class rpc_server::connection
@@ -33,20 +40,29 @@
                                     wire::Gateway::Client(kj::heap<peer_gateway>(
                                         server.secret_, server.factory_, server.context_))))
     {
+        last_activity_ = server.timers_.now();
+        stream_.on_activity = [&server, this]
+        {
+            last_activity_ = server.timers_.now();
+        };
         server.loop_.detach(network_.onDisconnect().then(
             [&server, this] { server.loop_.defer([&server, this] { server.remove(this); }); }));
     }
 
+    base::time_point last_activity() const { return last_activity_; }
+
 private:
+    base::time_point last_activity_{};
     bufferevent_stream stream_;
     capnp::TwoPartyVatNetwork network_;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc_;
 };
 
-rpc_server::rpc_server(event_loop& loop, std::string secret, peer_factory factory,
-                       context_writer context)
-    : loop_(loop), secret_(std::move(secret)), factory_(std::move(factory)),
-      context_(std::move(context))
+rpc_server::rpc_server(event_loop& loop, timer_service& timers, std::string secret,
+                       peer_factory factory, context_writer context)
+    : loop_(loop), timers_(timers), secret_(std::move(secret)), factory_(std::move(factory)),
+      context_(std::move(context)),
+      silence_timer_(timers_.every(silence_check_interval, [this] { drop_silent(); }))
 {
 }
 
@@ -94,6 +110,22 @@
     server->connections_.push_back(kj::heap<connection>(*server, buffer));
 }
 
+void rpc_server::drop_silent()
+{
+    auto const oldest = timers_.now() - silence_limit;
+    std::vector<connection const*> silent;
+    for (auto const& it : connections_)
+    {
+        if (it->last_activity() < oldest)
+            silent.push_back(it.get());
+    }
+    for (auto const* it : silent)
+    {
+        log(log_events::peer_lost, {{"address", "inbound"}, {"reason", "silent"}});
+        remove(it);
+    }
+}
+
 void rpc_server::remove(connection const* which)
 {
     auto const it = std::find_if(connections_.begin(), connections_.end(),
--- a/libraries/savorymount/runtime/rpc_server.hpp
+++ b/libraries/savorymount/runtime/rpc_server.hpp
@@ -3,6 +3,7 @@
 #include <savorymount/base/error.hpp>
 #include <savorymount/runtime/event_loop.hpp>
 #include <savorymount/runtime/settings_parser.hpp>
+#include <savorymount/runtime/timer_service.hpp>
 #include <savorymount/wire/savorymount.capnp.h>
 
 #include <event2/listener.h>
@@ -26,7 +27,8 @@
         std::function<wire::Peer::Client(wire::Context::Reader remote, wire::Peer::Client caller)>;
     using context_writer = std::function<void(wire::Context::Builder)>;
 
-    rpc_server(event_loop& loop, std::string secret, peer_factory factory, context_writer context);
+    rpc_server(event_loop& loop, timer_service& timers, std::string secret, peer_factory factory,
+               context_writer context);
     ~rpc_server() noexcept;
     rpc_server(rpc_server const&) = delete;
     rpc_server& operator=(rpc_server const&) = delete;
@@ -42,13 +44,16 @@
 
     static void on_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self);
     void remove(connection const* which);
+    void drop_silent();
 
     event_loop& loop_;
+    timer_service& timers_;
     std::string secret_;
     peer_factory factory_;
     context_writer context_;
     evconnlistener* listener_ = nullptr;
     std::vector<kj::Own<connection>> connections_;
+    timer_service::subscription silence_timer_;
 };
 
 } // namespace savorymount::runtime
--- /dev/null
+++ b/services/agent/main.cpp
@@ -0,0 +1,10 @@
+#include <savorymount/agent/agent.hpp>
+#include <savorymount/runtime/daemon.hpp>
+
+int main(int argc, char** argv)
+{
+    using namespace savorymount;
+    return runtime::run_daemon<agent::agent>("savorymount-agent", SAVORYMOUNT_VERSION, argc, argv,
+                                             agent::declare_agent_settings,
+                                             agent::parse_agent_settings);
+}
--- /dev/null
+++ b/services/entry/main.cpp
@@ -0,0 +1,10 @@
+#include <savorymount/entry/entry.hpp>
+#include <savorymount/runtime/daemon.hpp>
+
+int main(int argc, char** argv)
+{
+    using namespace savorymount;
+    return runtime::run_daemon<entry::entry>("savorymount-entry", SAVORYMOUNT_VERSION, argc, argv,
+                                             entry::declare_entry_settings,
+                                             entry::parse_entry_settings);
+}
--- a/tests/libraries/runtime/peer_connection_test.cpp
+++ b/tests/libraries/runtime/peer_connection_test.cpp
@@ -36,7 +36,7 @@
     void serve(std::string secret)
     {
         server_ = std::make_unique<rpc_server>(
-            loop_, std::move(secret),
+            loop_, timers_, std::move(secret),
             [this](wire::Context::Reader, wire::Peer::Client)
             { return wire::Peer::Client(kj::heap<counting_peer>(pings_)); },
             [](wire::Context::Builder it) { it.setInstance("server"); });
