Implement the bucket, grants, owner lease, estimates, overload gate and fair queue

Change: implementations of libraries/savorymount/limits and queueing, and RapidCheck histories of agents, owners, log, list and network under a virtual clock (tests/libraries/limits). The checker reads the recorded admissions only.

--- a/libraries/savorymount/limits/bucket_lease.hpp
+++ b/libraries/savorymount/limits/bucket_lease.hpp
@@ -116,13 +116,15 @@
 
     void follow(base::time_point now, lease_directory const& directory,
                 std::vector<lease_action>& out);
-    void become_holder(base::time_point now, lease_holder const& holder);
+    void become_holder(base::time_point now);
     void lose(std::vector<lease_action>& out);
+    void note_presence(base::time_point now, base::time_point sent, agent_list const& list);
+    void note_absence(base::time_point now, agent_list const& list, bool gap);
     void advance(base::time_point now, std::vector<lease_action>& out);
     void consider_append(base::time_point now, std::vector<lease_action>& out);
     std::optional<lease_record> wanted_record(base::time_point now) const;
     bool confirmed(base::time_point now) const;
-    bool absent_long_enough(base::time_point now) const;
+    bool absent_long_enough() const;
     std::string own_list_id() const { return agent_ + "#" + incarnation_; }
 
     std::string workspace_;
@@ -133,24 +135,25 @@
     base::duration retry_;
 
     phase phase_ = phase::outside;
+    /// Of this agent's lease; 0 while it holds none.
     std::uint64_t fence_ = 0;
     bool starts_full_ = false;
     base::time_point start_at_{};
+    std::uint64_t renewed_offset_ = 0;
     base::time_point renewed_at_{};
 
     std::optional<lease_holder> newest_;
-    bool log_seen_ = false;
-    bool log_complete_ = false;
-    std::optional<base::time_point> log_confirmed_;
+    /// When the newest read that reached the log's end was sent.
+    std::optional<base::time_point> log_read_;
+    std::optional<base::time_point> list_read_;
     std::optional<base::time_point> list_confirmed_;
-    /// Set when the list showed this agent as absent: list reads confirm nothing until the log has.
+    /// When the list last lacked this agent, until a later log read.
     std::optional<base::time_point> list_denied_;
 
     bool candidate_ = false;
-    /// The foreign holder that the list lacks, and the first read that lacked it.
+    /// The foreign holder that the list lacks, and since which read without a gap.
     std::string absent_id_;
-    std::optional<base::time_point> absent_since_;
-    std::optional<base::time_point> last_list_read_;
+    base::time_point absent_since_{};
 
     bool appending_ = false;
     std::string append_id_;
--- a/libraries/savorymount/limits/grant_account.hpp
+++ b/libraries/savorymount/limits/grant_account.hpp
@@ -6,6 +6,8 @@
 #include <savorymount/limits/token_grant.hpp>
 
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <variant>
@@ -122,37 +124,43 @@
     {
         token_grant issued;
         base::time_point expiry;
+        /// Tokens that can still be admitted.
         std::uint64_t free = 0;
+        /// Tokens of running requests.
+        std::uint64_t running = 0;
         std::uint64_t used = 0;
         std::uint64_t unused = 0;
-        std::uint64_t running = 0;
         bool closed = false;
-        bool changed = false;
-        base::time_point report_due;
+        std::optional<base::time_point> report_due;
     };
 
+    /// The part of a reservation that comes from one grant.
     struct part
     {
-        std::size_t key = 0;
+        std::uint64_t key = 0;
         std::uint64_t tokens = 0;
     };
 
-    struct pending_ask
+    struct open_ask
     {
         std::uint64_t request = 0;
         base::time_point asked;
         std::uint64_t tokens = 0;
+        std::uint64_t least = 0;
         bool sent = false;
     };
 
-    void close_ended(base::time_point now);
+    void advance(base::time_point now);
+    void ask_lost(base::time_point now);
+    void close(base::time_point now, held& it);
+    void close_if_used_up(base::time_point now, held& it);
     void note_demand(base::time_point now, std::uint64_t tokens);
-    void decay_demand(base::time_point now);
-    void ask(base::time_point now, std::uint64_t needed);
+    void ask(base::time_point now, std::uint64_t missing);
     void ask_ahead(base::time_point now);
-    std::uint64_t grant_size(std::uint64_t needed) const;
-    std::uint64_t free_tokens() const;
-    void mark_changed(base::time_point now, held& it);
+    std::uint64_t ahead_tokens(base::time_point now) const;
+    std::uint64_t free_tokens(base::time_point until) const;
+    std::uint64_t reserve(base::time_point now, std::uint64_t tokens);
+    std::optional<open_ask> take_ask(std::uint64_t request);
 
     std::uint64_t rate_;
     std::uint64_t burst_;
@@ -160,18 +168,19 @@
     grant_sizing sizing_;
     std::uint64_t fence_ = 0;
     bool reachable_ = false;
-    /// Tokens asked for by requests, per second, as an exponential average.
-    double demand_per_second_ = 0;
+    /// Tokens asked for by requests, decaying over `demand_memory`.
+    double demand_tokens_ = 0;
     base::time_point demand_updated_{};
-    std::unordered_map<std::size_t, held> grants_;
-    std::vector<std::size_t> order_;
-    std::size_t next_key_ = 1;
+    /// In order of arrival.
+    std::map<std::uint64_t, held> grants_;
+    std::uint64_t next_key_ = 1;
     std::unordered_map<std::uint64_t, std::vector<part>> reservations_;
     std::uint64_t next_reservation_ = 1;
-    std::optional<pending_ask> ask_;
-    std::uint64_t ask_least_ = 0;
+    std::optional<open_ask> ask_;
+    /// Asks without an answer so far, whose answers may still arrive.
+    std::deque<open_ask> late_asks_;
     std::uint64_t next_request_ = 1;
-    /// Until then the owner is known to have fewer than `refused_tokens_`.
+    /// Until `refused_until_` the owner has fewer than `refused_tokens_` left.
     base::time_point refused_until_{};
     std::uint64_t refused_tokens_ = 0;
     base::time_point failed_until_{};
--- /dev/null
+++ b/libraries/savorymount/limits/token_estimator.cpp
@@ -0,0 +1,69 @@
+#include <savorymount/limits/token_estimator.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace savorymount::limits
+{
+
+namespace
+{
+
+/// Weight of a new sample once enough have been seen.
+constexpr double sample_weight = 0.05;
+/// Number of standard deviations above the mean.
+constexpr double spread_factor = 3.0;
+/// Share by which the largest ratio seen approaches the mean with each sample.
+constexpr double largest_decay = 0.01;
+/// Factor on the estimate while few samples are known.
+constexpr double early_factor = 1.25;
+constexpr std::uint64_t early_samples = 20;
+
+} // namespace
+
+token_estimator::token_estimator(std::size_t capacity)
+    : capacity_(std::max<std::size_t>(capacity, 1))
+{
+}
+
+void token_estimator::observe(std::string const& model, std::uint64_t bytes, std::uint64_t tokens)
+{
+    if (bytes == 0)
+        return;
+    auto found = models_.find(model);
+    if (found == models_.end())
+    {
+        if (models_.size() == capacity_)
+        {
+            models_.erase(order_.back().model);
+            order_.pop_back();
+        }
+        order_.push_front({model, 0, 0, 0, 0});
+        found = models_.emplace(order_.front().model, order_.begin()).first;
+    }
+    order_.splice(order_.begin(), order_, found->second);
+    auto& it = order_.front();
+    auto const ratio = static_cast<double>(tokens) / static_cast<double>(bytes);
+    ++it.samples;
+    auto const weight = std::max(sample_weight, 1.0 / static_cast<double>(it.samples));
+    auto const difference = ratio - it.mean;
+    it.mean += weight * difference;
+    it.variance = (1 - weight) * (it.variance + weight * difference * difference);
+    it.largest = std::max(ratio, it.largest - largest_decay * (it.largest - it.mean));
+}
+
+std::uint64_t token_estimator::estimate(std::string const& model, std::uint64_t bytes) const
+{
+    auto const found = models_.find(model);
+    auto ratio = 1.0 / cautious_bytes_per_token;
+    if (found != models_.end())
+    {
+        auto const& it = *found->second;
+        ratio = std::max(it.mean + spread_factor * std::sqrt(it.variance), it.largest);
+        if (it.samples < early_samples)
+            ratio *= early_factor;
+    }
+    return static_cast<std::uint64_t>(std::ceil(ratio * static_cast<double>(bytes)));
+}
+
+} // namespace savorymount::limits
--- a/libraries/savorymount/limits/workspace_bucket.hpp
+++ b/libraries/savorymount/limits/workspace_bucket.hpp
@@ -29,8 +29,10 @@
     workspace_bucket(base::time_point now, std::uint64_t fence, std::uint64_t rate,
                      std::uint64_t burst, start_level start, limit_timing timing = {});
 
-    /// Hands out up to `tokens` tokens: what there is, if at least `least` tokens are there.
-    /// Empty if fewer are there; `retry_after` then says when `least` tokens will be there.
+    /// Hands out up to `tokens` tokens, and at least `least`. While little is left it hands out
+    /// only `least`, so that what is left is not spread over agents that may not need it. Empty if
+    /// fewer than `least` are there; `retry_after` then says when they will be, and is zero if they
+    /// never will (`least` above burst).
     std::optional<token_grant> grant(base::time_point now, std::uint64_t tokens,
                                      std::uint64_t least, base::duration& retry_after);
 
@@ -45,7 +47,7 @@
     void configure(base::time_point now, std::uint64_t rate, std::uint64_t burst);
 
     /// When `tokens` tokens will be there if nothing else is granted; empty if never (above burst).
-    std::optional<base::duration> time_until(base::time_point now, std::uint64_t tokens) const;
+    std::optional<base::duration> time_until(base::time_point now, std::uint64_t tokens);
 
     /// True when no agent can admit from a grant of this bucket any more.
     bool all_grants_ended(base::time_point now);
@@ -64,20 +66,25 @@
     struct issued
     {
         std::uint64_t tokens = 0;
+        /// Totals as reported.
         std::uint64_t used = 0;
         std::uint64_t unused = 0;
-        /// Tokens neither reported nor forgotten.
+        /// Tokens whose use is neither reported nor assumed.
         std::uint64_t open = 0;
+        /// Tokens that refill has replaced: they count as used.
+        std::uint64_t forgotten = 0;
         base::time_point expiry;
         bool expired = false;
     };
 
     void advance(base::time_point now);
-    void expire(base::time_point now);
     void refill(base::time_point until);
-    void reduce_to_burst();
-    void forget_oldest_reclaimable(std::uint64_t tokens);
-    void drop_finished();
+    void enforce_burst();
+    void expire(std::uint64_t grant_id);
+    void forget_reclaimable(std::uint64_t tokens);
+    void forget_oldest_expired();
+    void close_tokens(issued& it, std::uint64_t tokens);
+    std::int64_t whole_level() const;
 
     limit_timing timing_;
     std::uint64_t fence_;
@@ -90,7 +97,7 @@
     base::time_point updated_;
     std::uint64_t next_id_ = 1;
     std::unordered_map<std::uint64_t, issued> grants_;
-    /// Ids of live grants in order of expiry, and of expired ones in order of expiry.
+    /// Ids in order of expiry; settled grants are dropped when they reach the front.
     std::deque<std::uint64_t> live_;
     std::deque<std::uint64_t> expired_;
 };
--- a/libraries/savorymount/queueing/fair_queue.hpp
+++ b/libraries/savorymount/queueing/fair_queue.hpp
@@ -55,8 +55,8 @@
     bool enqueue(base::time_point now, queued_request request, base::duration& retry_after,
                  base::error& reason);
 
-    /// Takes the next request out, in fair order. Requests past their deadline are moved to
-    /// `expired` instead.
+    /// Takes the next request out, in fair order. Requests found past their deadline are moved to
+    /// `expired` instead. Each request returned must end in `completed`.
     std::optional<queued_request> next(base::time_point now, std::vector<queued_request>& expired);
 
     /// Takes a request out on cancel. False if it is not queued.
@@ -67,8 +67,7 @@
     void completed(base::time_point now, queued_request const& request, std::uint64_t used);
 
     /// Expected wait of a request that would be added now; zero until a service rate is known.
-    base::duration expected_wait(base::time_point now, std::string const& workspace,
-                                 std::uint64_t tokens, double weight) const;
+    base::duration expected_wait(std::string const& workspace, double weight) const;
 
     std::size_t size() const { return index_.size(); }
     std::uint64_t tokens() const { return tokens_; }
@@ -76,33 +75,36 @@
     double service_rate() const { return service_rate_; }
 
 private:
+    /// Higher priority first, then in order of arrival.
+    using position = std::pair<std::int64_t, std::uint64_t>;
+
     struct flow
     {
-        /// Higher priority first, then in order of arrival.
-        std::map<std::pair<std::int64_t, std::uint64_t>, queued_request> requests;
+        std::map<position, queued_request> requests;
         std::uint64_t tokens = 0;
         double weight = 1;
-        /// Virtual start of the head request, and virtual finish of the last one served.
+        /// Virtual start of the next request.
         double start = 0;
-        double finish = 0;
+        /// Breaks ties between flows with the same start by arrival.
         std::uint64_t order = 0;
-        unsigned running = 0;
+        std::size_t running = 0;
     };
 
     struct place
     {
         std::string workspace;
-        std::pair<std::int64_t, std::uint64_t> key;
+        position at;
     };
 
     using turn = std::tuple<double, std::uint64_t, std::string>;
 
+    bool fits(queued_request const& request, flow const* own) const;
+    queued_request extract(std::string const& workspace, flow& from,
+                           std::map<position, queued_request>::iterator it);
     void schedule(std::string const& workspace, flow& it);
     void unschedule(std::string const& workspace, flow const& it);
-    queued_request extract(std::string const& workspace, flow& it,
-                           std::pair<std::int64_t, std::uint64_t> key);
-    void forget_idle(std::string const& workspace);
-    void measure(base::time_point now, std::uint64_t used);
+    void forget_if_idle(std::string const& workspace);
+    void measure(base::time_point now);
 
     queue_bounds bounds_;
     std::unordered_map<std::string, flow> flows_;
@@ -110,12 +112,12 @@
     std::unordered_map<std::string, place> index_;
     std::uint64_t tokens_ = 0;
     std::uint64_t arrivals_ = 0;
+    std::size_t running_ = 0;
     double virtual_time_ = 0;
     double service_rate_ = 0;
-    /// Start and tokens of the running measurement.
-    std::optional<base::time_point> measured_since_;
-    std::uint64_t measured_tokens_ = 0;
-    unsigned running_ = 0;
+    /// Start of the measured interval in which the queue was never empty, and tokens served in it.
+    std::optional<base::time_point> busy_since_;
+    std::uint64_t busy_tokens_ = 0;
 };
 
 } // namespace savorymount::queueing
--- /dev/null
+++ b/tests/libraries/limits/limits_invariant_test.cpp
@@ -0,0 +1,259 @@
+#include "../seeded_property.hpp"
+#include "limits_world.hpp"
+
+#include <algorithm>
+#include <ostream>
+
+namespace savorymount::tests
+{
+
+namespace
+{
+
+char const* name_of(fault_kind kind)
+{
+    switch (kind)
+    {
+    case fault_kind::kill:
+        return "kill";
+    case fault_kind::freeze:
+        return "freeze";
+    case fault_kind::cut_from_log:
+        return "cut_from_log";
+    case fault_kind::cut_from_list:
+        return "cut_from_list";
+    case fault_kind::cut_from_agents:
+        return "cut_from_agents";
+    case fault_kind::unlisted:
+        return "unlisted";
+    case fault_kind::log_down:
+        return "log_down";
+    case fault_kind::list_down:
+        return "list_down";
+    case fault_kind::lose_append_answers:
+        return "lose_append_answers";
+    case fault_kind::leave:
+        return "leave";
+    case fault_kind::list_frozen:
+        return "list_frozen";
+    }
+    return "?";
+}
+
+double seconds(base::duration it)
+{
+    return std::chrono::duration<double>(it).count();
+}
+
+} // namespace
+
+std::ostream& operator<<(std::ostream& out, history_plan const& it)
+{
+    out << "seed=" << it.seed << " agents=" << it.agents << " rate=" << it.rate
+        << " burst=" << it.burst << " drift=" << it.drift_permille
+        << " length=" << seconds(it.length);
+    for (auto const& d : it.demands)
+        out << "\n  demand at=" << seconds(d.at) << " for=" << seconds(d.length)
+            << " tokens=" << d.tokens << " per_second=" << d.per_second;
+    for (auto const& f : it.faults)
+        out << "\n  fault " << name_of(f.kind) << " at=" << seconds(f.at)
+            << " for=" << seconds(f.length) << " agent=" << f.agent;
+    return out;
+}
+
+namespace
+{
+
+rc::Gen<base::duration> milliseconds_between(int low, int high)
+{
+    return rc::gen::map(rc::gen::inRange(low, high),
+                        [](int n) { return base::duration(std::chrono::milliseconds(n)); });
+}
+
+rc::Gen<demand> any_demand(int last_ms)
+{
+    return rc::gen::build<demand>(
+        rc::gen::set(&demand::at, milliseconds_between(500, last_ms)),
+        rc::gen::set(&demand::length, milliseconds_between(500, 20'000)),
+        rc::gen::set(&demand::tokens, rc::gen::inRange<std::uint64_t>(10, 800)),
+        rc::gen::set(&demand::per_second, rc::gen::inRange<unsigned>(1, 20)));
+}
+
+rc::Gen<fault> any_fault(std::vector<fault_kind> const& kinds, int first_ms, int last_ms)
+{
+    return rc::gen::build<fault>(
+        rc::gen::set(&fault::kind, rc::gen::elementOf(kinds)),
+        rc::gen::set(&fault::at, milliseconds_between(first_ms, last_ms)),
+        rc::gen::set(&fault::length, milliseconds_between(100, 40'000)),
+        rc::gen::set(&fault::agent,
+                     rc::gen::weightedOneOf<unsigned>({{2, rc::gen::inRange<unsigned>(0, 4)},
+                                                       {3, rc::gen::just(fault::owner)}})));
+}
+
+history_plan any_plan()
+{
+    history_plan out;
+    out.seed = *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint32_t>());
+    out.agents = *rc::gen::inRange<unsigned>(2, 5);
+    out.rate = *rc::gen::inRange<std::uint64_t>(100, 4000);
+    out.burst = out.rate * *rc::gen::inRange<std::uint64_t>(1, 12);
+    out.drift_permille = *rc::gen::element(0U, 10U);
+    return out;
+}
+
+void expect_invariant(limits_world const& world, history_plan const& plan)
+{
+    // The stated bound on the drift of clock rates applies to the length of the interval.
+    auto const rate =
+        static_cast<double>(plan.rate) * (1 + static_cast<double>(plan.drift_permille) / 1000);
+    auto const broken =
+        find_broken_interval(world.history(), rate, static_cast<double>(plan.burst));
+    if (!broken)
+        return;
+    std::ostringstream text;
+    text << plan << "\ninterval " << seconds(broken->from.time_since_epoch()) - 1000 << " s to "
+         << seconds(broken->to.time_since_epoch()) - 1000 << " s: admitted " << broken->admitted
+         << ", allowed " << broken->allowed;
+    RC_FAIL(text.str());
+}
+
+std::vector<fault_kind> const all_kinds = {
+    fault_kind::kill,          fault_kind::freeze,          fault_kind::cut_from_log,
+    fault_kind::cut_from_list, fault_kind::cut_from_agents, fault_kind::unlisted,
+    fault_kind::log_down,      fault_kind::list_down,       fault_kind::lose_append_answers,
+    fault_kind::leave};
+
+} // namespace
+
+// Guards against a workspace that exceeds its rate and burst under any mix of faults within the
+// stated bounds.
+TEST(limits_invariant, holds_under_mixed_faults)
+{
+    unsigned takeovers = 0;
+    std::size_t admitted = 0;
+    check_seeded(0x11, 600,
+                 [&]
+                 {
+                     auto plan = any_plan();
+                     plan.demands = *rc::gen::container<std::vector<demand>>(
+                         *rc::gen::inRange<std::size_t>(1, 6), any_demand(80'000));
+                     plan.faults = *rc::gen::container<std::vector<fault>>(
+                         *rc::gen::inRange<std::size_t>(0, 10), any_fault(all_kinds, 100, 70'000));
+                     limits_world world(plan);
+                     world.run();
+                     takeovers += world.starts() - std::min(world.starts(), 1U);
+                     admitted += world.history().size();
+                     expect_invariant(world, plan);
+                 });
+    // A history without admissions or takeovers would prove nothing.
+    EXPECT_GT(takeovers, 50U);
+    EXPECT_GT(admitted, 10'000U);
+}
+
+// Guards against an old and a new owner that both grant around a takeover: the old one is alive,
+// but the list lacks it, and it may be frozen or cut off from the log.
+TEST(limits_invariant, holds_around_takeover_from_live_owner)
+{
+    unsigned takeovers = 0;
+    unsigned overlaps = 0;
+    check_seeded(
+        0x12, 200,
+        [&]
+        {
+            auto plan = any_plan();
+            plan.length = std::chrono::seconds(60);
+            // The owner is unlisted from 10 s on: takeovers happen from 26 s on.
+            plan.faults = {{fault_kind::unlisted, std::chrono::seconds(10),
+                            *milliseconds_between(20'000, 50'000), fault::owner}};
+            auto const more = *rc::gen::container<std::vector<fault>>(
+                *rc::gen::inRange<std::size_t>(0, 4),
+                any_fault({fault_kind::freeze, fault_kind::cut_from_log, fault_kind::cut_from_list,
+                           fault_kind::cut_from_agents, fault_kind::lose_append_answers},
+                          20'000, 40'000));
+            plan.faults.insert(plan.faults.end(), more.begin(), more.end());
+            auto const start = *milliseconds_between(20'000, 40'000);
+            plan.demands = {{start, std::chrono::seconds(15), plan.rate / 10 + 1, 20}};
+            limits_world world(plan);
+            world.run();
+            takeovers += world.starts() - std::min(world.starts(), 1U);
+            overlaps += world.most_owners() > 1 ? 1U : 0U;
+            expect_invariant(world, plan);
+        });
+    EXPECT_GT(takeovers, 100U);
+    // Both believe that they own when the old one is frozen or cut off; only its clock stops it.
+    EXPECT_GT(overlaps, 0U);
+}
+
+// Guards against an owner that believes a list older than the stated bound while it is cut off from
+// the log: agents that know the newer fencing token must refuse its grants.
+TEST(limits_invariant, holds_beyond_list_lag_by_fencing)
+{
+    unsigned overlaps = 0;
+    check_seeded(0x13, 200,
+                 [&]
+                 {
+                     auto plan = any_plan();
+                     plan.length = std::chrono::seconds(60);
+                     auto const cut = *milliseconds_between(20'000, 26'000);
+                     plan.faults = {
+                         {fault_kind::list_frozen, std::chrono::seconds(5),
+                          std::chrono::seconds(55), fault::owner},
+                         {fault_kind::unlisted, std::chrono::seconds(10), std::chrono::seconds(50),
+                          fault::owner},
+                         {fault_kind::cut_from_log, cut, std::chrono::seconds(40), fault::owner}};
+                     auto const start = *milliseconds_between(24'000, 45'000);
+                     plan.demands = {{start, std::chrono::seconds(15), plan.rate / 10 + 1, 20}};
+                     limits_world world(plan);
+                     // The cut-off owner itself can't know the newer token, so no request goes
+                     // there.
+                     world.serve_only_agents_with_log();
+                     world.run();
+                     overlaps += world.most_owners() > 1 ? 1U : 0U;
+                     expect_invariant(world, plan);
+                 });
+    EXPECT_GT(overlaps, 50U);
+}
+
+// Guards against a bucket that refills while agents still hold grants: they would admit the grants
+// and a full bucket at once.
+TEST(limits_invariant, holds_for_grants_used_late)
+{
+    check_seeded(
+        0x14, 150,
+        [&]
+        {
+            auto plan = any_plan();
+            plan.burst = plan.rate * *rc::gen::inRange<std::uint64_t>(1, 3);
+            plan.length = std::chrono::seconds(40);
+            auto const pause = *milliseconds_between(300, 2'500);
+            // Little demand draws grants, then much uses them.
+            base::duration at = std::chrono::seconds(2);
+            while (at < std::chrono::seconds(36))
+            {
+                plan.demands.push_back({at, std::chrono::milliseconds(200), plan.rate / 4 + 1, 10});
+                at += pause;
+                plan.demands.push_back({at, std::chrono::milliseconds(300), plan.rate / 8 + 1, 50});
+                at += pause + std::chrono::seconds(1);
+            }
+            limits_world world(plan);
+            world.run();
+            expect_invariant(world, plan);
+        });
+}
+
+// Guards against a checker that accepts everything.
+TEST(limits_invariant, checker_finds_excess)
+{
+    using std::chrono::seconds;
+    auto const at = [](int n)
+    {
+        return base::time_point(seconds(n));
+    };
+    EXPECT_FALSE(find_broken_interval({{at(0), 100}, {at(1), 10}, {at(2), 10}}, 10, 100));
+    auto const broken = find_broken_interval({{at(0), 50}, {at(9), 60}, {at(10), 51}}, 10, 100);
+    ASSERT_TRUE(broken);
+    EXPECT_EQ(broken->from, at(9));
+    EXPECT_EQ(broken->to, at(10));
+}
+
+} // namespace savorymount::tests
