Parse and cross-check documents

Cause: every instance must reach the same verdict on a change, so the checks have to be strict, bounded and in one place.

--- a/libraries/savorymount/configuration/configuration.hpp
+++ b/libraries/savorymount/configuration/configuration.hpp
@@ -6,6 +6,7 @@
 #include <savorymount/configuration/upstream_group.hpp>
 #include <savorymount/configuration/workspace_contract.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -55,27 +56,46 @@
     std::vector<upstream_group const*> groups() const;
 
     /// The configuration after `changes` (a null value removes its document). Parses only the
-    /// changed documents. Fails with `invalid_input` if the result is not valid.
+    /// changed documents. Fails with `invalid_input` or `too_large` if the result is not valid.
     std::optional<configuration> changed(std::uint64_t version, documents::map_type const& changes,
                                          base::error& reason) const;
 
 private:
-    bool apply_document(std::string const& name, nlohmann::json const& value, base::error& reason);
+    template <class T>
+    struct stored
+    {
+        std::shared_ptr<T const> value;
+        /// Size of the document as text.
+        std::size_t bytes = 0;
+    };
+
+    template <class T>
+    using stored_map = std::map<std::string, stored<T>>;
+
+    using key_index = std::unordered_map<std::string, std::shared_ptr<workspace_contract const>>;
+
+    bool remove_document(std::string const& name);
+    bool put_document(std::string const& name, nlohmann::json const& value, std::size_t bytes,
+                      base::error& reason);
+    bool check_size(base::error& reason) const;
     bool check_references(base::error& reason) const;
-    bool index_keys(base::error& reason);
-    bool index_routes(base::error& reason);
+    bool index_keys(documents::map_type const& changes, configuration const& previous,
+                    base::error& reason);
+    bool index_prefixes(base::error& reason);
 
     std::uint64_t version_ = 0;
-    std::map<std::string, std::shared_ptr<workspace_contract const>> workspaces_;
-    std::map<std::string, std::shared_ptr<route const>> routes_;
-    std::map<std::string, std::shared_ptr<upstream_group const>> groups_;
+    stored_map<workspace_contract> workspaces_;
+    stored_map<route> routes_;
+    stored_map<upstream_group> groups_;
     system_settings settings_;
-    std::unordered_map<std::string, std::shared_ptr<workspace_contract const>> keys_;
+    std::size_t settings_bytes_ = 0;
+    /// Contract by key id. Shared with the previous version unless a workspace changed.
+    std::shared_ptr<key_index const> keys_;
     std::map<std::string, std::shared_ptr<route const>> prefixes_;
 };
 
-/// Parses and cross-checks a whole set. Fails with `invalid_input`.
-std::optional<configuration> parse_configuration(std::uint64_t version, documents const& documents,
+/// Parses and cross-checks a whole set. Fails with `invalid_input` or `too_large`.
+std::optional<configuration> parse_configuration(std::uint64_t version, documents const& content,
                                                  base::error& reason);
 
 } // namespace savorymount::configuration
--- a/libraries/savorymount/configuration/credential_filter.hpp
+++ b/libraries/savorymount/configuration/credential_filter.hpp
@@ -25,13 +25,17 @@
 };
 
 /// Takes the caller's key out of a request's head and drops the headers that only the system sets
-/// (`x-savorymount-*`, `x-request-id`, `x-priority`, `x-resume-from`).
+/// (`x-savorymount-*`, `x-request-id`, `x-priority`, `x-resume-from`). `_` counts as `-` in names.
 ///
-/// Headers and query parameters that carry credentials by their name are dropped whatever their
-/// value; any other header, cookie or query parameter is dropped if it contains a key, also
-/// percent-encoded or in other case. Fails with `invalid_input` if the path contains a key or if
-/// two different keys came with the request.
+/// Headers, cookies and query parameters that carry credentials by their name are dropped whatever
+/// their value; all others are dropped if they contain a key, also percent-encoded or in other
+/// case. Fails with `invalid_input` if the path contains a key or if different keys came with the
+/// request.
 std::optional<filtered_request> filter_credentials(std::vector<header> const& headers,
                                                    std::string_view target, base::error& reason);
 
+/// Whether `text` contains something in the form of a key, in any case and after any number of
+/// percent-decodings. Text that stays encoded after several decodings counts as if it did.
+bool contains_key(std::string_view text);
+
 } // namespace savorymount::configuration
--- a/libraries/savorymount/configuration/documents.hpp
+++ b/libraries/savorymount/configuration/documents.hpp
@@ -19,6 +19,8 @@
     std::size_t max_bytes = std::size_t{16} << 20;
     std::size_t max_documents = 10'000;
     std::size_t max_depth = 16;
+    /// Of a change record, whose documents count towards `max_bytes` afterwards.
+    std::size_t max_change_bytes = std::size_t{4} << 20;
 
     bool operator==(document_limits const&) const = default;
 };
@@ -39,8 +41,8 @@
     /// The document, or null if there is none.
     nlohmann::json const* find(std::string const& name) const;
 
-    /// These documents with `changes` applied; a null value removes its document.
-    documents with(map_type const& changes) const;
+    /// Applies `changes`; a null value removes its document.
+    void apply(map_type const& changes);
 
     /// The changes that lead from these documents to `wanted`; null for removed documents.
     map_type changes_to(documents const& wanted) const;
@@ -60,6 +62,10 @@
 std::optional<nlohmann::json> parse_json(std::string_view text, document_limits const& limits,
                                          base::error& reason);
 
+/// An upper bound of the bytes that `value` takes as compact JSON text; nothing if it is nested
+/// deeper than `max_depth`.
+std::optional<std::size_t> json_size(nlohmann::json const& value, std::size_t max_depth);
+
 /// Whether `name` is `system` or `workspaces/`, `routes/` or `groups/` with a valid name behind it.
 bool is_document_name(std::string_view name);
 
--- a/libraries/savorymount/configuration/snapshot_policy.hpp
+++ b/libraries/savorymount/configuration/snapshot_policy.hpp
@@ -11,19 +11,25 @@
 namespace savorymount::configuration
 {
 
-/// Decides when this instance appends a snapshot. The newest snapshot may become a quarter of the
-/// retention old; then the instance of rank 0 writes, and rank r waits r further intervals.
+/// Decides when this instance appends a snapshot. A snapshot is due when the newest one in the log
+/// is a quarter of the retention old; an instance of rank r writes r further intervals later, in
+/// case all instances before it have failed.
 class snapshot_policy
 {
 public:
     /// `retention` is how long the log keeps a record.
     snapshot_policy(std::string instance, base::duration retention);
 
-    /// A snapshot record was seen in the log (or the log had none at `now`).
-    void on_snapshot_seen(base::time_point now, base::duration age);
+    /// A record of the log was read. `written` is when it was appended, by this instance's clock.
+    /// While the log holds no snapshot, the age of its oldest record counts.
+    void on_record(base::time_point written, bool is_snapshot);
 
-    /// `live` are the ids of the live instances of the list; `subject` is the version to be
-    /// written, so that the duty moves between instances.
+    /// This instance has just sent a snapshot. No further one is due until a sixteenth of the
+    /// retention has passed, so that a lost or slow append is repeated but not in a loop.
+    void on_append(base::time_point now);
+
+    /// `live` are the ids of the list's live instances; `version` is the version to be written and
+    /// seeds the ranks, so that the duty moves between instances.
     bool should_append(base::time_point now, std::uint64_t version,
                        std::vector<std::string> const& live) const;
 
@@ -33,11 +39,14 @@
 private:
     std::string instance_;
     base::duration retention_;
-    std::optional<base::time_point> newest_;
+    std::optional<base::time_point> newest_snapshot_;
+    std::optional<base::time_point> oldest_record_;
+    std::optional<base::time_point> last_append_;
 };
 
-/// Position of `instance` in the rendezvous order of `live` for `subject`; `live.size()` if absent.
-std::size_t rendezvous_rank(std::string const& instance, std::uint64_t subject,
+/// Position of `instance` in the rendezvous order of `live` for `seed`. An instance that is not in
+/// `live`, because the list lags or was never read, comes behind all of them.
+std::size_t rendezvous_rank(std::string const& instance, std::uint64_t seed,
                             std::vector<std::string> const& live);
 
 } // namespace savorymount::configuration
