Parse, relay and replay event streams

Cause: the entry has to forward each token once and in order over broken connections and several upstreams. Change: event_stream_parser, stream_relay, chat_usage and replay_buffer. An event carries its position, also when it has no id: a usage event that came from a source further ahead was accepted at position 0 in generated histories (falsified after 72 cases). Conclusion: the entry must give the parser the position of the first chunk of each connection.

--- a/libraries/savorymount/deduplication/outcome_store.hpp
+++ b/libraries/savorymount/deduplication/outcome_store.hpp
@@ -21,7 +21,7 @@
     /// Finished outcomes kept in full.
     std::size_t count = 20'000;
     /// Sum of the sizes given to `finish`.
-    std::size_t bytes = 32 * 1024 * 1024;
+    std::size_t bytes = std::size_t{32} * 1024 * 1024;
     /// Request ids kept as digests only, after their outcome had to go.
     std::size_t forgotten = 200'000;
 };
--- /dev/null
+++ b/libraries/savorymount/streams/event_stream_parser.cpp
@@ -0,0 +1,148 @@
+#include <savorymount/streams/event_stream_parser.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace savorymount::streams
+{
+namespace
+{
+
+constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
+
+} // namespace
+
+bool event_stream_parser::feed(std::string_view bytes, std::vector<stream_event>& events,
+                               base::error& reason)
+{
+    while (!bytes.empty() && !fault_)
+    {
+        // A carriage return ends a line at once; a line feed right after it belongs to it, and may
+        // come with the next call.
+        if (std::exchange(skip_line_feed_, false) && bytes.front() == '\n')
+        {
+            bytes.remove_prefix(1);
+            continue;
+        }
+        auto const length = bytes.find_first_of("\r\n");
+        if (!take_line_part(bytes.substr(0, length)) || length == std::string_view::npos)
+            break;
+        skip_line_feed_ = bytes[length] == '\r';
+        bytes.remove_prefix(length + 1);
+        end_line(events);
+    }
+    if (!fault_)
+        return true;
+    reason = *fault_;
+    return false;
+}
+
+bool event_stream_parser::finish(base::error& reason) const
+{
+    if (fault_)
+    {
+        reason = *fault_;
+        return false;
+    }
+    if (line_.empty() && !has_field_)
+        return true;
+    reason = {base::error_kind::invalid_input,
+              "the event stream ended within an event; resume it from the last whole event"};
+    return false;
+}
+
+bool event_stream_parser::take_line_part(std::string_view part)
+{
+    auto const event_room = limits_.event_bytes - std::min(raw_.size(), limits_.event_bytes);
+    auto const size = line_.size() + part.size();
+    if (limits_.line_bytes <= event_room && size > limits_.line_bytes)
+        return fail(base::error_kind::too_large,
+                    "a line of the event stream is longer than " +
+                        std::to_string(limits_.line_bytes) +
+                        " bytes; check that the upstream sends an event stream");
+    if (size > event_room)
+        return fail(base::error_kind::too_large,
+                    "an event of the stream is larger than " + std::to_string(limits_.event_bytes) +
+                        " bytes; check that the upstream ends its events with an empty line");
+    line_ += part;
+    return true;
+}
+
+void event_stream_parser::end_line(std::vector<stream_event>& events)
+{
+    if (std::exchange(first_line_, false) && line_.starts_with(byte_order_mark))
+        line_.erase(0, byte_order_mark.size());
+    if (line_.empty())
+    {
+        end_event(events);
+        return;
+    }
+    std::string_view const line = line_;
+    auto const colon = line.find(':');
+    if (colon != 0)
+    {
+        auto value = colon == std::string_view::npos ? std::string_view() : line.substr(colon + 1);
+        if (value.starts_with(' '))
+            value.remove_prefix(1);
+        if (!take_field(line.substr(0, colon), value))
+            return;
+    }
+    raw_ += line_;
+    raw_ += '\n';
+    line_.clear();
+}
+
+bool event_stream_parser::take_field(std::string_view name, std::string_view value)
+{
+    has_field_ = true;
+    if (name == "id")
+        return take_id(value);
+    if (name != "data")
+        return true;
+    if (has_data_)
+        event_.data += '\n';
+    event_.data += value;
+    has_data_ = true;
+    return true;
+}
+
+bool event_stream_parser::take_id(std::string_view value)
+{
+    std::uint64_t index = 0;
+    auto const end = value.data() + value.size();
+    auto const [it, ec] = std::from_chars(value.data(), end, index);
+    if (ec != std::errc() || it != end || index == UINT64_MAX)
+        return fail(base::error_kind::invalid_input,
+                    "an event id is not a token index; the upstream must number its tokens");
+    if (event_.id)
+        return fail(base::error_kind::invalid_input,
+                    "an event has two ids; the upstream must send one token per event");
+    event_.id = index;
+    return true;
+}
+
+void event_stream_parser::end_event(std::vector<stream_event>& events)
+{
+    if (has_data_)
+    {
+        event_.raw = raw_ + '\n';
+        event_.position = event_.id.value_or(position_);
+        position_ = event_.id ? *event_.id + 1 : position_;
+        events.push_back(std::move(event_));
+    }
+    event_ = {};
+    raw_.clear();
+    has_data_ = false;
+    has_field_ = false;
+}
+
+bool event_stream_parser::fail(base::error_kind kind, std::string message)
+{
+    fault_ = base::error{kind, std::move(message)};
+    line_.clear();
+    raw_.clear();
+    return false;
+}
+
+} // namespace savorymount::streams
--- a/libraries/savorymount/streams/event_stream_parser.hpp
+++ b/libraries/savorymount/streams/event_stream_parser.hpp
@@ -4,6 +4,8 @@
 #include <savorymount/streams/stream_event.hpp>
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,8 +16,8 @@
 /// Bounds on what the parser holds at one time.
 struct event_stream_limits
 {
-    std::size_t line_bytes = 64 * 1024;
-    std::size_t event_bytes = 256 * 1024;
+    std::size_t line_bytes = std::size_t{64} * 1024;
+    std::size_t event_bytes = std::size_t{256} * 1024;
 };
 
 /// Incremental parser of one server-sent event stream. Use one per connection: it keeps the bytes
@@ -23,12 +25,17 @@
 class event_stream_parser
 {
 public:
-    explicit event_stream_parser(event_stream_limits limits = {}) : limits_(limits) {}
+    /// `start` is the position of the first byte: that of the first chunk of the connection.
+    explicit event_stream_parser(event_stream_limits limits = {}, std::uint64_t start = 0)
+        : limits_(limits), position_(start)
+    {
+    }
 
     /// Consumes `bytes` and appends each complete event to `events`. Returns false and fills
     /// `reason` with `too_large` (line or event above its limit) or `invalid_input` (an `id` that
-    /// is no token index, a NUL byte); events before the fault are appended all the same, and
-    /// every later call fails with the same reason.
+    /// is no token index below the largest 64-bit number, or two in one event); events before the
+    /// fault are appended all the same, and every later call fails with the same reason. Events
+    /// without data, such as keep-alive comments, are dropped.
     bool feed(std::string_view bytes, std::vector<stream_event>& events, base::error& reason);
 
     /// Tells that the input has ended. Returns false and fills `reason` with `invalid_input` if
@@ -39,12 +46,15 @@
     std::size_t pending_bytes() const { return raw_.size() + line_.size(); }
 
 private:
-    bool end_line(std::string_view ending, std::vector<stream_event>& events);
+    bool take_line_part(std::string_view part);
+    void end_line(std::vector<stream_event>& events);
     bool take_field(std::string_view name, std::string_view value);
-    void dispatch(std::vector<stream_event>& events);
+    bool take_id(std::string_view value);
+    void end_event(std::vector<stream_event>& events);
     bool fail(base::error_kind kind, std::string message);
 
     event_stream_limits limits_;
+    std::uint64_t position_;
     std::string line_;
     std::string raw_;
     stream_event event_;
--- a/libraries/savorymount/streams/replay_buffer.hpp
+++ b/libraries/savorymount/streams/replay_buffer.hpp
@@ -28,20 +28,23 @@
 class replay_buffer
 {
 public:
-    explicit replay_buffer(std::size_t capacity_bytes) : capacity_bytes_(capacity_bytes) {}
+    /// `start` is the position of the first chunk: above zero for a resumed stream.
+    explicit replay_buffer(std::size_t capacity_bytes, std::uint64_t start = 0)
+        : capacity_bytes_(capacity_bytes), first_(start), end_(start)
+    {
+    }
 
     /// Adds the next chunk and drops the oldest ones above the capacity; the newest chunk always
     /// stays. Fails with `invalid_input` if the chunk does not start where the last one ended.
     bool append(replay_chunk chunk, base::error& reason);
 
-    /// The chunks that hold everything from `position` on, starting with the one that contains it:
-    /// the receiver drops what it already has. Fails with `not_found` if that part is no longer
-    /// held and with `invalid_input` if the answer has not got that far.
+    /// The chunks that hold everything from `position` on, starting with the oldest that contains
+    /// it or ends there: the receiver drops what it already has. Fails with `not_found` if that
+    /// part is no longer held and with `invalid_input` if the answer has not got that far.
     std::optional<std::vector<replay_chunk>> from(std::uint64_t position,
                                                   base::error& reason) const;
 
-    /// Drops the chunks that end at or below `position`, because the entry holds them. Chunks
-    /// without a token at `position` stay.
+    /// Drops the chunks that end below `position`, because the entry holds them.
     void release(std::uint64_t position);
 
     /// Lowest position that `from` accepts. Above `end()` if nothing can be replayed any more.
@@ -57,8 +60,8 @@
 
     std::size_t capacity_bytes_;
     std::size_t bytes_ = 0;
-    std::uint64_t first_ = 0;
-    std::uint64_t end_ = 0;
+    std::uint64_t first_;
+    std::uint64_t end_;
     std::deque<replay_chunk> chunks_;
 };
 
--- a/libraries/savorymount/streams/stream_event.hpp
+++ b/libraries/savorymount/streams/stream_event.hpp
@@ -14,8 +14,12 @@
     std::optional<std::uint64_t> id;
     /// The `data` lines, joined with line feeds.
     std::string data;
-    /// The event as received, including the empty line that ends it and preceding comments.
+    /// The event's lines, including comments and the empty line at its end, each ended by a line
+    /// feed whatever ended it on the wire.
     std::string raw;
+    /// Tokens of the answer before this event: `id`, or for an event without one, what the events
+    /// before it on the same connection say.
+    std::uint64_t position = 0;
 
     bool operator==(stream_event const&) const = default;
 };
--- /dev/null
+++ b/libraries/savorymount/streams/stream_relay.cpp
@@ -0,0 +1,122 @@
+#include <savorymount/streams/stream_relay.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace savorymount::streams
+{
+namespace
+{
+
+constexpr std::string_view end_marker = "[DONE]";
+
+bool fail(base::error& reason, base::error_kind kind, std::string message)
+{
+    reason = {kind, std::move(message)};
+    return false;
+}
+
+// Parsing every token event as JSON would cost more than relaying it. Within a JSON string the
+// quotes are escaped, so only a member name or a whole string value matches.
+bool mentions(stream_event const& event, std::string_view quoted_name)
+{
+    return event.data.find(quoted_name) != std::string::npos;
+}
+
+bool is_error_event(stream_event const& event)
+{
+    if (!mentions(event, "\"error\""))
+        return false;
+    auto const document = nlohmann::json::parse(event.data, nullptr, false);
+    return document.is_object() && document.contains("error");
+}
+
+} // namespace
+
+bool stream_relay::take(stream_event const& event, std::string& output, base::error& reason)
+{
+    if (broken_)
+        return fail(reason, base::error_kind::conflict,
+                    "the stream was already ended with an error; drop this source");
+    if (is_repeat(event))
+        return true;
+    if (event.position != position_)
+        return fail(reason, base::error_kind::invalid_input,
+                    "an event for position " + std::to_string(event.position) +
+                        " arrived at position " + std::to_string(position_) +
+                        "; resume the stream from there");
+    bool const accepted = event.data == end_marker ? take_end(reason)
+                          : event.id               ? take_token(event, reason)
+                                                   : take_usage(event, reason);
+    if (accepted)
+        output += event.raw;
+    return accepted;
+}
+
+bool stream_relay::is_repeat(stream_event const& event) const
+{
+    if (event.data == end_marker)
+        return done_;
+    if (event.id)
+        return *event.id < position_;
+    // Only the usage has no position. After it was forwarded, another source repeats it.
+    return usage_ && mentions(event, "\"usage\"") && !is_error_event(event);
+}
+
+bool stream_relay::take_token(stream_event const& event, base::error& reason)
+{
+    if (usage_)
+        return fail(reason, base::error_kind::invalid_input,
+                    "a token follows the usage; the upstream must report its usage last");
+    if (mentions(event, "\"usage\""))
+    {
+        usage_ = parse_chat_usage(event.data, reason);
+        if (!usage_ && reason.kind != base::error_kind::not_found)
+            return false;
+    }
+    ++position_;
+    return true;
+}
+
+bool stream_relay::take_usage(stream_event const& event, base::error& reason)
+{
+    if (is_error_event(event))
+        return fail(reason, base::error_kind::unavailable,
+                    "the upstream ended the stream with an error; resume it elsewhere");
+    auto const usage = parse_chat_usage(event.data, reason);
+    if (usage)
+    {
+        usage_ = usage;
+        return true;
+    }
+    return fail(reason, base::error_kind::invalid_input,
+                "an event has neither a token index nor a valid usage; the upstream must number "
+                "its tokens");
+}
+
+bool stream_relay::take_end(base::error& reason)
+{
+    if (!usage_)
+        return fail(reason, base::error_kind::invalid_input,
+                    "the stream ended before its usage; resume it from token " +
+                        std::to_string(position_));
+    done_ = true;
+    return true;
+}
+
+std::string stream_relay::break_off(base::error const& cause)
+{
+    if (done_ || broken_)
+        return {};
+    broken_ = true;
+    auto const kind = base::to_string(cause.kind);
+    nlohmann::ordered_json const body = {{"error",
+                                          {{"type", kind},
+                                           {"code", kind},
+                                           {"message", cause.message},
+                                           {"execution", position_ > 0 ? "partial" : "unknown"}}}};
+    // Bytes of a message that are no UTF-8 are replaced; the event must be valid JSON.
+    return "event: error\ndata: " +
+           body.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + "\n\n";
+}
+
+} // namespace savorymount::streams
--- a/libraries/savorymount/streams/stream_relay.hpp
+++ b/libraries/savorymount/streams/stream_relay.hpp
@@ -19,9 +19,9 @@
     /// Appends `event.raw` to `output` if the caller has not had the event yet. Token events below
     /// the position and repeated usage or end events are dropped without an error. Returns false
     /// and fills `reason`, with nothing appended, when the source must be given up:
-    /// `invalid_input` for a gap, an event without a position, a token after the usage or an end
-    /// before it; `crashed` for an error event of the upstream. The relay stays usable: another
-    /// source may go on from `position()`.
+    /// `invalid_input` for a gap, an event that is neither token, usage nor end, a token after the
+    /// usage or an end before it; `unavailable` for an error event of the upstream; `conflict`
+    /// after `break_off`. The relay stays usable: another source may go on from `position()`.
     bool take(stream_event const& event, std::string& output, base::error& reason);
 
     /// Token events forwarded, which is the index of the next one.
@@ -43,8 +43,10 @@
     std::string break_off(base::error const& cause);
 
 private:
-    bool take_token(stream_event const& event, std::string& output, base::error& reason);
-    bool take_end(stream_event const& event, std::string& output, base::error& reason);
+    bool take_token(stream_event const& event, base::error& reason);
+    bool take_usage(stream_event const& event, base::error& reason);
+    bool take_end(base::error& reason);
+    bool is_repeat(stream_event const& event) const;
 
     std::uint64_t position_ = 0;
     std::optional<chat_usage> usage_;
--- /dev/null
+++ b/tests/libraries/streams/chat_usage_test.cpp
@@ -0,0 +1,54 @@
+#include <savorymount/streams/chat_usage.hpp>
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace savorymount::streams
+{
+namespace
+{
+
+// Guards against tokens that are not charged, or charged to the wrong count.
+TEST(chat_usage, reads_counts)
+{
+    base::error reason;
+    EXPECT_EQ(parse_chat_usage(R"({"choices":[],"usage":{"prompt_tokens":7,"completion_tokens":3,
+                                   "prompt_tokens_details":{"cached_tokens":4}}})",
+                               reason),
+              (chat_usage{7, 3, 4}));
+    EXPECT_EQ(parse_chat_usage(R"({"usage":{"prompt_tokens":7,"completion_tokens":3}})", reason),
+              (chat_usage{7, 3, 0}));
+    EXPECT_EQ(parse_chat_usage(
+                  R"({"usage":{"prompt_tokens":7,"completion_tokens":3,
+                      "prompt_tokens_details":{"cached_tokens":null}}})",
+                  reason),
+              (chat_usage{7, 3, 0}));
+}
+
+TEST(chat_usage, tells_a_missing_usage_from_a_malformed_one)
+{
+    base::error reason;
+    for (std::string const text : {R"({})", R"({"usage":null})"})
+    {
+        EXPECT_FALSE(parse_chat_usage(text, reason));
+        EXPECT_EQ(reason.kind, base::error_kind::not_found) << text;
+    }
+    for (std::string const text :
+         {"", "[DONE]", "[1]", R"({"usage":3})", R"({"usage":{}})",
+          R"({"usage":{"prompt_tokens":7})",
+          R"({"usage":{"prompt_tokens":-7,"completion_tokens":3}})",
+          R"({"usage":{"prompt_tokens":7.5,"completion_tokens":3}})",
+          R"({"usage":{"prompt_tokens":"7","completion_tokens":3}})",
+          R"({"usage":{"prompt_tokens":18446744073709551616,"completion_tokens":3}})",
+          R"({"usage":{"prompt_tokens":7,"completion_tokens":3,"prompt_tokens_details":4}})",
+          R"({"usage":{"prompt_tokens":7,"completion_tokens":3,
+              "prompt_tokens_details":{"cached_tokens":8}}})"})
+    {
+        EXPECT_FALSE(parse_chat_usage(text, reason));
+        EXPECT_EQ(reason.kind, base::error_kind::invalid_input) << text;
+    }
+}
+
+} // namespace
+} // namespace savorymount::streams
--- /dev/null
+++ b/tests/libraries/streams/stream_relay_test.cpp
@@ -0,0 +1,257 @@
+#include <savorymount/streams/event_stream_parser.hpp>
+#include <savorymount/streams/replay_buffer.hpp>
+#include <savorymount/streams/stream_relay.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <tests/libraries/property_check.hpp>
+
+namespace savorymount::streams
+{
+namespace
+{
+
+stream_event token(std::uint64_t index)
+{
+    std::string const data = "{\"t\":\"t" + std::to_string(index) + "\"}";
+    return {index, data, "id: " + std::to_string(index) + "\ndata: " + data + "\n\n", index};
+}
+
+stream_event usage(std::uint64_t tokens)
+{
+    std::string const data =
+        "{\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":" + std::to_string(tokens) + "}}";
+    return {std::nullopt, data, "data: " + data + "\n\n", tokens};
+}
+
+stream_event done(std::uint64_t tokens)
+{
+    return {std::nullopt, "[DONE]", "data: [DONE]\n\n", tokens};
+}
+
+std::vector<stream_event> answer(std::uint64_t tokens)
+{
+    std::vector<stream_event> out;
+    for (std::uint64_t n = 0; n < tokens; ++n)
+        out.push_back(token(n));
+    out.push_back(usage(tokens));
+    out.push_back(done(tokens));
+    return out;
+}
+
+std::string text_of(std::vector<stream_event> const& events)
+{
+    std::string out;
+    for (auto const& it : events)
+        out += it.raw;
+    return out;
+}
+
+// Guards against a stream that counts as complete although its end or its usage is missing.
+TEST(stream_relay, is_complete_only_after_usage_and_end)
+{
+    stream_relay relay;
+    std::string output;
+    base::error reason;
+    EXPECT_TRUE(relay.take(token(0), output, reason));
+    EXPECT_FALSE(relay.take(done(1), output, reason));
+    EXPECT_EQ(reason.kind, base::error_kind::invalid_input);
+    EXPECT_FALSE(relay.complete());
+    EXPECT_TRUE(relay.take(usage(1), output, reason));
+    EXPECT_FALSE(relay.complete());
+    EXPECT_FALSE(relay.take(token(1), output, reason));
+    EXPECT_TRUE(relay.take(done(1), output, reason));
+    EXPECT_TRUE(relay.complete());
+    EXPECT_EQ(relay.usage(), (chat_usage{9, 1, 0}));
+    EXPECT_EQ(output, text_of(answer(1)));
+    EXPECT_EQ(relay.break_off({base::error_kind::internal, "late"}), "");
+}
+
+// Guards against a second usage or end event after a resume.
+TEST(stream_relay, drops_what_another_source_repeats)
+{
+    stream_relay relay;
+    std::string output;
+    base::error reason;
+    for (int source = 0; source < 3; ++source)
+        for (auto const& it : answer(4))
+            EXPECT_TRUE(relay.take(it, output, reason));
+    EXPECT_EQ(output, text_of(answer(4)));
+}
+
+// Guards against text that lacks tokens in its middle.
+TEST(stream_relay, refuses_a_gap_and_goes_on_from_its_position)
+{
+    stream_relay relay;
+    std::string output;
+    base::error reason;
+    EXPECT_TRUE(relay.take(token(0), output, reason));
+    EXPECT_FALSE(relay.take(token(2), output, reason));
+    EXPECT_EQ(reason.message,
+              "an event for position 2 arrived at position 1; resume the stream from there");
+    EXPECT_FALSE(relay.take(usage(2), output, reason));
+    EXPECT_FALSE(relay.take(usage(0), output, reason));
+    EXPECT_EQ(relay.position(), 1U);
+    EXPECT_TRUE(relay.take(token(1), output, reason));
+    EXPECT_EQ(output, token(0).raw + token(1).raw);
+}
+
+// Guards against events that a resume could repeat, and against an engine's error event that
+// passes for a token.
+TEST(stream_relay, refuses_events_without_a_position)
+{
+    stream_relay relay;
+    std::string output;
+    base::error reason;
+    EXPECT_FALSE(relay.take({std::nullopt, "{\"choices\":[]}", "x"}, output, reason));
+    EXPECT_EQ(reason.kind, base::error_kind::invalid_input);
+    EXPECT_FALSE(relay.take({std::nullopt, "not json", "x"}, output, reason));
+    EXPECT_EQ(reason.kind, base::error_kind::invalid_input);
+    EXPECT_FALSE(relay.take({std::nullopt, "{\"error\":{}}", "x"}, output, reason));
+    EXPECT_EQ(reason.kind, base::error_kind::unavailable);
+    EXPECT_FALSE(relay.take({0, "{\"usage\":{\"prompt_tokens\":-1}}", "x"}, output, reason));
+    EXPECT_EQ(output, "");
+    EXPECT_EQ(relay.position(), 0U);
+}
+
+// Guards against a usage that is missed because it comes with the last token.
+TEST(stream_relay, takes_the_usage_of_a_token_event)
+{
+    stream_relay relay;
+    std::string output;
+    base::error reason;
+    std::string const data = "{\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":1}}";
+    EXPECT_TRUE(relay.take({0, data, "x"}, output, reason));
+    EXPECT_EQ(relay.usage(), (chat_usage{1, 1, 0}));
+    EXPECT_EQ(relay.position(), 1U);
+    EXPECT_TRUE(relay.take(done(1), output, reason));
+}
+
+// Guards against a broken stream that a client takes for a normal end.
+TEST(stream_relay, break_off_says_how_far_the_request_ran)
+{
+    stream_relay relay;
+    EXPECT_EQ(stream_relay(relay).break_off({base::error_kind::unavailable, "no engine \xff left"}),
+              "event: error\ndata: {\"error\":{\"type\":\"unavailable\",\"code\":\"unavailable\","
+              "\"message\":\"no engine \xEF\xBF\xBD left\",\"execution\":\"unknown\"}}\n\n");
+    std::string output;
+    base::error reason;
+    EXPECT_TRUE(relay.take(token(0), output, reason));
+    auto const event = relay.break_off({base::error_kind::crashed, "gone\n\ndata: [DONE]"});
+    EXPECT_EQ(event, "event: error\ndata: {\"error\":{\"type\":\"crashed\",\"code\":\"crashed\","
+                     "\"message\":\"gone\\n\\ndata: [DONE]\",\"execution\":\"partial\"}}\n\n");
+    EXPECT_TRUE(relay.broken());
+    EXPECT_FALSE(relay.take(token(1), output, reason));
+    EXPECT_EQ(reason.kind, base::error_kind::conflict);
+    EXPECT_EQ(relay.break_off({base::error_kind::internal, ""}), "");
+    EXPECT_EQ(output, token(0).raw);
+}
+
+/// One connection or upstream that delivers part of the answer.
+struct source
+{
+    std::size_t next = 0;
+    std::size_t end = 0;
+};
+
+// Guards against repeated, missing or reordered events when several sources deliver parts of one
+// answer at the same time, some of them late, cut off or starting beyond the position.
+TEST(stream_relay, crossed_and_late_sources_give_each_event_once_and_in_order)
+{
+    tests::check_property(
+        1'000,
+        []
+        {
+            auto const tokens = *rc::gen::inRange<std::uint64_t>(0, 20);
+            auto const events = answer(tokens);
+            auto const whole = text_of(events);
+            stream_relay relay;
+            std::string output;
+            base::error reason;
+            std::vector<source> sources;
+            auto const steps = *rc::gen::inRange(0, 120);
+            for (int n = 0; n < steps; ++n)
+            {
+                if (sources.empty() || *rc::gen::inRange(0, 8) == 0)
+                {
+                    auto const start = *rc::gen::inRange<std::size_t>(0, events.size());
+                    sources.push_back(
+                        {start, *rc::gen::inRange<std::size_t>(start, events.size() + 1)});
+                }
+                auto& it = sources[*rc::gen::inRange<std::size_t>(0, sources.size())];
+                if (it.next == it.end)
+                    continue;
+                auto const before = output.size();
+                if (!relay.take(events[it.next], output, reason))
+                {
+                    RC_ASSERT(output.size() == before);
+                    it.next = it.end;
+                    continue;
+                }
+                ++it.next;
+                RC_ASSERT(whole.starts_with(output));
+            }
+            RC_ASSERT(relay.complete() == (output == whole));
+            for (auto const& it : events)
+                RC_ASSERT(relay.take(it, output, reason));
+            RC_ASSERT(output == whole);
+        });
+}
+
+// Guards against loss between the agent's replay buffer and the relay when connections break at
+// any byte and chunks hold any number of events.
+TEST(stream_relay, attaches_over_new_connections_until_the_answer_is_whole)
+{
+    tests::check_property(
+        500,
+        []
+        {
+            auto const tokens = *rc::gen::inRange<std::uint64_t>(1, 30);
+            auto const events = answer(tokens);
+            auto const capacity = *rc::gen::inRange<std::size_t>(1, 2'000);
+            replay_buffer buffer(capacity);
+            base::error reason;
+            for (std::size_t at = 0; at < events.size();)
+            {
+                replay_chunk chunk{std::min<std::uint64_t>(at, tokens), 0, ""};
+                auto const count = *rc::gen::inRange<std::size_t>(1, 4);
+                for (std::size_t n = 0; n < count && at < events.size(); ++n)
+                    chunk.bytes += events[at++].raw;
+                chunk.end = std::min<std::uint64_t>(at, tokens);
+                RC_ASSERT(buffer.append(chunk, reason));
+            }
+            stream_relay relay;
+            std::string output;
+            // The chunks up to some position went over an earlier connection.
+            auto const known = *rc::gen::inRange<std::size_t>(0, events.size());
+            for (std::size_t n = 0; n < known; ++n)
+                RC_ASSERT(relay.take(events[n], output, reason));
+            for (int connection = 0; connection < 40 && !relay.complete(); ++connection)
+            {
+                auto const chunks = buffer.from(relay.position(), reason);
+                if (!chunks)
+                {
+                    RC_ASSERT(reason.kind == base::error_kind::not_found);
+                    RC_ASSERT(text_of(events).starts_with(output));
+                    return;
+                }
+                std::string bytes;
+                for (auto const& it : *chunks)
+                    bytes += it.bytes;
+                bool const breaks = connection < 30;
+                auto const received =
+                    breaks ? *rc::gen::inRange<std::size_t>(0, bytes.size() + 1) : bytes.size();
+                event_stream_parser parser({}, chunks->empty() ? 0 : chunks->front().position);
+                std::vector<stream_event> parsed;
+                RC_ASSERT(parser.feed(bytes.substr(0, received), parsed, reason));
+                for (auto const& it : parsed)
+                    RC_ASSERT(relay.take(it, output, reason));
+            }
+            RC_ASSERT(relay.complete());
+            RC_ASSERT(output == text_of(events));
+        });
+}
+
+} // namespace
+} // namespace savorymount::streams
