--- a/libraries/savorymount/runtime/http_call.cpp
+++ b/libraries/savorymount/runtime/http_call.cpp
@@ -21,7 +21,7 @@
 constexpr ev_ssize_t max_header_bytes = ev_ssize_t{64} * 1024;
 
 // evhttp's own timeouts cover connecting, reading and writing alike; the call measures its own.
-constexpr timeval no_timeout{365 * 24 * 3600, 0};
+constexpr timeval no_timeout{31'536'000, 0};
 
 constexpr int first_final_status = 200;
 
@@ -45,10 +45,10 @@
     return std::nullopt;
 }
 
-// The call frames the body itself and never reuses the connection.
+// The call frames the body itself, never reuses the connection and waits for no interim response.
 bool is_framing_header(std::string_view name)
 {
-    return equal_header_names(name, "Content-Length") ||
+    return equal_header_names(name, "Expect") || equal_header_names(name, "Content-Length") ||
            equal_header_names(name, "Transfer-Encoding") || equal_header_names(name, "Connection");
 }
 
@@ -119,8 +119,8 @@
         evhttp_connection_set_retries(connection_, 0);
         evhttp_connection_set_timeout_tv(connection_, &no_timeout);
         evhttp_connection_set_max_headers_size(connection_, max_header_bytes);
-        // A peer may refuse a long request before it has read all of it.
-        evhttp_connection_set_flags(connection_, EVHTTP_CON_READ_ON_WRITE_ERROR);
+        // NOTE: EVHTTP_CON_READ_ON_WRITE_ERROR stays off. With it, evhttp 2.1.12 never reports the
+        // end of a connection that closes in the middle of a chunk or line.
         bufferevent* const buffer = evhttp_connection_get_bufferevent(connection_);
         output_watch_ = evbuffer_add_cb(bufferevent_get_output(buffer), handle_output, this);
         connect_timer_ =
@@ -264,7 +264,6 @@
     static void handle_complete(evhttp_request* request, void* argument)
     {
         auto const self = static_cast<transfer*>(argument)->shared_from_this();
-        int const ec = errno;
         if (self->ended_)
             return;
         ++self->callbacks_;
@@ -273,9 +272,9 @@
         else if (self->failure_)
             self->fail(*self->failure_);
         else
-            self->fail({base::error_kind::unavailable,
-                        to_string(self->request_.address) +
-                            " accepted no connection: " + std::strerror(ec)});
+            self->fail(
+                {base::error_kind::unavailable, to_string(self->request_.address) +
+                                                    " refused the connection or can't be reached"});
         --self->callbacks_;
     }
 
--- a/libraries/savorymount/runtime/http_call.hpp
+++ b/libraries/savorymount/runtime/http_call.hpp
@@ -51,8 +51,8 @@
 };
 
 /// One HTTP request on a connection of its own, which is never reused and never retried. A body
-/// that is cut short is a failure. A body that has neither a length nor chunks ends with the
-/// connection.
+/// that is cut short is a failure, and so is an interim response other than 100. A body that has
+/// neither a length nor chunks ends with the connection.
 class http_call
 {
 public:
