--- a/libraries/savorymount/agent/bucket_service.cpp
+++ b/libraries/savorymount/agent/bucket_service.cpp
@@ -21,8 +21,8 @@
 {
     kernel_.configuration().on_change([this](configuration::configuration const& current)
                                       { configure(current); });
-    kernel_.log().on_page([this](runtime::log_page const& page)
-                          { directory_.log_starts_at(page.first); });
+    kernel_.log().on_page([this](std::uint64_t from, runtime::log_page const& page)
+                          { directory_.begin_read(from, page.first); });
     kernel_.log().on_record([this](runtime::log_record const& record)
                             { handle_lease_record(record); });
     kernel_.log().on_read([this](bool caught_up) { handle_log_read(caught_up); });
--- a/libraries/savorymount/agent/claim_service.cpp
+++ b/libraries/savorymount/agent/claim_service.cpp
@@ -34,7 +34,7 @@
         [this](configuration::configuration const& current)
         { claims_.set_window(current.settings().idempotency_window); });
     kernel_.log().on_page(
-        [this](runtime::log_page const& page)
+        [this](std::uint64_t, runtime::log_page const& page)
         {
             claims_.set_log_available(true);
             if (page.first > next_offset_)
--- a/libraries/savorymount/entry/entry.cpp
+++ b/libraries/savorymount/entry/entry.cpp
@@ -73,8 +73,11 @@
         retry_after = 1s;
     }
     else
-        request = parse_routed_request(raw, kernel_->configuration().current(),
-                                       kernel_->configuration().keys(), reason);
+        request = parse_routed_request(
+            raw, kernel_->configuration().current(), kernel_->configuration().keys(),
+            [this](std::string const& group, runtime::held_model const& it)
+            { return selector_.serves(group, it); },
+            reason);
     if (request)
     {
         if (auto const wait = gate_.check(kernel_->now(), request->workspace))
--- a/libraries/savorymount/entry/routed_request.cpp
+++ b/libraries/savorymount/entry/routed_request.cpp
@@ -68,16 +68,24 @@
     return true;
 }
 
+/// The newest version of the model that is served; the newest wanted one if none is, so that a
+/// new version takes over only once an engine holds it.
 configuration::wanted_model const* find_model(configuration::upstream_group const& group,
-                                              std::string const& name)
+                                              std::string const& name, model_check const& serves)
 {
     auto const colon = name.find(':');
     std::string const model = name.substr(0, colon);
     std::string const adapter = colon == std::string::npos ? "" : name.substr(colon + 1);
-    auto const it = std::find_if(group.models.rbegin(), group.models.rend(),
-                                 [&](configuration::wanted_model const& wanted)
-                                 { return wanted.model == model && wanted.adapter == adapter; });
-    return it == group.models.rend() ? nullptr : &*it;
+    configuration::wanted_model const* newest = nullptr;
+    for (auto it = group.models.rbegin(); it != group.models.rend(); ++it)
+    {
+        if (it->model != model || it->adapter != adapter)
+            continue;
+        if (serves(group.group, {it->model, it->adapter, it->version}))
+            return &*it;
+        newest = newest == nullptr ? &*it : newest;
+    }
+    return newest;
 }
 
 /// The caller's limit on the answer, at most what the model allows; zero if it is not a number.
@@ -93,8 +101,8 @@
     return allowed;
 }
 
-bool read_model_body(configuration::upstream_group const& group, routed_request& out,
-                     base::error& reason)
+bool read_model_body(configuration::upstream_group const& group, model_check const& serves,
+                     routed_request& out, base::error& reason)
 {
     auto body = nlohmann::json::parse(out.body, nullptr, false);
     if (!body.is_object() || !body.contains("model") || !body["model"].is_string())
@@ -104,7 +112,7 @@
         return false;
     }
     auto const name = body["model"].get<std::string>();
-    auto const* const wanted = find_model(group, name);
+    auto const* const wanted = find_model(group, name, serves);
     if (wanted == nullptr)
     {
         reason = {base::error_kind::not_found,
@@ -138,7 +146,7 @@
 std::optional<routed_request> parse_routed_request(raw_request const& raw,
                                                    configuration::configuration const& current,
                                                    configuration::key_table const& keys,
-                                                   base::error& reason)
+                                                   model_check const& serves, base::error& reason)
 {
     std::vector<configuration::header> headers;
     for (auto const& it : raw.headers)
@@ -183,7 +191,7 @@
     out.idempotency_key = std::move(*key);
     if (!model)
         out.cost_tokens = route->cost_tokens;
-    else if (!read_model_body(*group, out, reason))
+    else if (!read_model_body(*group, serves, out, reason))
         return std::nullopt;
     out.digest =
         base::sha256_hex(out.workspace + "\n" + out.method + "\n" + out.target + "\n" + out.body);
--- a/libraries/savorymount/entry/routed_request.hpp
+++ b/libraries/savorymount/entry/routed_request.hpp
@@ -8,6 +8,7 @@
 #include <savorymount/runtime/upstream_adapter.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -55,11 +56,14 @@
     bool operator==(raw_request const&) const = default;
 };
 
+/// Whether an upstream of the group holds the model now.
+using model_check = std::function<bool(std::string const& group, runtime::held_model const&)>;
+
 /// Authenticates a request, finds its route and reads what routing needs. Fails with the kind that
 /// the caller is told; nothing has run then.
 std::optional<routed_request> parse_routed_request(raw_request const& raw,
                                                    configuration::configuration const& current,
                                                    configuration::key_table const& keys,
-                                                   base::error& reason);
+                                                   model_check const& serves, base::error& reason);
 
 } // namespace savorymount::entry
--- a/libraries/savorymount/entry/upstream_selector.cpp
+++ b/libraries/savorymount/entry/upstream_selector.cpp
@@ -57,6 +57,13 @@
     return std::nullopt;
 }
 
+bool upstream_selector::serves(std::string const& name, runtime::held_model const& model)
+{
+    auto const& pools = group(name).pools;
+    auto const it = pools.find(model);
+    return it != pools.end() && it->second.size() > 0;
+}
+
 void upstream_selector::sent(routed_request const& request, selected_upstream const& upstream)
 {
     routing::route_request const wanted{request.model ? &request.prefix : nullptr, {}};
--- a/libraries/savorymount/entry/upstream_selector.hpp
+++ b/libraries/savorymount/entry/upstream_selector.hpp
@@ -39,6 +39,9 @@
     std::optional<selected_upstream> select(routed_request const& request,
                                             std::vector<routing::upstream_id> const& tried);
 
+    /// Whether an agent of the group reports the model.
+    bool serves(std::string const& group, runtime::held_model const& model);
+
     void sent(routed_request const& request, selected_upstream const& upstream);
     void started(selected_upstream const& upstream);
     void finished(routed_request const& request, selected_upstream const& upstream,
--- a/libraries/savorymount/runtime/configuration_service.cpp
+++ b/libraries/savorymount/runtime/configuration_service.cpp
@@ -27,7 +27,7 @@
                                                               {"operator", entry.operator_name},
                                                               {"reason", entry.reason}});
     };
-    log_.on_page([this](log_page const& page) { fold_.skip_to(page.first); });
+    log_.on_page([this](std::uint64_t, log_page const& page) { fold_.skip_to(page.first); });
     log_.on_record([this](log_record const& record) { handle_record(record); });
     log_.on_read(
         [this](bool caught_up)
@@ -73,10 +73,9 @@
         runtime::log(log_events::log_record_ignored,
                      {{"offset", record.offset}, {"reason", verdict.reason}});
     bool const snapshot = record.body.is_object() && record.body.value("kind", "") == "snapshot";
-    if (!snapshot)
-        return;
-    auto const age_ms = std::max<std::int64_t>(0, loop_.unix_milliseconds() - record.time_ms);
-    snapshots_.on_snapshot_seen(timers_.now(), std::chrono::milliseconds(age_ms));
+    auto const age = std::chrono::milliseconds(
+        std::max<std::int64_t>(0, loop_.unix_milliseconds() - record.time_ms));
+    snapshots_.on_record(timers_.now() - age, snapshot);
 }
 
 void configuration_service::adopt(std::uint64_t version, std::string_view text)
@@ -103,6 +102,7 @@
     if (!snapshot)
         return;
     appending_ = true;
+    snapshots_.on_append(timers_.now());
     auto const id = "snapshot-" + std::to_string(snapshot->through) + "-" + instance_;
     log_.append(
         id, configuration::to_json(*snapshot),
--- a/libraries/savorymount/runtime/log_follower.cpp
+++ b/libraries/savorymount/runtime/log_follower.cpp
@@ -50,14 +50,14 @@
 
 void log_follower::read()
 {
-    log_.read(
-        next_, page_size,
-        [this, sent = timers_.now()](std::optional<log_page> const& page, base::error const& reason)
-        { handle(sent, page, reason); });
+    log_.read(next_, page_size,
+              [this, from = next_, sent = timers_.now()](std::optional<log_page> const& page,
+                                                         base::error const& reason)
+              { handle(from, sent, page, reason); });
 }
 
-void log_follower::handle(base::time_point sent, std::optional<log_page> const& page,
-                          base::error const& reason)
+void log_follower::handle(std::uint64_t from, base::time_point sent,
+                          std::optional<log_page> const& page, base::error const& reason)
 {
     if (std::exchange(available_, page.has_value()) != page.has_value())
     {
@@ -73,7 +73,7 @@
     }
     last_read_sent_ = sent;
     for (auto const& hook : page_hooks_)
-        hook(*page);
+        hook(from, *page);
     for (auto const& it : page->records)
     {
         // Two reads may overlap after an append; a record is handed on once.
--- a/libraries/savorymount/runtime/log_follower.hpp
+++ b/libraries/savorymount/runtime/log_follower.hpp
@@ -14,7 +14,8 @@
 {
 public:
     using record_hook = std::function<void(log_record const&)>;
-    using page_hook = std::function<void(log_page const&)>;
+    /// Gets the offset that the read started at.
+    using page_hook = std::function<void(std::uint64_t from, log_page const&)>;
     /// `caught_up` is true when the read reached the end of the log.
     using read_hook = std::function<void(bool caught_up)>;
 
@@ -43,7 +44,7 @@
 
 private:
     void read();
-    void handle(base::time_point sent, std::optional<log_page> const& page,
+    void handle(std::uint64_t from, base::time_point sent, std::optional<log_page> const& page,
                 base::error const& reason);
     void schedule(base::duration delay);
 
