Run a request at most once: outcome store and idempotency claims

Cause: a booking must not run twice when callers, entries or agents repeat it. Change: outcome_store keeps outcomes for 10 min after the run's end. An outcome dropped for lack of room leaves a 64-bit digest of its id, which answers "unknown" for the rest of these 10 min; when no digest fits either, new requests are refused as overloaded. idempotency_claims folds the log's claims. The headers changed: apply takes the time, note_append precedes each append, the constructor names the process. Measurement: 20,000 generated histories (concurrent calls, lost and repeated appends, replaced and paused agents, lagging list, log outages, expired records, dropped claims) show no second run; a separate checker reads the history.

--- a/libraries/savorymount/deduplication/claim.hpp
+++ b/libraries/savorymount/deduplication/claim.hpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -20,13 +21,18 @@
     std::string request;
     std::string agent;
     std::string incarnation;
+    /// Digest of the request, so that a key used for another request is noticed; may be empty.
+    std::string digest;
 
     bool operator==(claim const&) const = default;
 };
 
+/// Longest identifier in a claim; longer ones make the record malformed.
+inline constexpr std::size_t claim_identifier_bytes = 128;
+
 /// Body of the log record for `claims`: the plain form
-/// `{"kind":"claim","workspace":..,"key":..,"request":..,"agent":..,"incarnation":..}` for one, and
-/// `{"kind":"claim","claims":[..]}` with the same fields per element for several.
+/// `{"kind":"claim","workspace":..,"key":..,"request":..,"agent":..,"incarnation":..,"digest":..}`
+/// for one, and `{"kind":"claim","claims":[..]}` with these fields per element for several.
 nlohmann::json to_json(std::vector<claim> const& claims);
 
 /// Claims of a log record of kind `claim` in their order. Fails with `invalid_input` if one of them
--- a/libraries/savorymount/deduplication/outcome_store.hpp
+++ b/libraries/savorymount/deduplication/outcome_store.hpp
@@ -3,6 +3,7 @@
 #include <savorymount/base/digest.hpp>
 #include <savorymount/base/time.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -22,8 +23,9 @@
     std::size_t count = 20'000;
     /// Sum of the sizes given to `finish`.
     std::size_t bytes = std::size_t{32} * 1024 * 1024;
-    /// Request ids kept as digests only, after their outcome had to go.
-    std::size_t forgotten = 200'000;
+    /// Request ids remembered in all: running, finished, and as digests only (about 50 bytes each)
+    /// after their outcome had to go.
+    std::size_t ids = 200'000;
 };
 
 /// What the store knows about a request id.
@@ -104,15 +106,111 @@
         std::uint64_t digest;
     };
 
-    static std::uint64_t digest(std::string_view id) { return base::chain_digest(0, id); }
-    void remove_oldest_finished(bool remember);
+    static std::uint64_t digest_of(std::string_view id) { return base::chain_digest(0, id); }
+    finish_time remove_oldest_finished();
+    void enforce_bounds();
 
     outcome_limits limits_;
     std::size_t bytes_ = 0;
     std::unordered_map<std::string, entry> entries_;
     std::deque<finish_time> finished_;
-    std::unordered_set<std::uint64_t> forgotten_;
+    std::unordered_multiset<std::uint64_t> forgotten_;
     std::deque<forget_time> forgotten_order_;
 };
 
+template <typename Payload>
+begin_verdict outcome_store<Payload>::begin(std::string const& id, base::time_point now)
+{
+    switch (find(id, now).state)
+    {
+    case outcome_state::running:
+        return begin_verdict::running;
+    case outcome_state::finished:
+        return begin_verdict::finished;
+    case outcome_state::unknown:
+        return begin_verdict::unknown;
+    case outcome_state::absent:
+        break;
+    }
+    if (entries_.size() + forgotten_.size() >= limits_.ids)
+        return begin_verdict::overloaded;
+    entries_.try_emplace(id);
+    return begin_verdict::started;
+}
+
+template <typename Payload>
+bool outcome_store<Payload>::finish(std::string const& id, Payload payload, std::size_t bytes,
+                                    base::time_point now)
+{
+    expire(now);
+    auto const it = entries_.find(id);
+    if (it == entries_.end() || it->second.finished)
+        return false;
+    it->second = entry{true, bytes, std::move(payload)};
+    bytes_ += bytes;
+    finished_.push_back({now, id});
+    enforce_bounds();
+    return true;
+}
+
+template <typename Payload>
+bool outcome_store<Payload>::withdraw(std::string const& id)
+{
+    auto const it = entries_.find(id);
+    if (it == entries_.end() || it->second.finished)
+        return false;
+    entries_.erase(it);
+    return true;
+}
+
+template <typename Payload>
+typename outcome_store<Payload>::lookup outcome_store<Payload>::find(std::string const& id,
+                                                                     base::time_point now)
+{
+    expire(now);
+    auto const it = entries_.find(id);
+    if (it != entries_.end() && it->second.finished)
+        return {outcome_state::finished, &it->second.payload};
+    if (it != entries_.end())
+        return {outcome_state::running, nullptr};
+    if (forgotten_.contains(digest_of(id)))
+        return {outcome_state::unknown, nullptr};
+    return {};
+}
+
+template <typename Payload>
+void outcome_store<Payload>::expire(base::time_point now)
+{
+    while (!finished_.empty() && finished_.front().at + limits_.retention <= now)
+        remove_oldest_finished();
+    while (!forgotten_order_.empty() && forgotten_order_.front().at + limits_.retention <= now)
+    {
+        forgotten_.erase(forgotten_.find(forgotten_order_.front().digest));
+        forgotten_order_.pop_front();
+    }
+}
+
+template <typename Payload>
+typename outcome_store<Payload>::finish_time outcome_store<Payload>::remove_oldest_finished()
+{
+    auto oldest = std::move(finished_.front());
+    finished_.pop_front();
+    auto const it = entries_.find(oldest.id);
+    bytes_ -= it->second.bytes;
+    entries_.erase(it);
+    return oldest;
+}
+
+template <typename Payload>
+void outcome_store<Payload>::enforce_bounds()
+{
+    while (finished_.size() > limits_.count || bytes_ > limits_.bytes)
+    {
+        auto const oldest = remove_oldest_finished();
+        auto const digest = digest_of(oldest.id);
+        forgotten_.insert(digest);
+        forgotten_order_.push_back({oldest.at, digest});
+    }
+}
+
 } // namespace savorymount::deduplication
--- /dev/null
+++ b/tests/libraries/deduplication/idempotency_claims_test.cpp
@@ -0,0 +1,498 @@
+#include <savorymount/deduplication/idempotency_claims.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <memory>
+#include <tests/libraries/deduplication/run_history.hpp>
+#include <tests/libraries/property_check.hpp>
+
+namespace savorymount::deduplication
+{
+namespace
+{
+
+constexpr base::duration window = std::chrono::seconds(1'000);
+constexpr base::duration retention = std::chrono::seconds(1'500);
+constexpr base::duration clock_skew = std::chrono::seconds(2);
+
+claim make_claim(std::string const& key, std::string const& request, std::string const& agent,
+                 std::string const& incarnation)
+{
+    return {"counter", key, request, agent, incarnation, ""};
+}
+
+std::int64_t milliseconds(base::time_point time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+idempotency_claims make_claims(std::size_t count = 100, bool others_live = true)
+{
+    return {{window, count},
+            "agent-1",
+            "i1",
+            [others_live](std::string const&, std::string const&)
+            {
+                return others_live;
+            }};
+}
+
+// Guards against a second run when another agent's claim comes first in the log.
+TEST(idempotency_claims, the_lowest_offset_wins)
+{
+    base::time_point const now(std::chrono::seconds(100));
+    auto claims = make_claims();
+    claims.reach_end(1);
+    EXPECT_EQ(claims.before_append("counter", "k", "", now).action, claim_action::append);
+    auto const own = make_claim("k", "r1", "agent-1", "i1");
+    claims.note_append(own, now);
+    EXPECT_EQ(claims.after_append(own, now).action, claim_action::wait);
+    claims.apply(1, 0, {make_claim("k", "r2", "agent-2", "i2"), own}, now);
+    EXPECT_EQ(claims.after_append(own, now),
+              (claim_verdict{claim_action::attach, "r2", "agent-2", "i2"}));
+    EXPECT_EQ(claims.before_append("workshop", "k", "", now).action, claim_action::append);
+}
+
+// Guards against a run that is allowed twice, and against one that is lost because the request was
+// refused before it reached the upstream.
+TEST(idempotency_claims, the_winner_runs_once)
+{
+    base::time_point const now(std::chrono::seconds(100));
+    auto claims = make_claims();
+    claims.reach_end(1);
+    auto const own = make_claim("k", "r1", "agent-1", "i1");
+    claims.note_append(own, now);
+    claims.apply(1, 0, {own}, now);
+    EXPECT_EQ(claims.after_append(own, now),
+              (claim_verdict{claim_action::run_here, "r1", "agent-1", "i1"}));
+    EXPECT_EQ(claims.after_append(own, now),
+              (claim_verdict{claim_action::attach, "r1", "agent-1", "i1"}));
+    claims.withdraw("counter", "k", "r2");
+    EXPECT_EQ(claims.before_append("counter", "k", "", now).action, claim_action::attach);
+    claims.withdraw("counter", "k", "r1");
+    EXPECT_EQ(claims.before_append("counter", "k", "", now),
+              (claim_verdict{claim_action::run_here, "r1", "agent-1", "i1"}));
+}
+
+// Guards against a second run at a process that replaced the winner, or at a third one.
+TEST(idempotency_claims, a_winner_that_is_gone_makes_the_outcome_unknown)
+{
+    base::time_point const now(std::chrono::seconds(100));
+    auto claims = make_claims(100, false);
+    claims.apply(1, 0, {make_claim("k", "r1", "agent-1", "i0")}, now);
+    claims.reach_end(2);
+    EXPECT_EQ(claims.before_append("counter", "k", "", now).action, claim_action::refuse_unknown);
+}
+
+// Guards against a run while the log can't show whether another agent has claimed the key.
+TEST(idempotency_claims, refuses_while_the_log_is_unavailable_or_not_read_back)
+{
+    base::time_point const now(std::chrono::seconds(100));
+    auto claims = make_claims();
+    EXPECT_EQ(claims.before_append("counter", "k", "", now).action, claim_action::refuse_not_run);
+    claims.reach_end(1);
+    claims.set_log_available(false);
+    EXPECT_EQ(claims.before_append("counter", "k", "", now).action, claim_action::refuse_not_run);
+    claims.set_log_available(true);
+    EXPECT_EQ(claims.before_append("counter", "k", "", now).action, claim_action::append);
+
+    auto const own = make_claim("k", "r1", "agent-1", "i1");
+    claims.note_append(own, now);
+    claims.lose_records();
+    claims.apply(5, 0, {own}, now);
+    claims.reach_end(6);
+    EXPECT_EQ(claims.after_append(own, now).action, claim_action::refuse_not_run);
+}
+
+// Guards against the outcome of one request as the answer to another.
+TEST(idempotency_claims, a_key_used_for_another_request_is_a_conflict)
+{
+    base::time_point const now(std::chrono::seconds(100));
+    auto claims = make_claims();
+    auto winner = make_claim("k", "r1", "agent-2", "i2");
+    winner.digest = "d1";
+    claims.apply(1, 0, {winner}, now);
+    claims.reach_end(2);
+    EXPECT_EQ(claims.before_append("counter", "k", "d1", now).action, claim_action::attach);
+    EXPECT_EQ(claims.before_append("counter", "k", "", now).action, claim_action::attach);
+    EXPECT_EQ(claims.before_append("counter", "k", "d2", now).action,
+              claim_action::refuse_conflict);
+}
+
+// Guards against a run that starts when other readers already take the claim for expired.
+TEST(idempotency_claims, a_claim_older_than_half_the_window_does_not_run)
+{
+    base::time_point const sent(std::chrono::seconds(100));
+    auto const own = make_claim("k", "r1", "agent-1", "i1");
+    for (auto const age : {window / 2 - std::chrono::seconds(1), window / 2})
+    {
+        auto claims = make_claims();
+        claims.reach_end(1);
+        claims.note_append(own, sent);
+        claims.apply(1, 0, {own}, sent + age);
+        EXPECT_EQ(claims.after_append(own, sent + age).action,
+                  age < window / 2 ? claim_action::run_here : claim_action::refuse_not_run);
+    }
+}
+
+// Guards against keys that stay used for ever.
+TEST(idempotency_claims, a_key_may_be_claimed_again_after_the_window)
+{
+    base::time_point const now(std::chrono::seconds(100));
+    auto claims = make_claims();
+    claims.reach_end(1);
+    // The platform's clock steps back; the window does not.
+    claims.apply(1, 5'000, {}, now);
+    claims.apply(2, 4'000, {make_claim("k", "r1", "agent-2", "i2")}, now);
+    claims.apply(3, 5'000 + 999'999, {make_claim("k", "r2", "agent-3", "i3")}, now);
+    EXPECT_EQ(claims.before_append("counter", "k", "", now).request, "r1");
+    claims.apply(4, 5'000 + 1'000'000, {make_claim("k", "r3", "agent-3", "i3")}, now);
+    EXPECT_EQ(claims.before_append("counter", "k", "", now).request, "r3");
+    // Without newer records, the own clock shows that the claim is old.
+    EXPECT_EQ(claims.before_append("counter", "k", "", now + window).action, claim_action::append);
+}
+
+// Guards against a second run of a key whose claim was dropped for lack of memory.
+TEST(idempotency_claims, above_the_bound_unknown_keys_are_refused)
+{
+    base::time_point const now(std::chrono::seconds(100));
+    auto claims = make_claims(2);
+    claims.reach_end(1);
+    for (std::uint64_t n = 1; n <= 3; ++n)
+        claims.apply(n, 0, {make_claim("k" + std::to_string(n), "r", "agent-2", "i2")}, now);
+    EXPECT_EQ(claims.size(), 2U);
+    EXPECT_EQ(claims.before_append("counter", "k1", "", now).action, claim_action::refuse_not_run);
+    EXPECT_EQ(claims.before_append("counter", "k3", "", now).action, claim_action::attach);
+    auto const own = make_claim("k1", "r1", "agent-1", "i1");
+    claims.note_append(own, now);
+    claims.apply(4, 0, {own}, now);
+    EXPECT_EQ(claims.after_append(own, now).action, claim_action::refuse_not_run);
+    claims.apply(5, 1'000'000, {}, now);
+    EXPECT_EQ(claims.before_append("counter", "k1", "", now).action, claim_action::append);
+}
+
+// Guards against a checker that accepts everything.
+TEST(run_history, finds_each_kind_of_violation)
+{
+    using kind = run_event::kind;
+    base::time_point const start;
+    run_event const first{kind::run, start, "k", "r1"};
+    run_event const early{kind::run, start + window / 2, "k", "r2"};
+    run_event const later{kind::run, start + window, "k", "r2"};
+    EXPECT_FALSE(find_violation({first, later}, window));
+    EXPECT_FALSE(find_violation({first, {kind::told_not_run, start, "k", "r2"}}, window));
+    EXPECT_TRUE(find_violation({first, early}, window));
+    EXPECT_TRUE(find_violation({first, {kind::run, start, "k2", "r1"}}, window));
+    EXPECT_TRUE(find_violation({first, {kind::told_not_run, start, "k", "r1"}}, window));
+    EXPECT_TRUE(find_violation({{kind::told_not_run, start, "k", "r1"}, first}, window));
+}
+
+struct pending_request
+{
+    std::string key;
+    claim own;
+};
+
+struct agent_process
+{
+    std::string agent;
+    std::string incarnation;
+    std::unique_ptr<idempotency_claims> claims;
+    std::vector<pending_request> pending;
+};
+
+struct log_record
+{
+    std::uint64_t offset = 0;
+    base::time_point at;
+    std::int64_t time_ms = 0;
+    std::vector<claim> claims;
+};
+
+struct counters
+{
+    int runs = 0;
+    int attached = 0;
+    int unknown = 0;
+    int not_run = 0;
+    int repeated_keys = 0;
+};
+
+/// Agents, a log and callers under a virtual clock. Replaced agent processes go on running, as a
+/// paused process does, and the list of live agents lags.
+class world
+{
+public:
+    world(std::size_t count, counters& totals) : count_(count), totals_(totals)
+    {
+        for (int n = 0; n < 3; ++n)
+            start_process("agent-" + std::to_string(n));
+        refresh_list();
+    }
+
+    void call(std::size_t place, std::string const& key, bool refused_at_upstream)
+    {
+        submit(process(place), key, "r" + std::to_string(++requests_), refused_at_upstream, 0);
+    }
+
+    void poll(std::size_t place, bool refused_at_upstream)
+    {
+        auto& it = process(place);
+        for (auto const& request : std::exchange(it.pending, {}))
+        {
+            auto const verdict = it.claims->after_append(request.own, now_);
+            if (verdict.action == claim_action::wait)
+                it.pending.push_back(request);
+            else
+                act(it, verdict, request.key, request.own.request, refused_at_upstream, 0);
+        }
+    }
+
+    void give_up(std::size_t place)
+    {
+        for (auto const& it : std::exchange(process(place).pending, {}))
+            answer_not_run(it.key, it.own.request);
+    }
+
+    void read(std::size_t place, std::size_t limit)
+    {
+        auto& claims = *process(place).claims;
+        bool const may_have_missed =
+            claims.next_offset() > 0 && !log_.empty() && log_.front().offset > claims.next_offset();
+        if (may_have_missed)
+            claims.lose_records();
+        for (auto const& it : log_)
+        {
+            if (it.offset < claims.next_offset())
+                continue;
+            if (limit-- == 0)
+                return;
+            claims.apply(it.offset, it.time_ms, it.claims, now_);
+        }
+        claims.reach_end(next_offset_);
+    }
+
+    void land(std::size_t place, bool once)
+    {
+        if (in_flight_.empty())
+            return append({});
+        auto const it = in_flight_.begin() + static_cast<long>(place % in_flight_.size());
+        append(*it);
+        if (once)
+            in_flight_.erase(it);
+    }
+
+    void lose_append(std::size_t place)
+    {
+        if (!in_flight_.empty())
+            in_flight_.erase(in_flight_.begin() + static_cast<long>(place % in_flight_.size()));
+    }
+
+    void replace(std::size_t place)
+    {
+        auto const agent = process(place).agent;
+        start_process(agent);
+    }
+
+    void refresh_list()
+    {
+        live_.clear();
+        for (auto const& it : processes_)
+            live_[it->agent] = it->incarnation;
+    }
+
+    void set_log(std::size_t place, bool available)
+    {
+        process(place).claims->set_log_available(available);
+    }
+
+    void advance(base::duration time)
+    {
+        now_ += time;
+        std::erase_if(log_, [&](auto const& it) { return it.at + retention < now_; });
+    }
+
+    void set_skew(base::duration skew) { skew_ = skew; }
+
+    std::vector<run_event> const& history() const { return history_; }
+
+private:
+    agent_process& process(std::size_t place) { return *processes_[place % processes_.size()]; }
+
+    void start_process(std::string const& agent)
+    {
+        auto it = std::make_unique<agent_process>();
+        it->agent = agent;
+        it->incarnation = "i" + std::to_string(processes_.size());
+        it->claims = std::make_unique<idempotency_claims>(
+            claim_limits{window, count_}, it->agent, it->incarnation,
+            [this](std::string const& name, std::string const& incarnation)
+            { return live_[name] == incarnation; });
+        processes_.push_back(std::move(it));
+    }
+
+    void append(std::vector<claim> const& claims)
+    {
+        log_.push_back({next_offset_++, now_, milliseconds(now_ + skew_), claims});
+    }
+
+    void submit(agent_process& at, std::string const& key, std::string const& request,
+                bool refused_at_upstream, int hops)
+    {
+        auto const verdict = at.claims->before_append("counter", key, "", now_);
+        if (verdict.action != claim_action::append)
+            return act(at, verdict, key, request, refused_at_upstream, hops);
+        auto const own = make_claim(key, request, at.agent, at.incarnation);
+        at.claims->note_append(own, now_);
+        at.pending.push_back({key, own});
+        bool const joins_batch = !in_flight_.empty() && in_flight_.back().size() < 3 &&
+                                 in_flight_.back().front().incarnation == at.incarnation;
+        if (joins_batch)
+            in_flight_.back().push_back(own);
+        else
+            in_flight_.push_back({own});
+    }
+
+    void act(agent_process& at, claim_verdict const& verdict, std::string const& key,
+             std::string const& request, bool refused_at_upstream, int hops)
+    {
+        switch (verdict.action)
+        {
+        case claim_action::run_here:
+            if (refused_at_upstream)
+            {
+                at.claims->withdraw("counter", key, verdict.request);
+                return answer_not_run(key, request);
+            }
+            ++totals_.runs;
+            for (auto const& it : history_)
+                if (it.what == run_event::kind::run && it.key == key)
+                    ++totals_.repeated_keys;
+            history_.push_back({run_event::kind::run, now_, key, request});
+            return;
+        case claim_action::attach:
+            ++totals_.attached;
+            for (auto const& it : processes_)
+                if (it.get() != &at && it->agent == verdict.agent &&
+                    it->incarnation == verdict.incarnation && hops < 3)
+                    return submit(*it, key, request, refused_at_upstream, hops + 1);
+            return;
+        case claim_action::refuse_not_run:
+            return answer_not_run(key, request);
+        default:
+            ++totals_.unknown;
+        }
+    }
+
+    void answer_not_run(std::string const& key, std::string const& request)
+    {
+        ++totals_.not_run;
+        history_.push_back({run_event::kind::told_not_run, now_, key, request});
+    }
+
+    std::size_t count_;
+    counters& totals_;
+    base::time_point now_{std::chrono::seconds(10)};
+    base::duration skew_{0};
+    std::vector<log_record> log_;
+    std::uint64_t next_offset_ = 1;
+    std::vector<std::vector<claim>> in_flight_;
+    std::vector<std::unique_ptr<agent_process>> processes_;
+    std::map<std::string, std::string> live_;
+    std::vector<run_event> history_;
+    int requests_ = 0;
+};
+
+struct step
+{
+    int kind = 0;
+    int place = 0;
+    int detail = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, step const& it)
+{
+    return out << '{' << it.kind << ',' << it.place << ',' << it.detail << '}';
+}
+
+void take_step(world& it, step const& step)
+{
+    auto const place = static_cast<std::size_t>(step.place);
+    switch (step.kind)
+    {
+    case 0:
+        return it.call(place, step.detail % 3 == 0 ? "k2" : "k1", step.detail % 7 == 0);
+    case 1:
+        return it.read(place, step.detail % 4 != 0 ? 1'000 : 1);
+    case 2:
+        return it.poll(place, step.detail % 7 == 0);
+    case 3:
+        return it.land(place, step.detail % 4 != 0);
+    case 4:
+        return it.lose_append(place);
+    case 5:
+        return it.replace(place);
+    case 6:
+        return it.refresh_list();
+    case 7:
+        return it.set_log(place, step.detail % 3 != 0);
+    case 8:
+        return it.give_up(place);
+    case 9:
+        return it.advance(std::chrono::seconds(step.detail % 5));
+    case 10:
+        return it.advance(std::chrono::seconds(100 * (step.detail % 12)));
+    default:
+        return it.set_skew(clock_skew * (step.detail % 2));
+    }
+}
+
+// Guards against a second run of a key in any order of concurrent calls at several entries, lost
+// acknowledgements, repeated and late appends, replaced and paused agents, a lagging list, log
+// outages, expired records and dropped claims.
+TEST(idempotency_claims, a_key_runs_at_most_once_in_every_generated_history)
+{
+    counters totals;
+    tests::check_property(20'000,
+                          [&totals]
+                          {
+                              auto const kind = rc::gen::weightedElement<int>({{20, 0},
+                                                                               {24, 1},
+                                                                               {20, 2},
+                                                                               {20, 3},
+                                                                               {2, 4},
+                                                                               {2, 5},
+                                                                               {3, 6},
+                                                                               {2, 7},
+                                                                               {2, 8},
+                                                                               {8, 9},
+                                                                               {3, 10},
+                                                                               {2, 11}});
+                              auto const number = rc::gen::inRange(0, 840);
+                              auto const steps = *rc::gen::container<std::vector<step>>(
+                                  rc::gen::construct<step>(kind, number, number));
+                              auto const count = *rc::gen::element<std::size_t>(1, 2, 100);
+                              world it(count, totals);
+                              // Most histories start with agents that have read the log; the others
+                              // start cold.
+                              if (*rc::gen::inRange(0, 4) > 0)
+                                  for (std::size_t place = 0; place < 3; ++place)
+                                      it.read(place, 1);
+                              for (auto const& next : steps)
+                                  take_step(it, next);
+                              auto const violation =
+                                  find_violation(it.history(), window / 2 - 2 * clock_skew);
+                              RC_ASSERT(violation.value_or("none") == "none");
+                          });
+    // Each kind of outcome has to occur, or the histories would show nothing.
+    EXPECT_GT(totals.runs, 1'000);
+    EXPECT_GT(totals.attached, 1'000);
+    EXPECT_GT(totals.unknown, 100);
+    EXPECT_GT(totals.not_run, 1'000);
+    EXPECT_GT(totals.repeated_keys, 10);
+}
+
+} // namespace
+} // namespace savorymount::deduplication
