Show that the limits checker fails without each mechanism

Cause: a checker that has not been seen to fail proves little, and the first histories did not notice a missing waiting time or fencing check. Change: faults and demand can start at the moment of a takeover and name agents by role; two directed properties (an idle old owner that is cut off from the log and spends its bucket at the takeover, and a stale list beyond the bound with an agent that learns of the newer token late).

--- a/tests/libraries/limits/limits_invariant_test.cpp
+++ b/tests/libraries/limits/limits_invariant_test.cpp
@@ -54,10 +54,12 @@
         << " length=" << seconds(it.length);
     for (auto const& d : it.demands)
         out << "\n  demand at=" << seconds(d.at) << " for=" << seconds(d.length)
-            << " tokens=" << d.tokens << " per_second=" << d.per_second;
+            << (d.from == anchor::takeover ? " after takeover" : "") << " tokens=" << d.tokens
+            << " per_second=" << d.per_second << " agent=" << d.agent;
     for (auto const& f : it.faults)
         out << "\n  fault " << name_of(f.kind) << " at=" << seconds(f.at)
-            << " for=" << seconds(f.length) << " agent=" << f.agent;
+            << (f.from == anchor::takeover ? " after takeover" : "") << " for=" << seconds(f.length)
+            << " agent=" << f.agent;
     return out;
 }
 
@@ -85,9 +87,9 @@
         rc::gen::set(&fault::kind, rc::gen::elementOf(kinds)),
         rc::gen::set(&fault::at, milliseconds_between(first_ms, last_ms)),
         rc::gen::set(&fault::length, milliseconds_between(100, 40'000)),
-        rc::gen::set(&fault::agent,
-                     rc::gen::weightedOneOf<unsigned>({{2, rc::gen::inRange<unsigned>(0, 4)},
-                                                       {3, rc::gen::just(fault::owner)}})));
+        rc::gen::set(&fault::agent, rc::gen::weightedOneOf<unsigned>(
+                                        {{2, rc::gen::inRange<unsigned>(0, 4)},
+                                         {3, rc::gen::just<unsigned>(newest_holder)}})));
 }
 
 history_plan any_plan()
@@ -164,7 +166,7 @@
             plan.length = std::chrono::seconds(60);
             // The owner is unlisted from 10 s on: takeovers happen from 26 s on.
             plan.faults = {{fault_kind::unlisted, std::chrono::seconds(10),
-                            *milliseconds_between(20'000, 50'000), fault::owner}};
+                            *milliseconds_between(20'000, 50'000), newest_holder}};
             auto const more = *rc::gen::container<std::vector<fault>>(
                 *rc::gen::inRange<std::size_t>(0, 4),
                 any_fault({fault_kind::freeze, fault_kind::cut_from_log, fault_kind::cut_from_list,
@@ -184,34 +186,91 @@
     EXPECT_GT(overlaps, 0U);
 }
 
+// Guards against a new owner that grants while the old one still may: the old one was idle, is cut
+// off from the log at the moment of the takeover, and then hands out its whole bucket.
+TEST(limits_invariant, holds_when_old_owner_spends_at_takeover)
+{
+    unsigned overlaps = 0;
+    check_seeded(0x15, 300,
+                 [&]
+                 {
+                     auto plan = any_plan();
+                     plan.length = std::chrono::seconds(60);
+                     plan.faults = {{fault_kind::unlisted, std::chrono::seconds(10),
+                                     std::chrono::seconds(50), newest_holder},
+                                    {fault_kind::cut_from_log, *milliseconds_between(0, 100),
+                                     *milliseconds_between(5'000, 20'000), previous_holder,
+                                     anchor::takeover}};
+                     demand spending;
+                     spending.at = *milliseconds_between(0, 8'000);
+                     spending.length = *milliseconds_between(1'000, 8'000);
+                     spending.tokens = std::max<std::uint64_t>(plan.burst / 20, 1);
+                     spending.per_second = 100;
+                     spending.from = anchor::takeover;
+                     spending.used_percent = 100;
+                     plan.demands = {spending};
+                     limits_world world(plan);
+                     world.run();
+                     overlaps += world.most_owners() > 1 ? 1U : 0U;
+                     expect_invariant(world, plan);
+                 });
+    // The waiting time keeps even believed ownership apart in these histories.
+    EXPECT_EQ(overlaps, 0U);
+}
+
 // Guards against an owner that believes a list older than the stated bound while it is cut off from
-// the log: agents that know the newer fencing token must refuse its grants.
+// the log. An agent that draws grants from it and then learns of the newer fencing token must
+// refuse them, since the new owner's bucket has filled meanwhile.
 TEST(limits_invariant, holds_beyond_list_lag_by_fencing)
 {
     unsigned overlaps = 0;
-    check_seeded(0x13, 200,
+    check_seeded(0x13, 300,
                  [&]
                  {
                      auto plan = any_plan();
-                     plan.length = std::chrono::seconds(60);
-                     auto const cut = *milliseconds_between(20'000, 26'000);
+                     plan.agents = *rc::gen::inRange<unsigned>(3, 6);
+                     plan.burst = plan.rate * *rc::gen::inRange<std::uint64_t>(6, 12);
+                     plan.length = std::chrono::seconds(90);
+                     // The new owner starts 6 s after its append and is full after another 12 s at
+                     // most.
+                     auto const learns = *milliseconds_between(19'000, 22'000);
                      plan.faults = {
                          {fault_kind::list_frozen, std::chrono::seconds(5),
-                          std::chrono::seconds(55), fault::owner},
-                         {fault_kind::unlisted, std::chrono::seconds(10), std::chrono::seconds(50),
-                          fault::owner},
-                         {fault_kind::cut_from_log, cut, std::chrono::seconds(40), fault::owner}};
-                     auto const start = *milliseconds_between(24'000, 45'000);
-                     plan.demands = {{start, std::chrono::seconds(15), plan.rate / 10 + 1, 20}};
+                          std::chrono::seconds(85), newest_holder},
+                         {fault_kind::unlisted, std::chrono::seconds(10), std::chrono::seconds(80),
+                          newest_holder},
+                         {fault_kind::cut_from_log,
+                          {},
+                          std::chrono::seconds(80),
+                          previous_holder,
+                          anchor::takeover},
+                         {fault_kind::cut_from_log, {}, learns, bystander, anchor::takeover}};
+                     // Requests that use little leave the bystander with grants of the old owner.
+                     demand drawing;
+                     drawing.at = learns - std::chrono::milliseconds(1'500);
+                     drawing.length = std::chrono::milliseconds(2'500);
+                     drawing.tokens = std::max<std::uint64_t>(plan.burst / 10, 1);
+                     drawing.per_second = 5;
+                     drawing.agent = bystander;
+                     drawing.from = anchor::takeover;
+                     drawing.used_percent = 1;
+                     drawing.longest_run = std::chrono::milliseconds(50);
+                     demand spending;
+                     // A log poll and two slow messages after the end of the cut the token is known.
+            spending.at = learns + *milliseconds_between(1'400, 1'800);
+                     spending.length = std::chrono::seconds(3);
+                     spending.tokens = std::max<std::uint64_t>(plan.burst / 40, 1);
+                     spending.per_second = 200;
+                     spending.from = anchor::takeover;
+                     spending.used_percent = 100;
+                     spending.agent = bystander;
+                     plan.demands = {drawing, spending};
                      limits_world world(plan);
-                     // The cut-off owner itself can't know the newer token, so no request goes
-                     // there.
-                     world.serve_only_agents_with_log();
                      world.run();
                      overlaps += world.most_owners() > 1 ? 1U : 0U;
                      expect_invariant(world, plan);
                  });
-    EXPECT_GT(overlaps, 50U);
+    EXPECT_GT(overlaps, 200U);
 }
 
 // Guards against a bucket that refills while agents still hold grants: they would admit the grants
--- a/tests/libraries/limits/limits_world.cpp
+++ b/tests/libraries/limits/limits_world.cpp
@@ -38,8 +38,8 @@
     std::optional<limits::workspace_bucket> bucket;
     bool granting = false;
     std::optional<limits::grant_account> account;
-    /// Requests that wait for a grant: tokens and number of attempts.
-    std::vector<std::pair<std::uint64_t, unsigned>> waiting;
+    /// Requests that wait for a grant.
+    std::vector<offered> waiting;
 
     std::string list_id() const { return name + "#" + incarnation; }
 };
@@ -58,15 +58,50 @@
 limits_world::~limits_world() = default;
 
 void limits_world::run()
+{
+    schedule(anchor::start);
+    time_.run_until(epoch + plan_.length);
+}
+
+void limits_world::schedule(anchor from)
 {
     for (auto const& it : plan_.faults)
-        time_.at(epoch + it.at, [this, it] { inject(it); });
+    {
+        if (it.from == from)
+            time_.after(it.at, [this, it] { begin(it); });
+    }
     for (auto const& it : plan_.demands)
     {
-        for (unsigned n = 0; n < plan_.agents; ++n)
-            time_.at(epoch + it.at, [this, it, n] { generate(it, n, epoch + it.at + it.length); });
+        if (it.from == from)
+            time_.after(it.at, [this, it] { begin(it); });
     }
-    time_.run_until(epoch + plan_.length);
+}
+
+unsigned limits_world::resolve(unsigned agent) const
+{
+    if (agent < newest_holder)
+        return agent % plan_.agents;
+    std::vector<unsigned> holders = {plan_.agents, plan_.agents};
+    for (auto const& entry : log_)
+    {
+        for (auto const& it : nodes_)
+        {
+            if (it->name == entry.record.agent && it->number != holders.back())
+                holders.push_back(it->number);
+        }
+    }
+    auto const newest = holders.back();
+    auto const previous = holders[holders.size() - 2];
+    if (agent == newest_holder && newest < plan_.agents)
+        return newest;
+    if (agent == previous_holder && previous < plan_.agents)
+        return previous;
+    for (auto const& it : nodes_)
+    {
+        if (it->number != newest && it->number != previous)
+            return it->number;
+    }
+    return 0;
 }
 
 std::vector<admitted_request> limits_world::history() const
@@ -100,57 +135,50 @@
                 [this, number, life] { tick(number, life); });
 }
 
-void limits_world::inject(fault const& it)
+void limits_world::unlist(std::string const& id)
 {
-    auto number = it.agent % plan_.agents;
-    if (it.agent == fault::owner)
+    auto listed = list_.rbegin()->second;
+    listed.erase(id);
+    list_[time_.now()] = listed;
+}
+
+void limits_world::begin_end(unsigned number, fault const& it)
+{
+    auto& target = *nodes_[number];
+    if (!target.alive || target.leaving)
+        return;
+    auto const clean = it.kind == fault_kind::leave;
+    if (clean)
     {
-        for (auto const& candidate : nodes_)
-        {
-            if (candidate->alive && candidate->lease->fence() != 0)
-                number = candidate->number;
-        }
+        target.leaving = true;
+        perform(target, target.lease->leave(local(target)));
     }
-    begin(it, number);
+    target.alive = clean;
+    // A leaving process gets time for its release before it ends.
+    time_.after(clean ? std::chrono::seconds(10) : it.length / 10,
+                [this, id = target.list_id()] { unlist(id); });
+    time_.after(std::max<base::duration>(it.length, std::chrono::seconds(11)),
+                [this, number, life = target.life]
+                {
+                    if (nodes_[number]->life == life)
+                        start_node(number);
+                });
 }
 
-void limits_world::begin(fault const& it, unsigned number)
+void limits_world::begin(fault const& it)
 {
+    auto const number = resolve(it.agent);
     auto& target = *nodes_[number];
     auto const until = time_.now() + it.length;
     auto const extend = [until](base::time_point& end)
     {
         end = std::max(end, until);
     };
-    auto const unlist = [this](std::string const& id)
-    {
-        auto listed = list_.rbegin()->second;
-        listed.erase(id);
-        list_[time_.now()] = listed;
-    };
     switch (it.kind)
     {
     case fault_kind::kill:
     case fault_kind::leave:
-        if (!target.alive || target.leaving)
-            return;
-        if (it.kind == fault_kind::leave)
-        {
-            target.leaving = true;
-            perform(target, target.lease->leave(local(target)));
-        }
-        // A leaving process gets time for its release before it ends.
-        time_.after(it.kind == fault_kind::leave ? std::chrono::seconds(10) : it.length / 10,
-                    [unlist, id = target.list_id()] { unlist(id); });
-        if (it.kind == fault_kind::kill)
-            target.alive = false;
-        time_.after(std::max<base::duration>(it.length, std::chrono::seconds(11)),
-                    [this, number, life = target.life]
-                    {
-                        if (nodes_[number]->life == life)
-                            start_node(number);
-                    });
-        return;
+        return begin_end(number, it);
     case fault_kind::freeze:
         return extend(target.frozen_until);
     case fault_kind::cut_from_log:
@@ -183,6 +211,15 @@
     }
 }
 
+void limits_world::begin(demand const& it)
+{
+    auto const end = time_.now() + it.length;
+    if (it.agent != every_agent)
+        return generate(it, resolve(it.agent), end);
+    for (unsigned n = 0; n < plan_.agents; ++n)
+        generate(it, n, end);
+}
+
 void limits_world::tick(unsigned number, std::uint64_t life)
 {
     auto& it = *nodes_[number];
@@ -286,6 +323,11 @@
                     if (!log_up())
                         return finish(answer_timeout, false);
                     log_.push_back({what.id, what.record});
+                    if (!taken_over_ && what.record.previous != 0 && what.record.fence == 0)
+                    {
+                        taken_over_ = true;
+                        schedule(anchor::takeover);
+                    }
                     if (answers_lost_until_ > time_.now())
                         return finish(answer_timeout, false);
                     finish(delay(), true);
@@ -362,8 +404,11 @@
                                     at.account->grant_failed(then, what.request);
                                 auto const waiting = std::move(at.waiting);
                                 at.waiting.clear();
-                                for (auto const& [tokens, attempt] : waiting)
-                                    offer(at.number, tokens, attempt + 1, at.life);
+                                for (auto request : waiting)
+                                {
+                                    ++request.attempt;
+                                    offer(at.number, at.life, request);
+                                }
                                 carry_out(at);
                             });
                 });
@@ -391,16 +436,15 @@
     }
 }
 
-void limits_world::offer(unsigned number, std::uint64_t tokens, unsigned attempt,
-                         std::uint64_t life)
+void limits_world::offer(unsigned number, std::uint64_t life, offered request)
 {
     auto& it = *nodes_[number];
     if (it.life != life || !it.alive || it.leaving)
         return;
-    auto const result = it.account->admit(local(it), tokens, attempt == 0);
-    if (result.result == limits::admission::verdict::waiting && attempt < 4)
+    auto const result = it.account->admit(local(it), request.tokens, request.attempt == 0);
+    if (result.result == limits::admission::verdict::waiting && request.attempt < 4)
     {
-        it.waiting.emplace_back(tokens, attempt);
+        it.waiting.push_back(request);
         return;
     }
     if (result.result != limits::admission::verdict::admitted)
@@ -409,14 +453,13 @@
         return;
     }
     auto const index = admissions_.size();
-    admissions_.push_back({{time_.now(), tokens}, tokens});
-    auto const used = 1 + random_.below(tokens);
-    auto const length = base::duration(static_cast<std::int64_t>(random_.below(6'000'000)));
-    deliver(number, life, length,
-            [this, index, used, reservation = result.reservation](node& at)
+    admissions_.push_back({{time_.now(), request.tokens}, request.tokens});
+    deliver(number, life, request.run,
+            [this, index, request, reservation = result.reservation](node& at)
             {
-                admissions_[index].request.tokens = used;
-                at.account->complete(local(at), reservation, used);
+                admissions_[index].request.tokens = request.used;
+                at.account->complete(local(at), reservation, request.used);
+                carry_out(at);
             });
 }
 
@@ -425,10 +468,15 @@
     if (time_.now() >= end || it.per_second == 0)
         return;
     auto& at = *nodes_[number];
-    auto const served = !serve_only_with_log_ || at.no_log_until <= time_.now();
-    if (at.alive && served && at.frozen_until <= time_.now())
+    if (at.alive && at.frozen_until <= time_.now())
     {
-        offer(number, std::min(1 + random_.below(2 * it.tokens), plan_.burst), 0, at.life);
+        offered request;
+        request.tokens = std::min(1 + random_.below(2 * it.tokens), plan_.burst);
+        request.used = it.used_percent ? request.tokens * *it.used_percent / 100
+                                       : 1 + random_.below(request.tokens);
+        request.run = base::duration(static_cast<std::int64_t>(
+            random_.below(static_cast<std::uint64_t>(it.longest_run.count()) + 1)));
+        offer(number, at.life, request);
         carry_out(at);
     }
     auto const mean = 1'000'000 / it.per_second;
--- a/tests/libraries/limits/limits_world.hpp
+++ b/tests/libraries/limits/limits_world.hpp
@@ -41,24 +41,49 @@
     list_frozen
 };
 
+/// What the time of a fault or demand counts from.
+enum class anchor
+{
+    start,
+    /// The moment at which the log takes the first lease record that follows another owner's.
+    takeover
+};
+
+/// Stands for an agent by its role at the moment when a fault or demand begins.
+enum role : unsigned
+{
+    /// The holder of the newest lease.
+    newest_holder = 1000,
+    /// The holder of the lease before.
+    previous_holder,
+    /// An agent that held neither.
+    bystander,
+    every_agent
+};
+
 struct fault
 {
     fault_kind kind{};
     base::duration at{};
     base::duration length{};
-    /// An agent's number; `owner` stands for whichever agent grants at that moment.
+    /// An agent's number or a role.
     unsigned agent = 0;
-
-    static constexpr unsigned owner = 1000;
+    anchor from = anchor::start;
 };
 
-/// Requests per second of one size at every agent during an interval.
+/// Requests at random moments during an interval.
 struct demand
 {
     base::duration at{};
     base::duration length{};
+    /// Mean reserved tokens of one request.
     std::uint64_t tokens = 0;
     unsigned per_second = 0;
+    unsigned agent = every_agent;
+    anchor from = anchor::start;
+    /// Part of the reservation that is used; any part if empty.
+    std::optional<unsigned> used_percent = std::nullopt;
+    base::duration longest_run = std::chrono::seconds(6);
 };
 
 struct history_plan
@@ -84,9 +109,6 @@
 
     void run();
 
-    /// Sends no request to an agent while it is cut off from the log.
-    void serve_only_agents_with_log() { serve_only_with_log_ = true; }
-
     std::vector<admitted_request> history() const;
 
     /// How often a bucket was started, and the most agents that believed to own at once.
@@ -109,8 +131,9 @@
     };
 
     void start_node(unsigned number);
-    void inject(fault const& it);
-    void begin(fault const& it, unsigned number);
+    void begin(fault const& it);
+    void begin_end(unsigned number, fault const& it);
+    void unlist(std::string const& id);
     void tick(unsigned number, std::uint64_t life);
     void poll_log(node& it);
     void poll_list(node& it);
@@ -119,8 +142,18 @@
     void carry_out(node& it);
     void ask(node& it, limits::ask_for_grant const& what);
     void report(node& it, limits::report_use const& what);
-    void offer(unsigned number, std::uint64_t tokens, unsigned attempt, std::uint64_t life);
+    struct offered
+    {
+        std::uint64_t tokens = 0;
+        std::uint64_t used = 0;
+        base::duration run{};
+        unsigned attempt = 0;
+    };
+    void offer(unsigned number, std::uint64_t life, offered request);
+    void schedule(anchor from);
+    void begin(demand const& it);
     void generate(demand const& it, unsigned number, base::time_point end);
+    unsigned resolve(unsigned agent) const;
     /// Runs `what` at the node once it is not frozen, if the same process still lives.
     void deliver(unsigned number, std::uint64_t life, base::duration delay,
                  std::function<void(node&)> what);
@@ -144,7 +177,7 @@
     base::time_point answers_lost_until_{};
     std::vector<admission_entry> admissions_;
     std::uint64_t lives_ = 0;
-    bool serve_only_with_log_ = false;
+    bool taken_over_ = false;
     unsigned starts_ = 0;
     unsigned most_owners_ = 0;
     std::uint64_t refused_ = 0;
