--- a/libraries/savorymount/limits/bucket_lease.cpp
+++ b/libraries/savorymount/limits/bucket_lease.cpp
@@ -118,6 +118,8 @@
         return;
     renewed_offset_ = newest_->offset;
     renewed_at_ = now;
+    // The log shows the fate of the append, even if its answer never comes.
+    appending_ = false;
 }
 
 void bucket_lease::become_holder(base::time_point now)
@@ -136,6 +138,7 @@
         out.emplace_back(stop_owning{fence_, false});
     fence_ = 0;
     phase_ = phase::outside;
+    appending_ = false;
     list_confirmed_.reset();
 }
 
--- a/libraries/savorymount/limits/workspace_bucket.cpp
+++ b/libraries/savorymount/limits/workspace_bucket.cpp
@@ -99,26 +99,33 @@
     advance(now);
     if (tokens > burst_)
         return std::nullopt;
-    auto const missing = to_micro(tokens) - level_micro_;
-    if (missing <= 0)
+    auto const wanted = to_micro(tokens);
+    if (level_micro_ >= wanted)
         return base::duration::zero();
     if (rate_ == 0)
         return std::nullopt;
-    auto const divisor = static_cast<std::int64_t>(rate_);
-    auto wait = base::duration((missing + divisor - 1) / divisor);
-    // Refill stops at the burst, so enough live grants must also have ended.
-    auto still_out = outstanding_;
+    auto const rate = static_cast<std::int64_t>(rate_);
+    // Refill stops at the burst, so live grants may have to end first.
+    auto level = level_micro_;
+    auto out = to_micro(outstanding_);
+    auto when = updated_;
     for (auto const id : live_)
     {
-        if (tokens + still_out <= burst_)
-            break;
         auto const found = grants_.find(id);
-        if (found == grants_.end())
+        if (found == grants_.end() || found->second.open == 0)
             continue;
-        still_out -= found->second.open;
-        wait = std::max(wait, found->second.expiry - updated_);
+        auto const bound = to_micro(burst_) - out;
+        auto const full_at = when + base::duration((wanted - level + rate - 1) / rate);
+        if (wanted <= bound && full_at <= found->second.expiry)
+            return full_at - updated_;
+        auto const gained = rate * (found->second.expiry - when).count();
+        level = std::max(level, std::min(level + gained, bound));
+        when = found->second.expiry;
+        out -= to_micro(found->second.open);
+        if (level >= wanted)
+            return when - updated_;
     }
-    return wait;
+    return when + base::duration((wanted - level + rate - 1) / rate) - updated_;
 }
 
 bool workspace_bucket::all_grants_ended(base::time_point now)
--- a/tests/libraries/limits/limits_invariant_test.cpp
+++ b/tests/libraries/limits/limits_invariant_test.cpp
@@ -256,8 +256,9 @@
                      drawing.used_percent = 1;
                      drawing.longest_run = std::chrono::milliseconds(50);
                      demand spending;
-                     // A log poll and two slow messages after the end of the cut the token is known.
-            spending.at = learns + *milliseconds_between(1'400, 1'800);
+                     // A log poll and two slow messages after the end of the cut the token is
+                     // known.
+                     spending.at = learns + *milliseconds_between(1'400, 1'800);
                      spending.length = std::chrono::seconds(3);
                      spending.tokens = std::max<std::uint64_t>(plan.burst / 40, 1);
                      spending.per_second = 200;
