--- a/tests/libraries/routing/prompt_prefix_test.cpp
+++ b/tests/libraries/routing/prompt_prefix_test.cpp
@@ -168,6 +168,7 @@
     auto const texts = [&](std::string const& last)
     {
         std::vector<std::string> out;
+        out.reserve(common.size() + 1);
         for (std::string const& it : common)
             out.push_back(printable(it));
         out.push_back(printable(last));
--- a/tests/libraries/routing/router_test.cpp
+++ b/tests/libraries/routing/router_test.cpp
@@ -47,24 +47,24 @@
     ranked_choice choose(router& from, base::time_point now, prompt_prefix const& prefix,
                          std::vector<upstream_id> const& tried = {})
     {
-        return from.choose(now, {&prefix, tried}, {&pool_, share_});
+        return from.choose(now, {&prefix, tried}, {&engines, share});
     }
 
-    candidate_pool pool_{members(20)};
-    std::function<double(upstream_id)> share_;
-    base::random_source random_{1};
-    router_options options_;
-    router router_{options_, random_};
+    candidate_pool engines{members(20)};
+    std::function<double(upstream_id)> share;
+    base::random_source numbers{1};
+    router_options options;
+    router decisions{options, numbers};
 };
 
 // Guards against a request that recomputes a prefix which another upstream holds.
 TEST_F(router_test, prefers_the_upstream_that_holds_the_prefix)
 {
     prompt_prefix const first = prompt(1, 1);
-    upstream_id const other = choose(router_, at(seconds(0)), first).at(2).upstream;
-    router_.finished(at(seconds(0)), {&first, {}}, {other, {}, 0, 0}, "p1", 6);
+    upstream_id const other = choose(decisions, at(seconds(0)), first).at(2).upstream;
+    decisions.finished(at(seconds(0)), {&first, {}}, {other, {}, 0, 0}, "p1", 6);
     prompt_prefix const second = prompt(1, 2);
-    ranked_choice const choice = choose(router_, at(seconds(1)), second);
+    ranked_choice const choice = choose(decisions, at(seconds(1)), second);
     EXPECT_EQ(choice.at(0).upstream, other);
     EXPECT_EQ(choice.at(0).expected_blocks, 5U);
 }
@@ -73,23 +73,23 @@
 TEST_F(router_test, hints_of_an_old_engine_process_are_not_used)
 {
     prompt_prefix const first = prompt(1, 1);
-    upstream_id const home = choose(router_, at(seconds(0)), first).at(0).upstream;
-    upstream_id const other = choose(router_, at(seconds(0)), first).at(2).upstream;
-    router_.finished(at(seconds(0)), {&first, {}}, {other, {}, 0, 0}, "p1", 6);
-    router_.load_reported(at(seconds(1)), other, "p2", {});
-    EXPECT_EQ(choose(router_, at(seconds(1)), first).at(0).upstream, home);
+    upstream_id const home = choose(decisions, at(seconds(0)), first).at(0).upstream;
+    upstream_id const other = choose(decisions, at(seconds(0)), first).at(2).upstream;
+    decisions.finished(at(seconds(0)), {&first, {}}, {other, {}, 0, 0}, "p1", 6);
+    decisions.load_reported(at(seconds(1)), other, "p2", {});
+    EXPECT_EQ(choose(decisions, at(seconds(1)), first).at(0).upstream, home);
 }
 
 // Guards against entries that place a prefix on different upstreams after a mass restart.
 TEST_F(router_test, entries_without_hints_agree)
 {
     base::random_source random(77);
-    router other(options_, random);
+    router other(options, random);
     std::set<upstream_id> homes;
     for (std::uint64_t client = 0; client < 50; ++client)
     {
         upstream_id const home =
-            choose(router_, at(seconds(0)), prompt(client, client)).at(0).upstream;
+            choose(decisions, at(seconds(0)), prompt(client, client)).at(0).upstream;
         EXPECT_EQ(home, choose(other, at(seconds(9)), prompt(client, 1000)).at(0).upstream);
         homes.insert(home);
     }
@@ -105,26 +105,26 @@
     for (std::uint64_t i = 0; i < 400; ++i)
     {
         prompt_prefix const prefix = prompt(1, i);
-        ranked_upstream const choice = choose(router_, at(milliseconds(i)), prefix).at(0);
-        router_.sent(at(milliseconds(i)), {&prefix, {}}, choice);
+        ranked_upstream const choice = choose(decisions, at(milliseconds(i)), prefix).at(0);
+        decisions.sent(at(milliseconds(i)), {&prefix, {}}, choice);
         open.emplace_back(prefix, choice);
         hot.insert(choice.upstream);
     }
     EXPECT_GT(hot.size(), 3U);
     for (auto const& [prefix, choice] : open)
     {
-        router_.started(at(seconds(1)), choice);
-        router_.finished(at(seconds(1)), {&prefix, {}}, choice, "p", 6);
+        decisions.started(at(seconds(1)), choice);
+        decisions.finished(at(seconds(1)), {&prefix, {}}, choice, "p", 6);
     }
     std::set<upstream_id> calm;
     for (std::uint64_t i = 0; i < 50; ++i)
     {
         prompt_prefix const prefix = prompt(1, 1000 + i);
         auto const now = at(seconds(60) + milliseconds(500 * i));
-        ranked_upstream const choice = choose(router_, now, prefix).at(0);
-        router_.sent(now, {&prefix, {}}, choice);
-        router_.started(now + milliseconds(100), choice);
-        router_.finished(now + milliseconds(200), {&prefix, {}}, choice, "p", 6);
+        ranked_upstream const choice = choose(decisions, now, prefix).at(0);
+        decisions.sent(now, {&prefix, {}}, choice);
+        decisions.started(now + milliseconds(100), choice);
+        decisions.finished(now + milliseconds(200), {&prefix, {}}, choice, "p", 6);
         calm.insert(choice.upstream);
     }
     EXPECT_EQ(calm.size(), 1U);
@@ -134,9 +134,9 @@
 TEST_F(router_test, long_queue_outweighs_a_cached_prefix)
 {
     prompt_prefix const prefix = prompt(1, 1);
-    upstream_id const home = choose(router_, at(seconds(0)), prefix).at(0).upstream;
-    router_.load_reported(at(seconds(0)), home, "p1", {8, 20, 200'000});
-    EXPECT_NE(choose(router_, at(seconds(0)), prefix).at(0).upstream, home);
+    upstream_id const home = choose(decisions, at(seconds(0)), prefix).at(0).upstream;
+    decisions.load_reported(at(seconds(0)), home, "p1", {8, 20, 200'000});
+    EXPECT_NE(choose(decisions, at(seconds(0)), prefix).at(0).upstream, home);
 }
 
 // Guards against work for upstreams that were tried, are ejected or leaving, or don't hold the
@@ -144,40 +144,40 @@
 TEST_F(router_test, excluded_upstreams_are_never_chosen)
 {
     prompt_prefix const prefix = prompt(1, 1);
-    share_ = [](upstream_id id)
+    share = [](upstream_id id)
     {
         return id % 2 == 0 ? 1.0 : 0.0;
     };
     upstream_id const foreign = 500;
-    router_.finished(at(seconds(0)), {&prefix, {}}, {foreign, {}, 0, 0}, "p1", 6);
-    router_.finished(at(seconds(0)), {&prefix, {}}, {1, {}, 0, 0}, "p1", 6);
+    decisions.finished(at(seconds(0)), {&prefix, {}}, {foreign, {}, 0, 0}, "p1", 6);
+    decisions.finished(at(seconds(0)), {&prefix, {}}, {1, {}, 0, 0}, "p1", 6);
     std::vector<upstream_id> tried;
     for (int i = 0; i < 10; ++i)
     {
-        ranked_choice const choice = choose(router_, at(seconds(1)), prefix, tried);
+        ranked_choice const choice = choose(decisions, at(seconds(1)), prefix, tried);
         ASSERT_FALSE(choice.empty());
         for (ranked_upstream const& it : choice)
         {
             EXPECT_EQ(it.upstream % 2, 0U);
-            EXPECT_TRUE(pool_.contains(it.upstream));
+            EXPECT_TRUE(engines.contains(it.upstream));
             EXPECT_EQ(std::count(tried.begin(), tried.end(), it.upstream), 0);
         }
         tried.push_back(choice.at(0).upstream);
     }
-    EXPECT_TRUE(choose(router_, at(seconds(1)), prefix, tried).empty());
+    EXPECT_TRUE(choose(decisions, at(seconds(1)), prefix, tried).empty());
 }
 
 // Guards against a returning upstream that gets its full load at once.
 TEST_F(router_test, share_limits_the_requests_of_a_returning_upstream)
 {
-    upstream_id const home = choose(router_, at(seconds(0)), prompt(1, 1)).at(0).upstream;
-    share_ = [home](upstream_id id)
+    upstream_id const home = choose(decisions, at(seconds(0)), prompt(1, 1)).at(0).upstream;
+    share = [home](upstream_id id)
     {
         return id == home ? 0.2 : 1.0;
     };
     int count = 0;
     for (std::uint64_t i = 0; i < 1000; ++i)
-        count += choose(router_, at(seconds(0)), prompt(1, i)).at(0).upstream == home ? 1 : 0;
+        count += choose(decisions, at(seconds(0)), prompt(1, i)).at(0).upstream == home ? 1 : 0;
     EXPECT_GT(count, 120);
     EXPECT_LT(count, 280);
 }
@@ -188,12 +188,12 @@
     std::set<upstream_id> used;
     for (int i = 0; i < 40; ++i)
     {
-        ranked_upstream const choice = router_.choose(at(seconds(0)), {}, {&pool_, {}}).at(0);
-        router_.sent(at(seconds(0)), {}, choice);
+        ranked_upstream const choice = decisions.choose(at(seconds(0)), {}, {&engines, {}}).at(0);
+        decisions.sent(at(seconds(0)), {}, choice);
         used.insert(choice.upstream);
     }
     EXPECT_EQ(used.size(), 20U);
-    EXPECT_TRUE(router_.choose(at(seconds(0)), {}, {}).empty());
+    EXPECT_TRUE(decisions.choose(at(seconds(0)), {}, {}).empty());
 }
 
 // Guards against a large fleet that is scanned whole, or not considered beyond a few members.
@@ -210,12 +210,12 @@
     for (std::uint64_t client = 0; client < 300; ++client)
     {
         prompt_prefix const prefix = prompt(client, client);
-        ranked_upstream const choice = router_.choose(at(seconds(0)), {&prefix, {}}, view).at(0);
+        ranked_upstream const choice = decisions.choose(at(seconds(0)), {&prefix, {}}, view).at(0);
         used.insert(choice.upstream);
     }
     EXPECT_GT(used.size(), 280U);
     EXPECT_LE(asked, 300U * 100U);
-    EXPECT_LT(router_.memory_bytes() + large.memory_bytes(), std::size_t{64} << 20);
+    EXPECT_LT(decisions.memory_bytes() + large.memory_bytes(), std::size_t{64} << 20);
 }
 
 // Guards against the last message, which nobody else sends, deciding where a prompt is placed.
