--- a/libraries/savorymount/runtime/configuration_service.cpp
+++ b/libraries/savorymount/runtime/configuration_service.cpp
@@ -1,5 +1,4 @@
 #include <savorymount/runtime/configuration_service.hpp>
-
 #include <savorymount/runtime/log_events.hpp>
 
 #include <algorithm>
@@ -24,10 +23,9 @@
     fold_.on_audit = [](configuration::audit_entry const& entry)
     {
         if (!entry.accepted)
-            runtime::log(log_events::configuration_rejected,
-                         {{"offset", entry.offset},
-                          {"operator", entry.operator_name},
-                          {"reason", entry.reason}});
+            runtime::log(log_events::configuration_rejected, {{"offset", entry.offset},
+                                                              {"operator", entry.operator_name},
+                                                              {"reason", entry.reason}});
     };
     log_.on_page([this](log_page const& page) { fold_.skip_to(page.first); });
     log_.on_record([this](log_record const& record) { handle_record(record); });
@@ -106,15 +104,15 @@
         return;
     appending_ = true;
     auto const id = "snapshot-" + std::to_string(snapshot->through) + "-" + instance_;
-    log_.append(id, configuration::to_json(*snapshot),
-                [this, version = snapshot->version](std::optional<std::uint64_t> offset,
-                                                    base::error const&)
-                {
-                    appending_ = false;
-                    if (offset)
-                        runtime::log(log_events::snapshot_appended,
-                                     {{"version", version}, {"offset", *offset}});
-                });
+    log_.append(
+        id, configuration::to_json(*snapshot),
+        [this, version = snapshot->version](std::optional<std::uint64_t> offset, base::error const&)
+        {
+            appending_ = false;
+            if (offset)
+                runtime::log(log_events::snapshot_appended,
+                             {{"version", version}, {"offset", *offset}});
+        });
 }
 
 } // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/log_follower.cpp
+++ b/libraries/savorymount/runtime/log_follower.cpp
@@ -1,6 +1,5 @@
-#include <savorymount/runtime/log_follower.hpp>
-
 #include <savorymount/runtime/log_events.hpp>
+#include <savorymount/runtime/log_follower.hpp>
 
 #include <algorithm>
 #include <random>
@@ -32,7 +31,10 @@
 {
 }
 
-void log_follower::start() { read(); }
+void log_follower::start()
+{
+    read();
+}
 
 void log_follower::append(std::string id, nlohmann::json body, platform_log::append_done done)
 {
@@ -48,13 +50,14 @@
 
 void log_follower::read()
 {
-    log_.read(next_, page_size,
-              [this, sent = timers_.now()](std::optional<log_page> const& page,
-                                           base::error const& reason)
-              { handle(sent, page, reason); });
+    log_.read(
+        next_, page_size,
+        [this, sent = timers_.now()](std::optional<log_page> const& page, base::error const& reason)
+        { handle(sent, page, reason); });
 }
 
-void log_follower::handle(base::time_point sent, std::optional<log_page> const& page, base::error const& reason)
+void log_follower::handle(base::time_point sent, std::optional<log_page> const& page,
+                          base::error const& reason)
 {
     if (std::exchange(available_, page.has_value()) != page.has_value())
     {
--- a/libraries/savorymount/runtime/log_follower.hpp
+++ b/libraries/savorymount/runtime/log_follower.hpp
@@ -28,7 +28,8 @@
     /// Starts reading; call after the subscriptions.
     void start();
 
-    /// Appends a record. The outcome may be unknown; the record's id tells it apart when it is read.
+    /// Appends a record. The outcome may be unknown; the record's id tells it apart when it is
+    /// read.
     void append(std::string id, nlohmann::json body, platform_log::append_done done);
 
     /// When the last answered read was sent; what it showed is at least that fresh.
