--- a/utilities/bench/deployment.cpp
+++ b/utilities/bench/deployment.cpp
@@ -32,7 +32,8 @@
          400,
          64,
          microseconds(1000)},
-        // Race rules, clubs, crews; three data centres 0.5 ms apart. Classification answers are short.
+        // Race rules, clubs, crews; three data centres 0.5 ms apart. Classification answers are
+        // short.
         {"rafting",
          12,
          4,
--- a/utilities/bench/deployment.hpp
+++ b/utilities/bench/deployment.hpp
@@ -14,7 +14,8 @@
 /// One level of nested prefixes.
 struct level_shape
 {
-    /// Different prefixes below each prefix of the level above, or per workspace at the first level.
+    /// Different prefixes below each prefix of the level above, or per workspace at the first
+    /// level.
     std::size_t count = 1;
     std::size_t blocks = 1;
     /// Exponent of the Zipf distribution over them.
--- a/utilities/bench/workload.hpp
+++ b/utilities/bench/workload.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "utilities/bench/deployment.hpp"
-
 #include <savorymount/base/time.hpp>
 #include <savorymount/routing/prompt_prefix.hpp>
 
