Run keyed requests under the winning claim

Cause: the claims module allows a run under the id of an earlier claim that was given up, and refuses a key that was used for another request. Change: the agent registers both ids, takes a claim back when nothing reached the upstream, and answers conflicts.

--- a/libraries/savorymount/agent/agent_peer.cpp
+++ b/libraries/savorymount/agent/agent_peer.cpp
@@ -26,7 +26,9 @@
 {
     observe(call.getParams().getContext());
     std::string const id = call.getParams().getRequestId();
-    return requests_.attach(id, call.getParams().getPosition(), call.getParams().getSink())
+    return requests_
+        .attach(id, call.getParams().getPosition(), call.getParams().getSink(),
+                call.getParams().getRefuseIfAbsent())
         .then(
             [this, call](request_table::attach_result&& result) mutable
             {
--- a/libraries/savorymount/agent/agent_request.hpp
+++ b/libraries/savorymount/agent/agent_request.hpp
@@ -2,6 +2,7 @@
 
 #include <savorymount/agent/answer_pump.hpp>
 #include <savorymount/agent/submitted_request.hpp>
+#include <savorymount/deduplication/claim.hpp>
 #include <savorymount/runtime/request_outcome.hpp>
 #include <savorymount/runtime/timer_service.hpp>
 #include <savorymount/runtime/upstream_adapter.hpp>
@@ -50,6 +51,9 @@
     /// Runs while no entry is connected; ends a repeatable request.
     runtime::timer_service::subscription abandoned;
 
+    /// The claim under which a request with an idempotency key runs, and the id it runs under.
+    std::optional<deduplication::claim> claim;
+    std::string claimed_id;
     /// Called when the connection to the entry fails while the request is not finished.
     std::function<void()> on_entry_lost;
 
--- a/libraries/savorymount/agent/claim_service.cpp
+++ b/libraries/savorymount/agent/claim_service.cpp
@@ -15,13 +15,13 @@
 constexpr std::size_t claims_per_append = 64;
 constexpr base::duration batch_wait = 5ms;
 constexpr base::duration review_interval = 5ms;
-constexpr base::duration decision_timeout = 5s;
 
 } // namespace
 
 claim_service::claim_service(runtime::kernel& owner)
     : kernel_(owner),
-      claims_(deduplication::claim_limits{},
+      claims_(deduplication::claim_limits{}, owner.settings().instance,
+              owner.settings().incarnation,
               [this](std::string const& agent, std::string const& incarnation)
               {
                   auto const& own = kernel_.settings();
@@ -60,21 +60,23 @@
                                     });
 }
 
-void claim_service::decide(std::string const& workspace, std::string const& key,
-                           std::string const& request, decided done)
+void claim_service::decide(deduplication::claim own, decided done)
 {
     auto const now = kernel_.now();
     claims_.set_log_available(kernel_.log().available());
-    auto const verdict = claims_.before_append(workspace, key, now);
+    auto const verdict = claims_.before_append(own.workspace, own.key, own.digest, now);
     if (verdict.action != claim_action::append)
     {
         done(verdict);
         return;
     }
-    auto const& own = kernel_.settings();
-    deduplication::claim const it{workspace, key, request, own.instance, own.incarnation};
-    batch_.add(it, now);
-    pending_.push_back({it, now, now + decision_timeout, false, std::move(done)});
+    batch_.add(own, now);
+    pending_.push_back({std::move(own), false, std::move(done)});
+}
+
+void claim_service::withdraw(deduplication::claim const& own, std::string const& request)
+{
+    claims_.withdraw(own.workspace, own.key, request);
 }
 
 void claim_service::handle_record(runtime::log_record const& record)
@@ -104,7 +106,7 @@
         if (it.sent)
             continue;
         it.sent = true;
-        it.appended_at = now;
+        claims_.note_append(it.own, now);
     }
     auto const id = "claim-" + kernel_.settings().name() + "-" + std::to_string(next_append_++);
     // An answer that is lost changes nothing: the claim is found when the log is read.
@@ -114,30 +116,20 @@
 void claim_service::review()
 {
     auto const now = kernel_.now();
-    std::list<pending> decided_now;
+    std::list<std::pair<decided, deduplication::claim_verdict>> ready;
     for (auto it = pending_.begin(); it != pending_.end();)
     {
         auto const current = it++;
         if (!current->sent)
             continue;
-        auto const verdict = claims_.after_append(current->own, current->appended_at, now);
-        bool const undecided =
-            verdict.action == claim_action::wait || verdict.action == claim_action::append;
-        if (!undecided || now >= current->give_up_at)
-            decided_now.splice(decided_now.end(), pending_, current);
-    }
-    for (auto& it : decided_now)
-    {
-        auto verdict = claims_.after_append(it.own, it.appended_at, now);
-        // A claim that never appeared may still be in the log; running later would be a second run
-        // for whoever reads it first, so the request is given up as not run here.
-        if (verdict.action == claim_action::wait || verdict.action == claim_action::append)
-            verdict = {.action = claim_action::refuse_not_run,
-                       .request = {},
-                       .agent = {},
-                       .incarnation = {}};
-        it.done(verdict);
+        auto const verdict = claims_.after_append(current->own, now);
+        if (verdict.action == claim_action::wait)
+            continue;
+        ready.emplace_back(std::move(current->done), verdict);
+        pending_.erase(current);
     }
+    for (auto const& it : ready)
+        it.first(it.second);
 }
 
 } // namespace savorymount::agent
--- a/libraries/savorymount/agent/claim_service.hpp
+++ b/libraries/savorymount/agent/claim_service.hpp
@@ -19,16 +19,16 @@
 
     explicit claim_service(runtime::kernel& owner);
 
-    /// Calls `done` once with `run_here`, `attach`, `refuse_unknown` or `refuse_not_run`.
-    void decide(std::string const& workspace, std::string const& key, std::string const& request,
-                decided done);
+    /// Calls `done` once; the verdict is neither `append` nor `wait`.
+    void decide(deduplication::claim own, decided done);
+
+    /// Takes back a `run_here`, because nothing reached the upstream.
+    void withdraw(deduplication::claim const& own, std::string const& request);
 
 private:
     struct pending
     {
         deduplication::claim own;
-        base::time_point appended_at;
-        base::time_point give_up_at;
         bool sent = false;
         decided done;
     };
--- a/libraries/savorymount/agent/request_table.cpp
+++ b/libraries/savorymount/agent/request_table.cpp
@@ -81,8 +81,10 @@
     return outcome;
 }
 
-kj::Promise<request_table::attach_result>
-request_table::attach(std::string const& id, std::uint64_t position, wire::AnswerSink::Client sink)
+kj::Promise<request_table::attach_result> request_table::attach(std::string const& id,
+                                                                std::uint64_t position,
+                                                                wire::AnswerSink::Client sink,
+                                                                bool refuse_if_absent)
 {
     request_pointer it;
     auto const active = active_.find(id);
@@ -93,7 +95,7 @@
         auto const found = outcomes_.find(id, kernel_.now());
         if (found.payload != nullptr)
             it = *found.payload;
-        else if (found.state == deduplication::outcome_state::absent)
+        else if (refuse_if_absent && found.state == deduplication::outcome_state::absent)
             it = refuse_for_good(id);
     }
     if (!it || !it->pump().attach(kj::mv(sink), position))
@@ -251,35 +253,51 @@
         run(it);
         return;
     }
-    claims_.decide(
-        request.workspace, request.idempotency_key, request.id,
-        [this, it](deduplication::claim_verdict const& verdict)
+    auto const& own = kernel_.settings();
+    it->claim = deduplication::claim{request.workspace, request.idempotency_key, request.id,
+                                     own.instance,      own.incarnation,         request.digest};
+    claims_.decide(*it->claim, [this, it](deduplication::claim_verdict const& verdict)
+                   { claimed(it, verdict); });
+}
+
+void request_table::claimed(request_pointer const& it, deduplication::claim_verdict const& verdict)
+{
+    if (verdict.action == claim_action::run_here)
+    {
+        // Attaching calls ask for the id in the winning claim, which may be that of an earlier
+        // call.
+        it->claimed_id = verdict.request;
+        if (it->claimed_id != it->id())
         {
-            if (verdict.action == claim_action::run_here)
-            {
-                run(it);
-                return;
-            }
-            runtime::request_outcome outcome;
-            if (verdict.action == claim_action::attach)
-            {
-                outcome = refusal({base::error_kind::conflict,
-                                   "another call with this idempotency key runs elsewhere"},
-                                  {}, false);
-                outcome.attach_instance = verdict.agent + "#" + verdict.incarnation;
-                outcome.attach_request = verdict.request;
-            }
-            else if (verdict.action == claim_action::refuse_not_run)
-                outcome = refusal({base::error_kind::unavailable,
-                                   "the platform's log does not confirm the idempotency key now; "
-                                   "send the request again later"},
-                                  2s, false);
-            else
-                outcome.reason = {base::error_kind::unknown_outcome,
-                                  "an earlier call with this idempotency key may have run and its "
-                                  "outcome is lost; check its effect before you use a new key"};
-            finish(it, std::move(outcome));
-        });
+            outcomes_.begin(it->claimed_id, kernel_.now());
+            active_[it->claimed_id] = it;
+        }
+        run(it);
+        return;
+    }
+    runtime::request_outcome outcome;
+    if (verdict.action == claim_action::attach)
+    {
+        outcome = refusal({base::error_kind::conflict,
+                           "another call with this idempotency key has the right to run"},
+                          {}, false);
+        outcome.attach_instance = verdict.agent + "#" + verdict.incarnation;
+        outcome.attach_request = verdict.request;
+    }
+    else if (verdict.action == claim_action::refuse_conflict)
+        outcome = refusal({base::error_kind::conflict,
+                           "the idempotency key was used for another request; use a new key"},
+                          {}, false);
+    else if (verdict.action == claim_action::refuse_not_run)
+        outcome = refusal({base::error_kind::unavailable,
+                           "the platform's log does not confirm the idempotency key now; send the "
+                           "request again later"},
+                          2s, false);
+    else
+        outcome.reason = {base::error_kind::unknown_outcome,
+                          "an earlier call with this idempotency key may have run and its outcome "
+                          "is lost; check its effect before you use a new key"};
+    finish(it, std::move(outcome));
 }
 
 void request_table::run(request_pointer const& it)
@@ -403,12 +421,27 @@
         outcomes_.finish(id, it, outcome_overhead_bytes, now);
     else
         outcomes_.withdraw(id);
+    if (!it->claimed_id.empty())
+        end_claim(it, ran);
     for (auto& waiter : it->waiters)
         waiter->fulfill();
     it->waiters.clear();
     kernel_.shutdown().end_request();
 }
 
+void request_table::end_claim(request_pointer const& it, bool ran)
+{
+    if (!ran)
+        claims_.withdraw(*it->claim, it->claimed_id);
+    if (it->claimed_id == it->id())
+        return;
+    active_.erase(it->claimed_id);
+    if (ran)
+        outcomes_.finish(it->claimed_id, it, outcome_overhead_bytes, kernel_.now());
+    else
+        outcomes_.withdraw(it->claimed_id);
+}
+
 void request_table::abandon(request_pointer const& it)
 {
     if (!it->running())
--- a/libraries/savorymount/agent/request_table.hpp
+++ b/libraries/savorymount/agent/request_table.hpp
@@ -38,10 +38,10 @@
         runtime::request_outcome outcome;
     };
 
-    /// Continues the answer of a known request. An id that never arrived is refused from now on, so
-    /// that the answer `not run` stays true if the lost message still arrives.
-    kj::Promise<attach_result> attach(std::string const& id, std::uint64_t position,
-                                      wire::AnswerSink::Client sink);
+    /// Continues the answer of a known request. With `refuse_if_absent` an id that never arrived is
+    /// refused from now on, so that the answer `not run` stays true if the lost message arrives.
+    kj::Promise<attach_result> attach(std::string const& id, std::uint64_t position, wire::AnswerSink::Client sink,
+           bool refuse_if_absent);
 
     /// The caller has gone: removes a waiting request, stops a repeatable one.
     void cancel(std::string const& id);
@@ -59,6 +59,7 @@
     void enqueue(request_pointer const& it);
     void dispatch();
     void start(request_pointer const& it);
+    void claimed(request_pointer const& it, deduplication::claim_verdict const& verdict);
     void run(request_pointer const& it);
     void ended(request_pointer const& it, runtime::request_outcome outcome);
     void release_slot(request_pointer const& it, runtime::request_outcome const& outcome);
@@ -69,6 +70,7 @@
                 bool elsewhere);
     void check_crash(request_pointer const& it, runtime::request_outcome outcome);
     void note_crash(request_pointer const& it);
+    void end_claim(request_pointer const& it, bool ran);
     void abandon(request_pointer const& it);
     void handle_crash_record(runtime::log_record const& record);
     kj::Promise<runtime::request_outcome> wait(request_pointer const& it);
--- a/libraries/savorymount/entry/entry_request.cpp
+++ b/libraries/savorymount/entry/entry_request.cpp
@@ -194,6 +194,8 @@
     context_.kernel.write_context(call.initContext());
     call.setRequestId(request_id);
     call.setPosition(relay_.position());
+    // Another call's request must not be refused on behalf of this one.
+    call.setRefuseIfAbsent(!following_other_call_);
     call.setSink(kj::heap<answer_sink>(shared_from_this(), attempt_));
     context_.kernel.loop().detach(call.send().then(
         [self = shared_from_this(),
--- a/libraries/savorymount/wire/savorymount.capnp
+++ b/libraries/savorymount/wire/savorymount.capnp
@@ -124,8 +124,9 @@
   ping @0 (context :Context) -> (context :Context, load :LoadReport);
   configuration @1 (context :Context) -> (version :UInt64, documents :Data);
   submit @2 (context :Context, request :Request, sink :AnswerSink) -> (context :Context, outcome :Outcome);
-  attach @3 (context :Context, requestId :Text, position :UInt64, sink :AnswerSink)
+  attach @3 (context :Context, requestId :Text, position :UInt64, sink :AnswerSink, refuseIfAbsent :Bool)
       -> (context :Context, found :Bool, outcome :Outcome);
+  # With `refuseIfAbsent` an id that never arrived is refused from now on and answered as not run.
   cancel @4 (context :Context, requestId :Text) -> ();
   reserve @5 (context :Context, workspace :Text, fence :UInt64, tokens :UInt64, least :UInt64)
       -> (context :Context, grant :Grant, retryAfterMs :UInt32, owner :Bool);
--- a/libraries/savorymount/wire/savorymount.capnp.h
+++ b/libraries/savorymount/wire/savorymount.capnp.h
@@ -444,7 +444,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f558c4263d175f66, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f558c4263d175f66, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2969,6 +2969,8 @@
   inline  ::savorymount::wire::AnswerSink::Client getSink() const;
 #endif  // !CAPNP_LITE
 
+  inline bool getRefuseIfAbsent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3023,6 +3025,9 @@
   inline ::capnp::Orphan< ::savorymount::wire::AnswerSink> disownSink();
 #endif  // !CAPNP_LITE
 
+  inline bool getRefuseIfAbsent();
+  inline void setRefuseIfAbsent(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6549,6 +6554,20 @@
 }
 #endif  // !CAPNP_LITE
 
+inline bool Peer::AttachParams::Reader::getRefuseIfAbsent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::AttachParams::Builder::getRefuseIfAbsent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Peer::AttachParams::Builder::setRefuseIfAbsent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::AttachResults::Reader::hasContext() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
