--- a/libraries/savorymount/configuration/snapshot_policy.cpp
+++ b/libraries/savorymount/configuration/snapshot_policy.cpp
@@ -12,10 +12,15 @@
 {
 }
 
-void snapshot_policy::on_record(base::time_point written, bool is_snapshot)
+void snapshot_policy::on_snapshot_seen(base::time_point now, base::duration age)
 {
-    if (is_snapshot)
-        newest_snapshot_ = newest_snapshot_ ? std::max(*newest_snapshot_, written) : written;
+    auto const written = now - age;
+    newest_snapshot_ = newest_snapshot_ ? std::max(*newest_snapshot_, written) : written;
+}
+
+void snapshot_policy::on_record(base::time_point now, base::duration age)
+{
+    auto const written = now - age;
     oldest_record_ = oldest_record_ ? std::min(*oldest_record_, written) : written;
 }
 
@@ -27,14 +32,14 @@
 bool snapshot_policy::should_append(base::time_point now, std::uint64_t version,
                                     std::vector<std::string> const& live) const
 {
-    auto const since = newest_snapshot_ ? newest_snapshot_ : oldest_record_;
-    if (!since || now < *since + interval())
-        return false;
     if (last_append_ && now < *last_append_ + interval() / 4)
         return false;
     auto const rank = rendezvous_rank(instance_, version, live);
-    auto const extra = static_cast<base::duration::rep>(rank);
-    return now >= *since + interval() * (1 + extra);
+    auto const since = newest_snapshot_ ? newest_snapshot_ : oldest_record_;
+    if (!since)
+        return rank == 0;
+    auto const intervals = static_cast<base::duration::rep>(rank + 1);
+    return now >= *since + interval() * intervals;
 }
 
 std::size_t rendezvous_rank(std::string const& instance, std::uint64_t seed,
--- a/libraries/savorymount/configuration/snapshot_policy.hpp
+++ b/libraries/savorymount/configuration/snapshot_policy.hpp
@@ -20,9 +20,12 @@
     /// `retention` is how long the log keeps a record.
     snapshot_policy(std::string instance, base::duration retention);
 
-    /// A record of the log was read. `written` is when it was appended, by this instance's clock.
-    /// While the log holds no snapshot, the age of its oldest record counts.
-    void on_record(base::time_point written, bool is_snapshot);
+    /// A snapshot that was appended `age` ago was read from the log.
+    void on_snapshot_seen(base::time_point now, base::duration age);
+
+    /// A record that was appended `age` ago was read from the log. While the log holds no snapshot,
+    /// the age of its oldest record counts; without any record a snapshot is due at once at rank 0.
+    void on_record(base::time_point now, base::duration age);
 
     /// This instance has just sent a snapshot. No further one is due until a sixteenth of the
     /// retention has passed, so that a lost or slow append is repeated but not in a loop.
--- a/tests/libraries/configuration/documents_test.cpp
+++ b/tests/libraries/configuration/documents_test.cpp
@@ -77,6 +77,10 @@
     auto const value = nlohmann::json::parse(
         R"({"a\"\n\u0001":[1,-9223372036854775808,1.7976931348623157e308,true,null,"ü\\\"\u001f"],"b":{}})");
     EXPECT_GE(*json_size(value, 16), value.dump().size());
+    std::string const quotes(1000, '"');
+    EXPECT_GE(*json_size(quotes, 16), nlohmann::json(quotes).dump().size());
+    std::string const controls(1000, '\x01');
+    EXPECT_GE(*json_size(controls, 16), nlohmann::json(controls).dump().size());
     EXPECT_FALSE(json_size(value, 1));
     EXPECT_TRUE(json_size(value, 2));
 }
--- /dev/null
+++ b/tests/libraries/configuration/seeded_check.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <sstream>
+#include <utility>
+
+namespace savorymount::configuration::tests
+{
+
+/// Checks a RapidCheck property on `runs` generated cases from `seed`, as part of the current test.
+/// `RC_PARAMS` in the environment replaces the seed and the number of cases.
+template <typename Testable>
+void check(std::uint64_t seed, int runs, Testable&& property)
+{
+    auto params = rc::detail::configuration().testParams;
+    if (std::getenv("RC_PARAMS") == nullptr)
+    {
+        params.seed = seed;
+        params.maxSuccess = runs;
+    }
+    rc::detail::TestMetadata metadata;
+    metadata.description = testing::UnitTest::GetInstance()->current_test_info()->name();
+    auto const result =
+        rc::detail::checkTestable(std::forward<Testable>(property), metadata, params);
+    std::ostringstream text;
+    rc::detail::printResultMessage(result, text);
+    EXPECT_TRUE(result.template is<rc::detail::SuccessResult>()) << "seed " << params.seed << "\n"
+                                                                 << text.str();
+}
+
+} // namespace savorymount::configuration::tests
