--- a/libraries/savorymount/agent/request_table.hpp
+++ b/libraries/savorymount/agent/request_table.hpp
@@ -40,8 +40,8 @@
 
     /// Continues the answer of a known request. With `refuse_if_absent` an id that never arrived is
     /// refused from now on, so that the answer `not run` stays true if the lost message arrives.
-    kj::Promise<attach_result> attach(std::string const& id, std::uint64_t position, wire::AnswerSink::Client sink,
-           bool refuse_if_absent);
+    kj::Promise<attach_result> attach(std::string const& id, std::uint64_t position,
+                                      wire::AnswerSink::Client sink, bool refuse_if_absent);
 
     /// The caller has gone: removes a waiting request, stops a repeatable one.
     void cancel(std::string const& id);
--- a/libraries/savorymount/runtime/configuration_service.cpp
+++ b/libraries/savorymount/runtime/configuration_service.cpp
@@ -75,7 +75,10 @@
     bool const snapshot = record.body.is_object() && record.body.value("kind", "") == "snapshot";
     auto const age = std::chrono::milliseconds(
         std::max<std::int64_t>(0, loop_.unix_milliseconds() - record.time_ms));
-    snapshots_.on_record(timers_.now() - age, snapshot);
+    if (snapshot)
+        snapshots_.on_snapshot_seen(timers_.now(), age);
+    else
+        snapshots_.on_record(timers_.now(), age);
 }
 
 void configuration_service::adopt(std::uint64_t version, std::string_view text)
