Keep the service's counts alive while the test reads them

Cause: thin_path failed with a JSON type error: the loop read from a temporary that had ended. Change: the parsed answer is kept in a variable. Conclusion: a fault of the test, not of the system.

--- a/tests/system/support/deployment.cpp
+++ b/tests/system/support/deployment.cpp
@@ -114,8 +114,8 @@
     std::map<std::string, std::uint64_t> out;
     for (auto const& it : services)
     {
-        auto const answer = client_.request(it.upstream_address, "GET", "/executions");
-        for (auto const& [id, count] : answer.json().items())
+        auto const counts = client_.request(it.upstream_address, "GET", "/executions").json();
+        for (auto const& [id, count] : counts.items())
             out[id] += count.get<std::uint64_t>();
     }
     return out;
--- a/tests/system/support/deployment.hpp
+++ b/tests/system/support/deployment.hpp
@@ -23,8 +23,8 @@
     unsigned services = 1;
     unsigned entries = 2;
     unsigned concurrency = 16;
-    std::vector<std::string> engine_arguments;
-    std::vector<std::string> platform_arguments;
+    std::vector<std::string> engine_arguments = {};
+    std::vector<std::string> platform_arguments = {};
 };
 
 /// One upstream with the agent beside it.
