--- a/libraries/savorymount/membership/instance.hpp
+++ b/libraries/savorymount/membership/instance.hpp
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace savorymount::membership
 {
@@ -30,6 +31,12 @@
     std::string incarnation;
 
     bool operator==(instance_name const&) const = default;
+    // NOTE: clang-tidy's modernize-use-nullptr takes a defaulted <=> over strings for a null
+    // pointer.
+    bool operator<(instance_name const& other) const
+    {
+        return std::tie(id, incarnation) < std::tie(other.id, other.incarnation);
+    }
 };
 
 /// Splits `agent-1#<incarnation>`; the incarnation is empty without `#`.
--- a/libraries/savorymount/membership/instance_directory.hpp
+++ b/libraries/savorymount/membership/instance_directory.hpp
@@ -3,7 +3,7 @@
 #include <savorymount/base/time.hpp>
 #include <savorymount/membership/instance.hpp>
 
-#include <cstddef>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,62 +15,88 @@
 namespace savorymount::membership
 {
 
-/// The platform's list of instances, merged with what heartbeats and answers say. Whatever is the
-/// worse news about an incarnation counts: leaving is final, silence lasts until the next message,
-/// and an incarnation that was replaced never comes back, even if a lagging list still names it.
+/// The platform's list of instances, merged with what heartbeats and answers say. The worse news
+/// about an incarnation counts: leaving is final, silence lasts until its next message, and an
+/// incarnation that the list has replaced by another never comes back. While the list is out or
+/// frozen, the last one stays in use and messages decide.
 class instance_directory
 {
 public:
-    /// Takes an answer of the list. An answer without any instance counts as an outage: the list of
-    /// a fleet that can ask for it is never empty. Returns false then.
+    /// How long the state of an instance that is not listed any more is remembered, so that a list
+    /// that steps back does not bring it back to work.
+    static constexpr base::duration memory = std::chrono::minutes(10);
+
+    /// Takes an answer of the list. An answer without any instance counts as an outage, because
+    /// the list of a fleet that can ask for it is never empty; returns false then.
     bool apply_list(std::vector<instance> const& list, base::time_point now);
 
-    /// Takes a heartbeat or any other message of an instance. Names that the list has never shown
-    /// are ignored until it does, except that the leaving state is kept.
+    /// Takes a heartbeat or any other message of an instance. A message of an incarnation that the
+    /// list does not show yet makes it the current one. An instance that is not listed becomes no
+    /// candidate, but its state is kept for the time when it is.
     void hear(instance_name const& from, bool leaving, base::time_point now);
 
-    /// Tells that the instance did not answer for the silence limit, or refuses connections.
-    void fall_silent(instance_name const& name);
+    /// Tells that the incarnation did not answer for the silence limit or refuses connections.
+    void fall_silent(instance_name const& name, base::time_point now);
 
     /// Instances of the group that may get new work, ordered by id: listed, neither leaving nor
     /// silent. The reference is valid until the next change.
     std::vector<instance> const& candidates(std::string const& group) const;
 
-    /// All instances with the role that are listed and not replaced, in any state, ordered by id.
+    /// All listed instances with the role in any state, ordered by id.
     std::vector<instance> with_role(std::string const& role) const;
 
     /// The current incarnation of the instance, if it is listed.
     std::optional<instance> find(std::string const& id) const;
 
-    /// True if that incarnation is listed, not replaced and not silent; it may be leaving.
+    /// True if that incarnation is the current one of a listed instance and not silent. It may be
+    /// leaving.
     bool is_live(std::string const& id, std::string const& incarnation) const;
 
+    /// True if the current incarnation of the instance is leaving.
     bool is_leaving(std::string const& id) const;
 
     /// Time of the last list answer that was taken.
     std::optional<base::time_point> list_time() const { return list_time_; }
 
-    /// When the last list that was taken first failed to show that incarnation; none while it does
-    /// show it or before the first list. For takeovers of leases.
+    /// Since when no list that was taken has shown that incarnation; at the earliest the first
+    /// list. None if the last list shows it or there was none. For takeovers of leases.
     std::optional<base::time_point> absent_since(instance_name const& name) const;
 
-    /// Changes whenever the answer of `candidates` may change.
+    /// Changes whenever an answer of the functions above may change, list times apart.
     std::uint64_t revision() const { return revision_; }
 
 private:
-    struct member
+    struct incarnation_state
     {
-        instance listed;
-        std::string incarnation;
         bool leaving = false;
         bool silent = false;
+        bool replaced = false;
+        /// When the first message or list named it.
+        base::time_point known_at;
+    };
+    struct member
+    {
+        /// Entries of the last list; more than one while a replacement is under way.
+        std::vector<instance> shown;
+        std::string current;
+        std::map<std::string, incarnation_state> incarnations;
+        base::time_point touched_at;
     };
 
+    incarnation_state& state_of(member& it, std::string const& incarnation, base::time_point now);
+    bool apply_entries(member& it, std::vector<instance> entries, base::time_point now);
+    static bool should_become_current(member const& it, std::string const& incarnation);
+    void note_names(std::vector<instance> const& list, base::time_point now);
+    void forget_old(base::time_point now);
+    instance view(member const& it) const;
     void change();
 
     std::map<std::string, member> members_;
-    std::uint64_t revision_ = 0;
+    std::set<instance_name> shown_names_;
+    std::map<instance_name, base::time_point> vanished_;
+    std::optional<base::time_point> first_list_time_;
     std::optional<base::time_point> list_time_;
+    std::uint64_t revision_ = 0;
     mutable std::unordered_map<std::string, std::vector<instance>> candidates_;
 };
 
--- a/libraries/savorymount/membership/peer_subset.hpp
+++ b/libraries/savorymount/membership/peer_subset.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace savorymount::membership
@@ -28,7 +29,8 @@
 /// Which entries connect to which upstreams in a large fleet. Every instance computes the same
 /// answer from the same list, by rendezvous hashing: an upstream is connected to the
 /// `entries_per_upstream` entries that rank highest for it, and to the `entries_per_data_centre`
-/// highest of each data centre. A change of one entry moves only the connections of that entry.
+/// highest of each data centre. An entry that comes or goes changes only the connections of the
+/// upstreams that it is connected to.
 class peer_subset
 {
 public:
@@ -52,6 +54,10 @@
         std::uint32_t data_centre;
     };
 
+    /// Rendezvous weight, made unique by the entry's own digest.
+    using full_rank = std::pair<std::uint64_t, std::uint64_t>;
+
+    static full_rank rank(ranked_entry const& entry, std::uint64_t upstream_digest);
     ranked_entry const* find(std::string_view entry) const;
     bool connects(ranked_entry const& entry, std::uint64_t upstream_digest) const;
 
