Let the replay buffer release confirmed chunks; keep fall_silent without a time

Cause: every chunk stayed in the buffer until a later one was confirmed, because it may end with the usage. A confirmed chunk above half of the agent's window would have kept the upstream paused for good. Change: replay_chunk::ends_with_token says that a receiver at the chunk's end holds all of it; the default stays on the safe side. instance_directory::fall_silent takes no time again, as its callers have it. Conclusion: the agent has to set the flag for byte answers and for chunks whose last event has an id, and has to start the buffer at the position of a resumed stream.

--- a/libraries/savorymount/membership/instance_directory.cpp
+++ b/libraries/savorymount/membership/instance_directory.cpp
@@ -95,12 +95,12 @@
         change();
 }
 
-void instance_directory::fall_silent(instance_name const& name, base::time_point now)
+void instance_directory::fall_silent(instance_name const& name)
 {
     auto const it = members_.find(name.id);
     if (it == members_.end())
         return;
-    state_of(it->second, name.incarnation, now).silent = true;
+    state_of(it->second, name.incarnation, it->second.touched_at).silent = true;
     change();
 }
 
--- a/libraries/savorymount/membership/instance_directory.hpp
+++ b/libraries/savorymount/membership/instance_directory.hpp
@@ -36,7 +36,7 @@
     void hear(instance_name const& from, bool leaving, base::time_point now);
 
     /// Tells that the incarnation did not answer for the silence limit or refuses connections.
-    void fall_silent(instance_name const& name, base::time_point now);
+    void fall_silent(instance_name const& name);
 
     /// Instances of the group that may get new work, ordered by id: listed, neither leaving nor
     /// silent. The reference is valid until the next change.
--- a/libraries/savorymount/streams/replay_buffer.cpp
+++ b/libraries/savorymount/streams/replay_buffer.cpp
@@ -7,12 +7,12 @@
 namespace
 {
 
-/// True if a receiver that holds every token below `position` needs nothing of the chunk. A chunk
-/// that ends at `position` may end with events without a token, such as the usage, and nobody can
-/// tell whether the receiver holds them.
-bool lies_below(replay_chunk const& chunk, std::uint64_t position)
+/// Lowest position at which a receiver needs nothing of the chunk. A chunk may end with events
+/// without a token, such as the usage; then nobody can tell whether a receiver at its end has them.
+std::uint64_t first_position_after(replay_chunk const& chunk)
 {
-    return chunk.end < position;
+    bool const whole_at_end = chunk.ends_with_token && chunk.end > chunk.position;
+    return whole_at_end ? chunk.end : chunk.end + 1;
 }
 
 } // namespace
@@ -53,20 +53,20 @@
     }
     auto const it = std::partition_point(chunks_.begin(), chunks_.end(),
                                          [position](replay_chunk const& chunk)
-                                         { return lies_below(chunk, position); });
+                                         { return first_position_after(chunk) <= position; });
     return std::vector<replay_chunk>(it, chunks_.end());
 }
 
 void replay_buffer::release(std::uint64_t position)
 {
-    while (!chunks_.empty() && lies_below(chunks_.front(), position))
+    while (!chunks_.empty() && first_position_after(chunks_.front()) <= position)
         drop_oldest();
 }
 
 void replay_buffer::drop_oldest()
 {
     auto const& oldest = chunks_.front();
-    first_ = oldest.end + 1;
+    first_ = first_position_after(oldest);
     bytes_ -= oldest.bytes.size();
     chunks_.pop_front();
 }
--- a/libraries/savorymount/streams/replay_buffer.hpp
+++ b/libraries/savorymount/streams/replay_buffer.hpp
@@ -19,6 +19,9 @@
     std::uint64_t position = 0;
     std::uint64_t end = 0;
     std::string bytes;
+    /// True if the last event of the chunk is a token, and for answers that are not event streams:
+    /// a receiver at `end` then holds the whole chunk. False is always safe.
+    bool ends_with_token = false;
 
     bool operator==(replay_chunk const&) const = default;
 };
@@ -44,7 +47,7 @@
     std::optional<std::vector<replay_chunk>> from(std::uint64_t position,
                                                   base::error& reason) const;
 
-    /// Drops the chunks that end below `position`, because the entry holds them.
+    /// Drops the chunks of which an entry at `position` needs nothing.
     void release(std::uint64_t position);
 
     /// Lowest position that `from` accepts. Above `end()` if nothing can be replayed any more.
--- a/tests/libraries/streams/stream_relay_test.cpp
+++ b/tests/libraries/streams/stream_relay_test.cpp
@@ -219,6 +219,7 @@
                 for (std::size_t n = 0; n < count && at < events.size(); ++n)
                     chunk.bytes += events[at++].raw;
                 chunk.end = std::min<std::uint64_t>(at, tokens);
+                chunk.ends_with_token = at <= tokens;
                 RC_ASSERT(buffer.append(chunk, reason));
             }
             stream_relay relay;
