--- a/libraries/savorymount/limits/token_grant.hpp
+++ b/libraries/savorymount/limits/token_grant.hpp
@@ -17,7 +17,7 @@
     base::duration lifetime{};
     std::uint64_t fence = 0;
 
-    bool operator==(grant const&) const = default;
+    bool operator==(token_grant const&) const = default;
 };
 
 } // namespace savorymount::limits
--- a/libraries/savorymount/plugins/http_instance_list.cpp
+++ b/libraries/savorymount/plugins/http_instance_list.cpp
@@ -63,19 +63,20 @@
             auto list = answer->status == 200 ? parse_list(answer->body) : std::nullopt;
             base::error reason;
             if (!list)
-                reason = {base::error_kind::unavailable,
-                          "the instance list answered with status " +
-                              std::to_string(answer->status) + "; check its address in the settings"};
+                reason = {base::error_kind::unavailable, "the instance list answered with status " +
+                                                             std::to_string(answer->status) +
+                                                             "; check its address in the settings"};
             done(std::move(list), reason);
         });
 }
 
-runtime::instance_list make_list(runtime::event_loop& loop,
-                                 runtime::network_address const& address)
+runtime::instance_list make_list(runtime::event_loop& loop, runtime::network_address const& address)
 {
     runtime::instance_list out;
     out.read = [&loop, address](runtime::instance_list::read_done done)
-    { read_list(loop, address, std::move(done)); };
+    {
+        read_list(loop, address, std::move(done));
+    };
     return out;
 }
 
--- a/libraries/savorymount/runtime/http_fetch.cpp
+++ b/libraries/savorymount/runtime/http_fetch.cpp
@@ -49,14 +49,16 @@
         if (state->answer.body.size() <= max_body_bytes)
             return;
         finish(loop, state,
-               http_failure{{base::error_kind::too_large,
-                             "the answer is longer than " + std::to_string(max_body_bytes) +
-                                 " bytes; ask for less at once"},
+               http_failure{{base::error_kind::too_large, "the answer is longer than " +
+                                                              std::to_string(max_body_bytes) +
+                                                              " bytes; ask for less at once"},
                             true,
                             true});
     };
     hooks.on_done = [&loop, state](std::optional<http_failure> failure)
-    { finish(loop, state, std::move(failure)); };
+    {
+        finish(loop, state, std::move(failure));
+    };
     state->call = std::make_unique<http_call>(loop, std::move(request), std::move(hooks));
 }
 
--- a/libraries/savorymount/runtime/kernel_settings.cpp
+++ b/libraries/savorymount/runtime/kernel_settings.cpp
@@ -1,6 +1,5 @@
-#include <savorymount/runtime/kernel_settings.hpp>
-
 #include <savorymount/base/digest.hpp>
+#include <savorymount/runtime/kernel_settings.hpp>
 #include <savorymount/runtime/peer_authentication.hpp>
 
 #include <utility>
@@ -45,8 +44,9 @@
     out.shared_secret = settings.text("shared-secret");
     if (out.instance.empty() || out.instance.find('#') != std::string::npos)
     {
-        reason = {base::error_kind::invalid_input,
-                  "setting instance is empty or contains '#'; give the id from the platform's list"};
+        reason = {
+            base::error_kind::invalid_input,
+            "setting instance is empty or contains '#'; give the id from the platform's list"};
         return std::nullopt;
     }
     if (out.shared_secret.size() < shortest_secret)
--- a/libraries/savorymount/runtime/log_follower.hpp
+++ b/libraries/savorymount/runtime/log_follower.hpp
@@ -14,7 +14,8 @@
 {
 public:
     using record_hook = std::function<void(log_record const&)>;
-    using page_hook = std::function<void(log_page const&)>;
+    /// Gets the offset that the read started at.
+    using page_hook = std::function<void(std::uint64_t from, log_page const&)>;
     /// `caught_up` is true when the read reached the end of the log.
     using read_hook = std::function<void(bool caught_up)>;
 
@@ -28,7 +29,8 @@
     /// Starts reading; call after the subscriptions.
     void start();
 
-    /// Appends a record. The outcome may be unknown; the record's id tells it apart when it is read.
+    /// Appends a record. The outcome may be unknown; the record's id tells it apart when it is
+    /// read.
     void append(std::string id, nlohmann::json body, platform_log::append_done done);
 
     /// When the last answered read was sent; what it showed is at least that fresh.
@@ -42,7 +44,7 @@
 
 private:
     void read();
-    void handle(base::time_point sent, std::optional<log_page> const& page,
+    void handle(std::uint64_t from, base::time_point sent, std::optional<log_page> const& page,
                 base::error const& reason);
     void schedule(base::duration delay);
 
--- a/libraries/savorymount/runtime/platform_log.hpp
+++ b/libraries/savorymount/runtime/platform_log.hpp
@@ -37,7 +37,8 @@
 /// The platform's log as the system sees it. Filled in by a plug-in.
 struct platform_log
 {
-    /// Receives the offset, or the reason; after `unknown_outcome` the record may still be in the log.
+    /// Receives the offset, or the reason; after `unknown_outcome` the record may still be in the
+    /// log.
     using append_done = std::function<void(std::optional<std::uint64_t>, base::error const&)>;
     using read_done = std::function<void(std::optional<log_page>, base::error const&)>;
 
--- a/libraries/savorymount/runtime/plugin_registry.hpp
+++ b/libraries/savorymount/runtime/plugin_registry.hpp
@@ -36,7 +36,8 @@
         return true;
     }
 
-    /// Fails with `invalid_input` when no plug-in has the name; the message lists the names there are.
+    /// Fails with `invalid_input` when no plug-in has the name; the message lists the names there
+    /// are.
     std::optional<Adapter> make(std::string const& name, event_loop& loop,
                                 network_address const& address, base::error& reason) const
     {
