Place prompts on engines narrowed level by level

Cause: entries agreed only on the order of the second level, and the hints of the first level (up to eight engines) outweighed the assumption that the preferred engine holds half of the first two levels. Each entry then spread the prompts of one client over the engines that it had used last, and no entry knew what the others had placed.

Change: each level narrows the engines that the level above left, to a number that follows the level's share of this entry's recent work (prefix_work); members are taken to hold the prefix with confidence 0.9.

A test showed that without any evidence all prefixes of a workspace met on one engine; upper levels now don't narrow without evidence.

--- a/libraries/savorymount/routing/candidate_pool.cpp
+++ b/libraries/savorymount/routing/candidate_pool.cpp
@@ -33,14 +33,15 @@
 {
     members_.reserve(members.size());
     for (auto const& [id, name] : members)
-    {
         members_.push_back({id, base::chain_digest(0, name)});
-        contained_.resize(std::max<std::size_t>(contained_.size(), id + 1));
-        contained_[id] = true;
-    }
     // Handles differ between instances, so the order must come from the names alone.
     std::sort(members_.begin(), members_.end(),
               [](member const& left, member const& right) { return left.hash < right.hash; });
+    for (std::uint32_t i = 0; i < members_.size(); ++i)
+    {
+        places_.resize(std::max<std::size_t>(places_.size(), members_[i].id + 1));
+        places_[members_[i].id] = i + 1;
+    }
     if (members_.size() <= largest_exact_pool)
         return;
     ring_.reserve(members_.size() * points_per_member);
@@ -54,6 +55,11 @@
               { return left.position < right.position; });
 }
 
+std::uint64_t candidate_pool::score(std::uint64_t digest, upstream_id id) const
+{
+    return contains(id) ? mix(digest ^ members_[places_[id] - 1].hash) : 0;
+}
+
 void candidate_pool::preferred(std::uint64_t digest, std::size_t count,
                                std::vector<upstream_id>& out) const
 {
@@ -89,7 +95,7 @@
 std::size_t candidate_pool::memory_bytes() const
 {
     return members_.capacity() * sizeof(member) + ring_.capacity() * sizeof(ring_point) +
-           contained_.capacity() / 8;
+           places_.capacity() * sizeof(std::uint32_t);
 }
 
 } // namespace savorymount::routing
--- a/libraries/savorymount/routing/candidate_pool.hpp
+++ b/libraries/savorymount/routing/candidate_pool.hpp
@@ -26,7 +26,10 @@
     upstream_id at(std::size_t position) const { return members_[position].id; }
 
     /// Whether the upstream is a member.
-    bool contains(upstream_id id) const { return id < contained_.size() && contained_[id]; }
+    bool contains(upstream_id id) const { return id < places_.size() && places_[id] != 0; }
+
+    /// Preference of `digest` for a member; higher is better. The same at every instance.
+    std::uint64_t score(std::uint64_t digest, upstream_id id) const;
 
     /// Writes up to `count` distinct members in the order of preference of `digest`, best first.
     /// Exact rendezvous hashing for small pools; for large ones the order is sampled in logarithmic
@@ -49,7 +52,8 @@
 
     std::vector<member> members_;
     std::vector<ring_point> ring_;
-    std::vector<bool> contained_;
+    /// Position of each handle in `members_` plus one; zero for others.
+    std::vector<std::uint32_t> places_;
 };
 
 } // namespace savorymount::routing
--- a/libraries/savorymount/routing/placement.cpp
+++ b/libraries/savorymount/routing/placement.cpp
@@ -4,22 +4,20 @@
 
 namespace savorymount::routing
 {
-namespace
-{
-
-/// Levels that place a prompt. Deeper ones would spread the prompts of one client over the fleet.
-constexpr std::size_t placement_levels = 2;
-
-} // namespace
 
-std::size_t placement_blocks(prompt_prefix const& prefix)
+placement placement_of(prompt_prefix const& prefix)
 {
+    placement out;
     if (prefix.digests.empty())
-        return 0;
+        return out;
     if (prefix.level_ends.size() < 2)
-        return 1;
-    std::size_t const level = std::min(placement_levels, prefix.level_ends.size() - 1);
-    return prefix.level_ends[level - 1];
+    {
+        out.ends[out.levels++] = 1;
+        return out;
+    }
+    out.levels = std::min(placement_levels, prefix.level_ends.size() - 1);
+    std::copy_n(prefix.level_ends.begin(), out.levels, out.ends.begin());
+    return out;
 }
 
 } // namespace savorymount::routing
--- a/libraries/savorymount/routing/router.cpp
+++ b/libraries/savorymount/routing/router.cpp
@@ -11,11 +11,19 @@
 
 /// Pools up to this size are considered whole; larger ones are sampled.
 constexpr std::size_t whole_pool = 32;
-/// Members of a large pool that are considered for their place in the order of preference. The load
-/// of a hot prefix spreads over them.
-constexpr std::size_t preferred_members = 8;
-/// Members of a large pool that are considered at random, to find an idle one for a large surplus.
+/// Most members of a large pool that a prefix is placed on. A prefix with more load is split into
+/// several placements.
+constexpr std::size_t most_placed = 16;
+/// Members of a large pool that are considered beyond those, next in the order and at random, to
+/// find an idle one for a surplus.
+constexpr std::size_t next_members = 4;
 constexpr std::size_t random_members = 4;
+/// Places for the work of prefixes; only those with much work need one.
+constexpr std::size_t work_places = 16'384;
+/// Work of a request beyond its prefill, in tokens.
+constexpr double work_per_request = 250;
+/// Requests that a prefix of an upper level is taken to have had beyond those seen.
+constexpr double prior_requests = 2;
 /// Most blocks whose hints are looked up in one decision, besides the search for the deepest one.
 constexpr std::size_t looked_up_blocks = 12;
 /// Cost that equals one step in the order of preference, so that equal upstreams are chosen alike
@@ -25,89 +33,170 @@
 } // namespace
 
 router::router(router_options const& options, base::random_source& random)
-    : options_(options), random_(random), hints_(options.hints), load_(options.report_lag)
+    : options_(options), random_(random), hints_(options.hints), load_(options.report_lag),
+      work_(work_places, options.work_half_life)
 {
 }
 
-void router::consider(candidates const& upstreams, route_request const& request,
-                      upstream_id upstream, std::size_t rank)
+router::considered* router::consider(candidates const& upstreams, route_request const& request,
+                                     upstream_id upstream)
 {
-    if (std::find(request.tried.begin(), request.tried.end(), upstream) != request.tried.end())
-        return;
-    if (std::find(rejected_.begin(), rejected_.end(), upstream) != rejected_.end())
-        return;
-    for (considered const& it : considered_)
+    for (considered& it : considered_)
     {
         if (it.upstream == upstream)
-            return;
+            return &it;
     }
+    if (std::find(request.tried.begin(), request.tried.end(), upstream) != request.tried.end())
+        return nullptr;
+    if (std::find(rejected_.begin(), rejected_.end(), upstream) != rejected_.end())
+        return nullptr;
     double const share = upstreams.share ? upstreams.share(upstream) : 1.0;
     // A share below one is drawn per request, so that slow start limits the number of requests and
     // not their kind.
     if (share <= 0.0 || (share < 1.0 && random_.unit() >= share))
     {
         rejected_.push_back(upstream);
-        return;
+        return nullptr;
     }
-    considered_.push_back({upstream, 0.0, 0, rank, {}});
+    considered_.push_back({upstream, 0.0, 0, considered_.size(), {}});
+    return &considered_.back();
 }
 
-void router::collect(base::time_point /*now*/, route_request const& request,
-                     candidates const& upstreams)
+std::size_t router::wanted_members(base::time_point now, std::uint64_t digest, bool last,
+                                   std::size_t pool_size) const
 {
-    candidate_pool const& pool = *upstreams.pool;
-    bool const whole = pool.size() <= whole_pool;
-    bool const placed = request.prefix != nullptr && !request.prefix->digests.empty();
-    std::size_t const wanted = whole ? pool.size() : preferred_members + request.tried.size();
-    std::uint64_t const digest =
-        placed ? request.prefix->digests[placement_blocks(*request.prefix) - 1] : random_.next();
-    pool.preferred(digest, wanted, preferred_);
-    for (std::size_t i = 0; i < preferred_.size(); ++i)
-        consider(upstreams, request, preferred_[i], i);
-    if (whole)
-        return;
-    for (std::size_t i = 0; i < random_members; ++i)
-        consider(upstreams, request, pool.at(random_.below(pool.size())), wanted + i);
+    // Without evidence the upper levels don't narrow the choice, since all prefixes of a workspace
+    // would meet on one engine. The last level starts with one engine, on which all entries agree.
+    double const share = work_.share(now, digest, last ? 0.0 : prior_requests);
+    double wanted = std::ceil(share * options_.placement_headroom * static_cast<double>(pool_size));
+    if (last)
+        wanted = std::min(wanted, 1.0 + work_.requests(now, digest));
+    return std::clamp<std::size_t>(static_cast<std::size_t>(wanted), 1, pool_size);
 }
 
-void router::apply_hints(base::time_point now, route_request const& request,
-                         candidates const& upstreams, std::size_t block)
+void router::place(base::time_point now, route_request const& request, candidates const& upstreams)
 {
-    for (cache_hint const& hint : hints_.find(now, request.prefix->digests[block]))
+    prompt_prefix const& prefix = *request.prefix;
+    candidate_pool const& pool = *upstreams.pool;
+    placement const levels = placement_of(prefix);
+    // Each level narrows the members that the level above left, so that prompts with a common
+    // beginning meet on few engines and a level's engines follow its load.
+    bool narrowed = pool.size() <= whole_pool;
+    scope_.clear();
+    for (std::size_t i = 0; narrowed && i < pool.size(); ++i)
+        scope_.push_back(pool.at(i));
+    for (std::uint32_t const end : levels)
     {
-        // Hints name upstreams of all pools; digests are seeded with the model, so a hinted
-        // upstream held it once, but it may have changed its models since.
-        if (!upstreams.pool->contains(hint.upstream))
+        std::uint64_t const digest = prefix.digests[end - 1];
+        bool const last = end == levels.ends[levels.levels - 1];
+        std::size_t const wanted = wanted_members(now, digest, last, pool.size());
+        if (!narrowed && wanted > most_placed && !last)
             continue;
-        consider(upstreams, request, hint.upstream, preferred_members);
-        double const confidence = std::exp2(-static_cast<double>(hint.age.count()) /
-                                            static_cast<double>(options_.hint_half_life.count()));
-        for (considered& it : considered_)
+        if (!narrowed)
+        {
+            std::uint64_t const parts = (wanted + most_placed - 1) / most_placed;
+            std::uint64_t const part = parts > 1 ? random_.below(parts) : 0;
+            pool.preferred(digest + part, std::min(wanted, most_placed), scope_);
+            narrowed = true;
+        }
+        else
+        {
+            std::sort(scope_.begin(), scope_.end(),
+                      [&pool, digest](upstream_id left, upstream_id right)
+                      { return pool.score(digest, left) > pool.score(digest, right); });
+            scope_.resize(std::min(scope_.size(), wanted));
+        }
+        for (upstream_id const id : scope_)
         {
-            if (it.upstream != hint.upstream || it.cached_bytes >= confidence * ends_[block])
+            considered* const it = consider(upstreams, request, id);
+            if (it == nullptr)
                 continue;
-            it.cached_bytes = confidence * ends_[block];
-            it.blocks = block + 1;
+            it->cached_bytes = options_.placed_confidence * ends_[end - 1];
+            it->blocks = end;
         }
     }
+    // The members of the deepest level come first among equal costs, in its order.
+    std::size_t rank = 0;
+    for (upstream_id const id : scope_)
+    {
+        if (considered* const it = consider(upstreams, request, id))
+            it->rank = rank++;
+    }
+    for (considered& it : considered_)
+    {
+        if (std::find(scope_.begin(), scope_.end(), it.upstream) == scope_.end())
+            it.rank = rank++;
+    }
 }
 
-void router::apply_placement(prompt_prefix const& prefix)
+void router::sample(route_request const& request, candidates const& upstreams)
 {
-    std::size_t const blocks = placement_blocks(prefix);
-    if (blocks == 0)
+    candidate_pool const& pool = *upstreams.pool;
+    if (pool.size() <= whole_pool)
+    {
+        // A random start spreads requests without a prefix over equal members.
+        std::size_t const start = random_.below(pool.size());
+        for (std::size_t i = 0; i < pool.size(); ++i)
+            consider(upstreams, request, pool.at((start + i) % pool.size()));
         return;
-    double confidence = options_.preferred_confidence;
-    for (considered& it : considered_)
+    }
+    bool const prefixed = request.prefix != nullptr && !request.prefix->digests.empty();
+    if (prefixed)
+    {
+        placement const levels = placement_of(*request.prefix);
+        std::uint32_t const end = levels.ends[levels.levels - 1];
+        pool.preferred(request.prefix->digests[end - 1], next_members + request.tried.size(),
+                       scope_);
+        for (upstream_id const id : scope_)
+            consider(upstreams, request, id);
+    }
+    std::size_t const draws = random_members + (prefixed ? 0 : next_members);
+    for (std::size_t i = 0; i < draws; ++i)
+        consider(upstreams, request, pool.at(random_.below(pool.size())));
+}
+
+void router::apply_hints_of_block(base::time_point now, route_request const& request,
+                                  candidates const& upstreams, std::size_t block)
+{
+    for (cache_hint const& hint : hints_.find(now, request.prefix->digests[block]))
     {
-        if (it.rank >= preferred_members)
+        // A hinted upstream held the model once, but may have changed its models since.
+        if (!upstreams.pool->contains(hint.upstream))
+            continue;
+        considered* const it = consider(upstreams, request, hint.upstream);
+        if (it == nullptr)
             continue;
-        double const expected =
-            std::ldexp(confidence, -static_cast<int>(it.rank)) * ends_[blocks - 1];
-        if (it.cached_bytes >= expected)
+        double const age = static_cast<double>(hint.age.count()) /
+                           static_cast<double>(options_.hint_half_life.count());
+        double const expected = std::exp2(-age) * ends_[block];
+        if (it->cached_bytes >= expected)
             continue;
-        it.cached_bytes = expected;
-        it.blocks = blocks;
+        it->cached_bytes = expected;
+        it->blocks = block + 1;
+    }
+}
+
+void router::apply_hints(base::time_point now, route_request const& request,
+                         candidates const& upstreams)
+{
+    // Whoever holds a block holds those before it, so the deepest hinted block is found by
+    // bisection. Misses of that rule cost a worse guess, never a wrong response.
+    std::size_t low = 0;
+    std::size_t high = request.prefix->digests.size();
+    while (low < high)
+    {
+        std::size_t const middle = low + (high - low) / 2;
+        if (hints_.find(now, request.prefix->digests[middle]).size > 0)
+            low = middle + 1;
+        else
+            high = middle;
+    }
+    std::size_t lookups = 0;
+    for (std::size_t block = low; block > 0 && lookups < looked_up_blocks; ++lookups)
+    {
+        apply_hints_of_block(now, request, upstreams, block - 1);
+        // Long prompts are sampled with growing steps: near the end each block counts.
+        block -= std::min(block, low <= looked_up_blocks ? 1 : 1 + (lookups * low) / 64);
     }
 }
 
@@ -123,7 +212,8 @@
         double const wait = static_cast<double>(load.queued_tokens) * per_token +
                             static_cast<double>(load.requests) *
                                 static_cast<double>(options_.delay_per_request.count());
-        it.cost = base::duration(static_cast<base::duration::rep>(prefill + wait)) +
+        it.cost = base::duration(
+                      static_cast<base::duration::rep>(options_.prefill_weight * prefill + wait)) +
                   cost_per_rank * it.rank;
     }
 }
@@ -137,34 +227,15 @@
     considered_.clear();
     rejected_.clear();
     ends_.clear();
-    collect(now, request, upstreams);
     if (request.prefix != nullptr && !request.prefix->digests.empty())
     {
-        prompt_prefix const& prefix = *request.prefix;
         double end = 0;
-        for (std::uint32_t bytes : prefix.block_bytes)
+        for (std::uint32_t bytes : request.prefix->block_bytes)
             ends_.push_back(end += bytes);
-        // Whoever holds a block holds those before it, so the deepest hinted block is found by
-        // bisection. Misses of that rule cost a worse guess, never a wrong response.
-        std::size_t low = 0;
-        std::size_t high = prefix.digests.size();
-        while (low < high)
-        {
-            std::size_t const middle = low + (high - low) / 2;
-            if (hints_.find(now, prefix.digests[middle]).size > 0)
-                low = middle + 1;
-            else
-                high = middle;
-        }
-        std::size_t lookups = 0;
-        for (std::size_t block = low; block > 0 && lookups < looked_up_blocks; ++lookups)
-        {
-            apply_hints(now, request, upstreams, block - 1);
-            // Long prompts are sampled with growing steps: near the end each block counts.
-            block -= std::min(block, low <= looked_up_blocks ? 1 : 1 + (lookups * low) / 64);
-        }
-        apply_placement(prefix);
+        place(now, request, upstreams);
+        apply_hints(now, request, upstreams);
     }
+    sample(request, upstreams);
     price(now);
     std::size_t const length = std::min(options_.ranked, considered_.size());
     std::partial_sort(considered_.begin(),
@@ -188,8 +259,13 @@
 {
     load_.sent(now, choice.upstream, choice.expected_tokens);
     // Engines take requests in turn, so later requests will find the blocks that this one computes.
-    if (request.prefix != nullptr)
-        hints_.learn(now, request.prefix->digests, choice.upstream);
+    if (request.prefix == nullptr)
+        return;
+    hints_.learn(now, request.prefix->digests, choice.upstream);
+    double const work = work_per_request + static_cast<double>(choice.expected_tokens);
+    work_.add_total(now, work);
+    for (std::uint32_t const end : placement_of(*request.prefix))
+        work_.add(now, request.prefix->digests[end - 1], work);
 }
 
 void router::started(base::time_point now, ranked_upstream const& choice)
@@ -228,7 +304,7 @@
 
 std::size_t router::memory_bytes() const
 {
-    return hints_.memory_bytes() + load_.memory_bytes();
+    return hints_.memory_bytes() + load_.memory_bytes() + work_.memory_bytes();
 }
 
 } // namespace savorymount::routing
--- a/libraries/savorymount/routing/router.hpp
+++ b/libraries/savorymount/routing/router.hpp
@@ -2,6 +2,7 @@
 
 #include <savorymount/base/random_source.hpp>
 #include <savorymount/routing/cache_hints.hpp>
+#include <savorymount/routing/prefix_work.hpp>
 #include <savorymount/routing/route_request.hpp>
 #include <savorymount/routing/upstream_load.hpp>
 
@@ -22,10 +23,17 @@
     /// Time by which each open request delays a new one.
     base::duration delay_per_request = std::chrono::milliseconds(2);
     double bytes_per_token = 4.0;
+    /// Weight of prefill against wait: computing a block again also delays later requests and
+    /// evicts other blocks.
+    double prefill_weight = 1.0;
     /// Age at which half of the hinted blocks are expected to be evicted.
     base::duration hint_half_life = std::chrono::seconds(20);
-    /// Expected share of the first levels that their preferred upstream holds without a hint.
-    double preferred_confidence = 0.5;
+    /// Expected share of a prefix that the upstreams of its placement hold without a hint.
+    double placed_confidence = 0.9;
+    /// Engines that a prefix is placed on, relative to its share of the work.
+    double placement_headroom = 1.5;
+    /// Age at which work counts half towards that share.
+    base::duration work_half_life = std::chrono::seconds(10);
     /// Length of a ranked choice.
     std::size_t ranked = 4;
 };
@@ -73,26 +81,31 @@
         double cached_bytes = 0;
         /// Leading blocks behind `cached_bytes`.
         std::size_t blocks = 0;
-        /// Position in the order of preference of the placement digest.
+        /// Position in the order of preference.
         std::size_t rank = 0;
         base::duration cost{0};
     };
 
-    void consider(candidates const& upstreams, route_request const& request, upstream_id upstream,
-                  std::size_t rank);
-    void collect(base::time_point now, route_request const& request, candidates const& upstreams);
+    considered* consider(candidates const& upstreams, route_request const& request,
+                         upstream_id upstream);
+    void place(base::time_point now, route_request const& request, candidates const& upstreams);
+    void sample(route_request const& request, candidates const& upstreams);
     void apply_hints(base::time_point now, route_request const& request,
-                     candidates const& upstreams, std::size_t block);
-    void apply_placement(prompt_prefix const& prefix);
+                     candidates const& upstreams);
+    void apply_hints_of_block(base::time_point now, route_request const& request,
+                              candidates const& upstreams, std::size_t block);
+    std::size_t wanted_members(base::time_point now, std::uint64_t digest, bool last,
+                               std::size_t pool_size) const;
     void price(base::time_point now);
 
     router_options options_;
     base::random_source& random_;
     cache_hints hints_;
     upstream_load load_;
+    prefix_work work_;
     // Scratch space of one decision, kept to avoid allocations.
     std::vector<considered> considered_;
-    std::vector<upstream_id> preferred_;
+    std::vector<upstream_id> scope_;
     std::vector<upstream_id> rejected_;
     std::vector<double> ends_;
 };
--- a/tests/libraries/routing/router_test.cpp
+++ b/tests/libraries/routing/router_test.cpp
@@ -221,13 +221,18 @@
 // Guards against the last message, which nobody else sends, deciding where a prompt is placed.
 TEST(placement, ignores_the_last_level)
 {
-    prompt_prefix prefix = prompt(1, 1);
-    EXPECT_EQ(placement_blocks(prefix), 5U);
-    prefix.level_ends = {3, 6};
-    EXPECT_EQ(placement_blocks(prefix), 3U);
-    prefix.level_ends = {6};
-    EXPECT_EQ(placement_blocks(prefix), 1U);
-    EXPECT_EQ(placement_blocks({}), 0U);
+    auto const ends = [](std::vector<std::uint32_t> const& level_ends)
+    {
+        prompt_prefix prefix = prompt(1, 1);
+        prefix.level_ends = level_ends;
+        placement const found = placement_of(prefix);
+        return std::vector<std::uint32_t>(found.begin(), found.end());
+    };
+    EXPECT_EQ(ends({3, 5, 6}), (std::vector<std::uint32_t>{3, 5}));
+    EXPECT_EQ(ends({3, 6}), (std::vector<std::uint32_t>{3}));
+    EXPECT_EQ(ends({6}), (std::vector<std::uint32_t>{1}));
+    EXPECT_EQ(ends({1, 2, 3, 4, 5, 6}), (std::vector<std::uint32_t>{1, 2, 3, 4}));
+    EXPECT_EQ(placement_of({}).levels, 0U);
 }
 
 // Guards against a choice outside the candidates, a duplicate, or a wrong order, for any history.
