Keep a paused HTTP call paused until it is resumed

Cause: evhttp turns reading on again after each callback and when it connects, so a call paused before its first byte read on.

Change: every callback sets the reading state again while the call is paused.

Conclusion: back-pressure holds from the start of a call.

--- a/libraries/savorymount/runtime/http_call.cpp
+++ b/libraries/savorymount/runtime/http_call.cpp
@@ -224,6 +224,7 @@
         ++self->callbacks_;
         if (self->hooks_.on_head)
             self->hooks_.on_head(status, headers);
+        self->keep_paused();
         --self->callbacks_;
         return 0;
     }
@@ -240,6 +241,7 @@
         ++self->callbacks_;
         if (self->hooks_.on_chunk)
             self->hooks_.on_chunk({bytes, n});
+        self->keep_paused();
         --self->callbacks_;
         evbuffer_drain(buffer, n);
     }
@@ -311,6 +313,12 @@
         evhttp_connection_free(connection);
     }
 
+    void keep_paused()
+    {
+        if (paused_)
+            apply_pause();
+    }
+
     /// evhttp turns reading on again when a callback returns, so the state is set afterwards.
     void apply_pause()
     {
--- a/tests/libraries/runtime/http_test.cpp
+++ b/tests/libraries/runtime/http_test.cpp
@@ -386,8 +386,13 @@
     ::close(listener);
 }
 
+/// When a call is paused in relation to its first bytes.
+class http_pause_test : public http_test, public testing::WithParamInterface<std::string>
+{
+};
+
 // Guards against a call that reads on while its consumer is slow and so buffers without bound.
-TEST_F(http_test, paused_call_stops_reading_and_resumes)
+TEST_P(http_pause_test, paused_call_stops_reading_and_resumes)
 {
     constexpr std::size_t total_bytes = std::size_t{64} * 1024 * 1024;
     exchange_ptr open;
@@ -405,15 +410,18 @@
     std::size_t received = 0;
     std::optional<http_call> call;
     auto watched = hooks(out);
-    bool pausing = true;
+    bool pausing = GetParam() == "in_every_chunk" || GetParam() == "in_first_chunk";
     watched.on_chunk = [&](std::string_view bytes)
     {
         received += bytes.size();
         if (pausing)
             call->pause();
+        pausing = pausing && GetParam() == "in_every_chunk";
     };
     call.emplace(loop, request("GET", "/"), watched);
-    run_until([&] { return received > 0; });
+    if (GetParam() == "before_connecting")
+        call->pause();
+    run_until([&] { return open != nullptr; });
     std::size_t last = 0;
     int unchanged = 0;
     run_until(
@@ -432,6 +440,10 @@
     EXPECT_EQ(received, total_bytes);
 }
 
+INSTANTIATE_TEST_SUITE_P(all, http_pause_test,
+                         testing::Values("in_every_chunk", "in_first_chunk", "before_connecting"),
+                         [](auto const& it) { return it.param; });
+
 // Guards against a drained hook that is never called, or called while the buffer is still full.
 TEST_F(http_test, drained_hook_follows_the_caller)
 {
