Take the usage of numbered events, also after a resume

Cause: the engine stand-in reports the usage in an event with an id of its own. A source that broke between the usage and [DONE] made the next one number its usage anew, and the relay refused it after a whole answer. Change: a second usage is a repeat wherever it stands, and [DONE] after the usage needs no position. parse_event_usage reads the usage of any event without parsing those that can't hold one.

--- a/libraries/savorymount/streams/chat_usage.cpp
+++ b/libraries/savorymount/streams/chat_usage.cpp
@@ -59,4 +59,13 @@
     return out;
 }
 
+std::optional<chat_usage> parse_event_usage(std::string_view data, base::error& reason)
+{
+    // Within a JSON string the quotes are escaped, so only a member name or a whole string matches.
+    if (data.find("\"usage\"") != std::string_view::npos)
+        return parse_chat_usage(data, reason);
+    reason = {base::error_kind::not_found, "the event holds no usage"};
+    return std::nullopt;
+}
+
 } // namespace savorymount::streams
--- a/libraries/savorymount/streams/stream_relay.cpp
+++ b/libraries/savorymount/streams/stream_relay.cpp
@@ -15,16 +15,9 @@
     return false;
 }
 
-// Parsing every token event as JSON would cost more than relaying it. Within a JSON string the
-// quotes are escaped, so only a member name or a whole string value matches.
-bool mentions(stream_event const& event, std::string_view quoted_name)
-{
-    return event.data.find(quoted_name) != std::string::npos;
-}
-
 bool is_error_event(stream_event const& event)
 {
-    if (!mentions(event, "\"error\""))
+    if (event.data.find("\"error\"") == std::string::npos)
         return false;
     auto const document = nlohmann::json::parse(event.data, nullptr, false);
     return document.is_object() && document.contains("error");
@@ -39,7 +32,8 @@
                     "the stream was already ended with an error; drop this source");
     if (is_repeat(event))
         return true;
-    if (event.position != position_)
+    // The end mark needs no position: it is the end of any source once the usage is known.
+    if (event.data != end_marker && event.position != position_)
         return fail(reason, base::error_kind::invalid_input,
                     "an event for position " + std::to_string(event.position) +
                         " arrived at position " + std::to_string(position_) +
@@ -56,10 +50,11 @@
 {
     if (event.data == end_marker)
         return done_;
-    if (event.id)
-        return *event.id < position_;
-    // Only the usage has no position. After it was forwarded, another source repeats it.
-    return usage_ && mentions(event, "\"usage\"") && !is_error_event(event);
+    if (event.id && *event.id < position_)
+        return true;
+    // A source that resumes at the end of the answer reports its usage again, where it has got to.
+    base::error ignored;
+    return usage_ && parse_event_usage(event.data, ignored);
 }
 
 bool stream_relay::take_token(stream_event const& event, base::error& reason)
@@ -67,12 +62,9 @@
     if (usage_)
         return fail(reason, base::error_kind::invalid_input,
                     "a token follows the usage; the upstream must report its usage last");
-    if (mentions(event, "\"usage\""))
-    {
-        usage_ = parse_chat_usage(event.data, reason);
-        if (!usage_ && reason.kind != base::error_kind::not_found)
-            return false;
-    }
+    usage_ = parse_event_usage(event.data, reason);
+    if (!usage_ && reason.kind != base::error_kind::not_found)
+        return false;
     ++position_;
     return true;
 }
@@ -82,7 +74,7 @@
     if (is_error_event(event))
         return fail(reason, base::error_kind::unavailable,
                     "the upstream ended the stream with an error; resume it elsewhere");
-    auto const usage = parse_chat_usage(event.data, reason);
+    auto const usage = parse_event_usage(event.data, reason);
     if (usage)
     {
         usage_ = usage;
--- a/libraries/savorymount/streams/stream_relay.hpp
+++ b/libraries/savorymount/streams/stream_relay.hpp
@@ -24,7 +24,8 @@
     /// after `break_off`. The relay stays usable: another source may go on from `position()`.
     bool take(stream_event const& event, std::string& output, base::error& reason);
 
-    /// Token events forwarded, which is the index of the next one.
+    /// Index of the next token: the number of token events forwarded, a usage event with an id
+    /// included.
     std::uint64_t position() const { return position_; }
 
     /// True once the usage and then `[DONE]` were forwarded.
--- a/tests/libraries/streams/chat_usage_test.cpp
+++ b/tests/libraries/streams/chat_usage_test.cpp
@@ -26,6 +26,21 @@
               (chat_usage{7, 3, 0}));
 }
 
+// Guards against text of the answer that passes for the usage.
+TEST(chat_usage, events_without_a_usage_member_are_not_parsed)
+{
+    base::error reason;
+    EXPECT_EQ(parse_event_usage(R"({"usage":{"prompt_tokens":7,"completion_tokens":3}})", reason),
+              (chat_usage{7, 3, 0}));
+    for (std::string const text :
+         {R"({"content":"{\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":3}}"})",
+          R"({"content":"usage"})", "not json", R"({"usage":null})"})
+    {
+        EXPECT_FALSE(parse_event_usage(text, reason));
+        EXPECT_EQ(reason.kind, base::error_kind::not_found) << text;
+    }
+}
+
 TEST(chat_usage, tells_a_missing_usage_from_a_malformed_one)
 {
     base::error reason;
--- a/tests/libraries/streams/stream_relay_test.cpp
+++ b/tests/libraries/streams/stream_relay_test.cpp
@@ -128,6 +128,29 @@
     EXPECT_TRUE(relay.take(done(1), output, reason));
 }
 
+// Guards against an error at the end of a whole answer, when the source breaks between the usage
+// and the end mark and the engine that resumes numbers its usage anew.
+TEST(stream_relay, a_usage_with_an_id_is_not_repeated_after_a_resume)
+{
+    stream_relay relay;
+    std::string output;
+    base::error reason;
+    auto const numbered_usage = [](std::uint64_t index)
+    {
+        auto out = usage(1);
+        out.id = index;
+        out.position = index;
+        return out;
+    };
+    EXPECT_TRUE(relay.take(token(0), output, reason));
+    EXPECT_TRUE(relay.take(numbered_usage(1), output, reason));
+    EXPECT_EQ(relay.position(), 2U);
+    EXPECT_TRUE(relay.take(numbered_usage(2), output, reason));
+    EXPECT_TRUE(relay.take(done(3), output, reason));
+    EXPECT_TRUE(relay.complete());
+    EXPECT_EQ(output, text_of(answer(1)));
+}
+
 // Guards against a broken stream that a client takes for a normal end.
 TEST(stream_relay, break_off_says_how_far_the_request_ran)
 {
