Weigh prefill twice against wait

Cause: an upstream with a queue as long as the saved prefill was left for one without the prefix. That saves the request nothing, costs the fleet the prefill, and evicts other blocks.

Change: the cost counts prefill twice.

--- a/libraries/savorymount/routing/router.hpp
+++ b/libraries/savorymount/routing/router.hpp
@@ -25,7 +25,7 @@
     double bytes_per_token = 4.0;
     /// Weight of prefill against wait: computing a block again also delays later requests and
     /// evicts other blocks.
-    double prefill_weight = 1.0;
+    double prefill_weight = 2.0;
     /// Age at which half of the hinted blocks are expected to be evicted.
     base::duration hint_half_life = std::chrono::seconds(20);
     /// Expected share of a prefix that the upstreams of its placement hold without a hint.
