Steady the number of engines per prefix

Entries disagreed about the home because their shares of the work differ by chance.

Trials that changed nothing or made it worse: hints trusted less than the placement, hint half-life 2 to 10 s, shares by requests instead of work.

--- a/libraries/savorymount/routing/router.cpp
+++ b/libraries/savorymount/routing/router.cpp
@@ -69,6 +69,8 @@
     // would meet on one engine. The last level starts with one engine, on which all entries agree.
     double const share = work_.share(now, digest, last ? 0.0 : prior_requests);
     double wanted = std::ceil(share * options_.placement_headroom * static_cast<double>(pool_size));
+    // Powers of two, so that the differences between the shares seen by entries rarely change it.
+    wanted = std::exp2(std::ceil(std::log2(std::max(1.0, wanted))));
     if (last)
         wanted = std::min(wanted, 1.0 + work_.requests(now, digest));
     return std::clamp<std::size_t>(static_cast<std::size_t>(wanted), 1, pool_size);
--- a/libraries/savorymount/routing/router.hpp
+++ b/libraries/savorymount/routing/router.hpp
@@ -25,15 +25,15 @@
     double bytes_per_token = 4.0;
     /// Weight of prefill against wait: computing a block again also delays later requests and
     /// evicts other blocks.
-    double prefill_weight = 2.0;
+    double prefill_weight = 2;
     /// Age at which half of the hinted blocks are expected to be evicted.
     base::duration hint_half_life = std::chrono::seconds(20);
     /// Expected share of a prefix that the upstreams of its placement hold without a hint.
     double placed_confidence = 0.9;
     /// Engines that a prefix is placed on, relative to its share of the work.
-    double placement_headroom = 1.5;
+    double placement_headroom = 1;
     /// Age at which work counts half towards that share.
-    base::duration work_half_life = std::chrono::seconds(10);
+    base::duration work_half_life = std::chrono::seconds(30);
     /// Length of a ranked choice.
     std::size_t ranked = 4;
 };
