Test that a frozen engine stand-in stops answering

Cause: the test passed without any freeze.

Change: it now waits for a response that took about as long as the freeze.

Conclusion: the test fails if the freeze does nothing.

--- a/tests/system/stand_ins/engine_test.cpp
+++ b/tests/system/stand_ins/engine_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <map>
 #include <optional>
 #include <tests/system/support/http_client.hpp>
@@ -357,12 +358,20 @@
     EXPECT_EQ(cached_tokens(blocks("a")), 0);
 }
 
-// Guards against a frozen engine that still answers.
-TEST_F(engine_stand_in, frozen_engine_answers_afterwards)
+// Guards against a frozen engine that goes on answering.
+TEST_F(engine_stand_in, frozen_engine_answers_only_afterwards)
 {
     start();
-    control({{"freeze_ms", 50}});
-    EXPECT_EQ(client.fetch(port, "GET", "/health").status, 200);
+    control({{"freeze_ms", 300}});
+    // The freeze begins shortly after the order is answered. No response may arrive while it lasts,
+    // so that one response takes about as long as the freeze.
+    auto const slow_response = [&]
+    {
+        auto const before = std::chrono::steady_clock::now();
+        EXPECT_EQ(client.fetch(port, "GET", "/health").status, 200);
+        return std::chrono::steady_clock::now() - before > std::chrono::milliseconds(200);
+    };
+    client.run_until(slow_response);
 }
 
 // Guards against malformed input that stops the engine.
