--- /dev/null
+++ b/libraries/savorymount/streams/event_stream_parser.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <savorymount/base/error.hpp>
+#include <savorymount/streams/stream_event.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace savorymount::streams
+{
+
+/// Bounds on what the parser holds at one time.
+struct event_stream_limits
+{
+    std::size_t line_bytes = std::size_t{64} * 1024;
+    std::size_t event_bytes = std::size_t{256} * 1024;
+};
+
+/// Incremental parser of one server-sent event stream. Use one per connection: it keeps the bytes
+/// of the event that is still incomplete. The result does not depend on how the input is divided.
+class event_stream_parser
+{
+public:
+    /// `start` is the position of the first byte: that of the first chunk of the connection.
+    explicit event_stream_parser(event_stream_limits limits = {}, std::uint64_t start = 0)
+        : limits_(limits), position_(start)
+    {
+    }
+
+    /// Consumes `bytes` and appends each complete event to `events`. Returns false and fills
+    /// `reason` with `too_large` (line or event above its limit) or `invalid_input` (an `id` that
+    /// is no token index below the largest 64-bit number, or two in one event); events before the
+    /// fault are appended all the same, and every later call fails with the same reason. Events
+    /// without data, such as keep-alive comments, are dropped.
+    bool feed(std::string_view bytes, std::vector<stream_event>& events, base::error& reason);
+
+    /// Tells that the input has ended. Returns false and fills `reason` with `invalid_input` if
+    /// the input ended within an event, or with the earlier fault.
+    bool finish(base::error& reason) const;
+
+    /// Bytes held for the incomplete event.
+    std::size_t pending_bytes() const { return raw_.size() + line_.size(); }
+
+private:
+    bool take_line_part(std::string_view part);
+    void end_line(std::vector<stream_event>& events);
+    bool take_field(std::string_view name, std::string_view value);
+    bool take_id(std::string_view value);
+    void end_event(std::vector<stream_event>& events);
+    bool fail(base::error_kind kind, std::string message);
+
+    event_stream_limits limits_;
+    std::uint64_t position_;
+    std::string line_;
+    std::string raw_;
+    stream_event event_;
+    bool has_data_ = false;
+    bool has_field_ = false;
+    bool first_line_ = true;
+    bool skip_line_feed_ = false;
+    std::optional<base::error> fault_;
+};
+
+} // namespace savorymount::streams
