--- a/tests/libraries/limits/overload_gate_test.cpp
+++ b/tests/libraries/limits/overload_gate_test.cpp
@@ -74,7 +74,7 @@
                                     hints[workspace] = now + hint;
                                 }
                                 auto const refusal = gate.check(now, workspace);
-                                RC_ASSERT(!refusal || now + *refusal <= hints[workspace]);
+                                RC_ASSERT((!refusal || now + *refusal <= hints[workspace]));
                                 RC_ASSERT(gate.size() <= 8U);
                             }
                         });
--- a/tests/libraries/queueing/fair_queue_test.cpp
+++ b/tests/libraries/queueing/fair_queue_test.cpp
@@ -374,7 +374,7 @@
                 RC_ASSERT(tokens <= 10'000U);
                 RC_ASSERT(queued.size() <= 20U);
                 for (auto const& [name, sums] : by_workspace)
-                    RC_ASSERT(sums.first <= 6U && sums.second <= 4'000U);
+                    RC_ASSERT((sums.first <= 6U && sums.second <= 4'000U));
             }
         });
 }
--- a/tests/libraries/seeded_property.hpp
+++ b/tests/libraries/seeded_property.hpp
@@ -14,8 +14,9 @@
 
 /// Checks a RapidCheck property on `runs` generated cases from `seed`, as part of the current test.
 /// `RC_PARAMS` in the environment replaces the seed and the number of cases.
+/// Without `shrink` a failing case is reported as generated, for properties that take long.
 template <typename Testable>
-void check_seeded(std::uint64_t seed, int runs, Testable&& property)
+void check_seeded(std::uint64_t seed, int runs, Testable&& property, bool shrink = true)
 {
     auto params = rc::detail::configuration().testParams;
     if (std::getenv("RC_PARAMS") == nullptr)
@@ -23,6 +24,7 @@
         params.seed = seed;
         params.maxSuccess = runs;
     }
+    params.disableShrinking = !shrink;
     auto const* const test = testing::UnitTest::GetInstance()->current_test_info();
     rc::detail::TestMetadata metadata;
     metadata.id = std::string(test->test_suite_name()) + "/" + test->name();
