--- a/libraries/savorymount/limits/grant_account.cpp
+++ b/libraries/savorymount/limits/grant_account.cpp
@@ -49,6 +49,7 @@
     ask_.reset();
     late_asks_.clear();
     refused_until_ = {};
+    ahead_refused_until_ = {};
     failed_until_ = {};
     for (auto& [key, it] : grants_)
     {
@@ -107,16 +108,37 @@
         if (held_grant == grants_.end())
             continue;
         auto& it = held_grant->second;
-        it.running -= parts[n].tokens;
-        it.used += here;
-        auto const left = parts[n].tokens - std::min(here, parts[n].tokens);
+        // What was reported as used stays so.
+        auto const counted = std::max(here, parts[n].used);
+        it.running -= parts[n].tokens - parts[n].used;
+        it.used += counted - parts[n].used;
+        auto const left = parts[n].tokens - std::min(counted, parts[n].tokens);
         (it.closed ? it.unused : it.free) += left;
-        if (it.closed && !it.report_due && it.issued.fence == fence_)
-            it.report_due = now + sizing_.report_interval;
+        report_later(now, it);
         close_if_used_up(now, it);
     }
 }
 
+void grant_account::progress(base::time_point now, std::uint64_t reservation, std::uint64_t used)
+{
+    advance(now);
+    auto const found = reservations_.find(reservation);
+    if (found == reservations_.end())
+        return;
+    for (auto& it : found->second)
+    {
+        auto const here = std::min(used, it.tokens);
+        used -= here;
+        auto const held_grant = grants_.find(it.key);
+        if (held_grant == grants_.end() || here <= it.used)
+            continue;
+        held_grant->second.running -= here - it.used;
+        held_grant->second.used += here - it.used;
+        it.used = here;
+        report_later(now, held_grant->second);
+    }
+}
+
 void grant_account::grant_received(base::time_point now, std::uint64_t request,
                                    token_grant const& received)
 {
@@ -143,7 +165,14 @@
     auto const answered = take_ask(request);
     if (!answered)
         return;
-    refused_until_ = now + std::max(retry_after, min_refusal);
+    auto const until = now + std::max(retry_after, min_refusal);
+    if (answered->least == 0)
+    {
+        // Requests may still get what they need.
+        ahead_refused_until_ = until;
+        return;
+    }
+    refused_until_ = until;
     refused_tokens_ = answered->least;
 }
 
@@ -239,6 +268,12 @@
         it.report_due = now;
 }
 
+void grant_account::report_later(base::time_point now, held& it)
+{
+    if (it.closed && !it.report_due && it.issued.fence == fence_)
+        it.report_due = now + sizing_.report_interval;
+}
+
 void grant_account::close_if_used_up(base::time_point now, held& it)
 {
     if (!it.closed && it.free == 0 && it.running == 0)
@@ -274,19 +309,20 @@
     }
     // Several requests that wait for the same ask need the sum.
     ask_->tokens = std::min(ask_->tokens + missing, burst_);
-    ask_->least = std::min(ask_->least, missing);
+    ask_->least = ask_->least == 0 ? missing : std::min(ask_->least, missing);
 }
 
 void grant_account::ask_ahead(base::time_point now)
 {
-    if (ask_ || fence_ == 0 || !reachable_ || now < failed_until_ || now < refused_until_)
+    if (ask_ || fence_ == 0 || !reachable_ || now < failed_until_ || now < refused_until_ ||
+        now < ahead_refused_until_)
         return;
     auto const wanted = ahead_tokens(now);
     // Grants that end soon do not count as drawn ahead.
     auto const there = free_tokens(now + timing_.grant_lifetime / 4);
     if (wanted == 0 || there * 2 >= wanted)
         return;
-    ask_ = open_ask{next_request_++, now, wanted - there, 1, false};
+    ask_ = open_ask{next_request_++, now, wanted - there, 0, false};
 }
 
 std::uint64_t grant_account::free_tokens(base::time_point until) const
--- a/libraries/savorymount/limits/grant_account.hpp
+++ b/libraries/savorymount/limits/grant_account.hpp
@@ -16,7 +16,8 @@
 namespace savorymount::limits
 {
 
-/// Ask the owner under `fence` for up to `tokens` tokens, and at least `least`.
+/// Ask the owner under `fence` for up to `tokens` tokens, and at least `least`; `least` is 0 if no
+/// request needs the tokens yet.
 struct ask_for_grant
 {
     std::uint64_t request = 0;
@@ -100,6 +101,10 @@
     /// `waiting` pass `first_attempt` = false, so that they do not count as demand twice.
     admission admit(base::time_point now, std::uint64_t tokens, bool first_attempt = true);
 
+    /// `used` tokens of a running request are certainly used: the prompt from the start, and what
+    /// has been generated. The rest of the reservation alone counts against the burst from then on.
+    void progress(base::time_point now, std::uint64_t reservation, std::uint64_t used);
+
     /// Ends a reservation with the `used` tokens (prompt and response, or zero if it did not run).
     void complete(base::time_point now, std::uint64_t reservation, std::uint64_t used);
 
@@ -139,6 +144,8 @@
     {
         std::uint64_t key = 0;
         std::uint64_t tokens = 0;
+        /// Already counted as used.
+        std::uint64_t used = 0;
     };
 
     struct open_ask
@@ -153,6 +160,7 @@
     void advance(base::time_point now);
     void ask_lost(base::time_point now);
     void close(base::time_point now, held& it);
+    void report_later(base::time_point now, held& it);
     void close_if_used_up(base::time_point now, held& it);
     void note_demand(base::time_point now, std::uint64_t tokens);
     void ask(base::time_point now, std::uint64_t missing);
@@ -183,6 +191,7 @@
     /// Until `refused_until_` the owner has fewer than `refused_tokens_` left.
     base::time_point refused_until_{};
     std::uint64_t refused_tokens_ = 0;
+    base::time_point ahead_refused_until_{};
     base::time_point failed_until_{};
 };
 
--- a/libraries/savorymount/limits/workspace_bucket.cpp
+++ b/libraries/savorymount/limits/workspace_bucket.cpp
@@ -9,8 +9,11 @@
 {
 
 constexpr std::int64_t micro = 1'000'000;
-/// Grants beyond `least` take at most this part of the level.
+/// Part of the burst that is kept for requests that need it now.
+constexpr std::uint64_t reserve_divisor = 4;
+/// Part of the level above the reserve that one grant beyond `least` takes at most.
 constexpr std::int64_t ahead_divisor = 8;
+constexpr base::duration ahead_retry = std::chrono::milliseconds(250);
 constexpr std::size_t max_expired_grants = 4096;
 
 std::int64_t to_micro(std::uint64_t tokens)
@@ -33,15 +36,22 @@
 {
     advance(now);
     retry_after = base::duration::zero();
-    auto const needed = std::max<std::uint64_t>(least, 1);
     auto const there = whole_level();
-    if (there < static_cast<std::int64_t>(needed))
+    if (there < static_cast<std::int64_t>(least))
     {
-        retry_after = time_until(now, needed).value_or(base::duration::zero());
+        retry_after = time_until(now, least).value_or(base::duration::zero());
+        return std::nullopt;
+    }
+    // What is drawn ahead of need stays unused at its agent for a while, and a request elsewhere
+    // may be refused for want of it. So it comes only from what lies above the reserve.
+    auto const spare = there - static_cast<std::int64_t>(burst_ / reserve_divisor);
+    auto const ahead = static_cast<std::uint64_t>(std::max<std::int64_t>(spare / ahead_divisor, 0));
+    auto const amount = std::max(least, std::min(tokens, ahead));
+    if (amount == 0)
+    {
+        retry_after = ahead_retry;
         return std::nullopt;
     }
-    auto const ahead = static_cast<std::uint64_t>(there / ahead_divisor);
-    auto const amount = std::min(std::max(tokens, needed), std::max(needed, ahead));
     level_micro_ -= to_micro(amount);
     outstanding_ += amount;
     auto const id = next_id_++;
--- a/libraries/savorymount/limits/workspace_bucket.hpp
+++ b/libraries/savorymount/limits/workspace_bucket.hpp
@@ -29,10 +29,10 @@
     workspace_bucket(base::time_point now, std::uint64_t fence, std::uint64_t rate,
                      std::uint64_t burst, start_level start, limit_timing timing = {});
 
-    /// Hands out up to `tokens` tokens, and at least `least`. While little is left it hands out
-    /// only `least`, so that what is left is not spread over agents that may not need it. Empty if
-    /// fewer than `least` are there; `retry_after` then says when they will be, and is zero if they
-    /// never will (`least` above burst).
+    /// Hands out up to `tokens` tokens, and at least `least`, which may be 0 for an ask ahead of
+    /// need. Tokens beyond `least` come only from the level above a quarter of the burst.
+    /// Empty if fewer than `least` or none can be handed out; `retry_after` then says when to ask
+    /// again, and is zero if asking never helps (`least` above burst).
     std::optional<token_grant> grant(base::time_point now, std::uint64_t tokens,
                                      std::uint64_t least, base::duration& retry_after);
 
--- a/libraries/savorymount/orders/order_planner.cpp
+++ b/libraries/savorymount/orders/order_planner.cpp
@@ -41,6 +41,7 @@
                                        std::vector<std::string> const& agents)
 {
     std::vector<std::pair<std::uint64_t, std::size_t>> ranks;
+    ranks.reserve(agents.size());
     for (std::size_t n = 0; n < agents.size(); ++n)
         ranks.emplace_back(preference(what, agents[n]), n);
     std::sort(ranks.begin(), ranks.end(),
@@ -50,6 +51,7 @@
                          std::tie(left.first, agents[left.second]);
               });
     std::vector<std::size_t> out;
+    out.reserve(agents.size());
     for (auto const& [rank, position] : ranks)
         out.push_back(position);
     return out;
