--- a/tests/libraries/seeded_property.hpp
+++ b/tests/libraries/seeded_property.hpp
@@ -25,12 +25,14 @@
 }
 
 /// Checks a RapidCheck property on `runs` generated cases from `seed`, as part of the current test.
+/// Without `shrink` a failing case is reported as generated, for properties that take long.
 template <typename Testable>
-void check_seeded(std::uint64_t seed, int runs, Testable&& property)
+void check_seeded(std::uint64_t seed, int runs, Testable&& property, bool shrink = true)
 {
     auto params = rc::detail::configuration().testParams;
     params.seed = property_seed(seed);
     params.maxSuccess = runs;
+    params.disableShrinking = !shrink;
     auto const* const test = testing::UnitTest::GetInstance()->current_test_info();
     rc::detail::TestMetadata metadata;
     metadata.id = std::string(test->test_suite_name()) + "/" + test->name();
