Expect the work that placements really cause

Cause: of the requests in replating with a first token after more than 1.5 s, nearly all found 40,000 to 100,000 tokens queued where 0 to 20,000 were estimated. A prefix placed without a hint was expected to be a hit with confidence 0.9 also when it was cached nowhere, so the upstream looked idle to the entry that had filled its queue.

Change: the expected work of a placement follows the observed hits per level (cached_blocks of finished requests). The cost still prefers the placement. The new argument of router::finished is optional.

--- a/libraries/savorymount/routing/baselines.cpp
+++ b/libraries/savorymount/routing/baselines.cpp
@@ -32,7 +32,7 @@
     {
         upstream_id const id = upstreams.pool->at((position + i) % size);
         if (usable(request, upstreams, id))
-            out.push_back({id, {}, 0, all_tokens(request)});
+            out.push_back({id, {}, 0, all_tokens(request), 0});
     }
     return out;
 }
@@ -88,7 +88,7 @@
                                     std::pair(least.queued_tokens, least.requests))
                 continue;
             least = it;
-            out.assign(1, {id, {}, 0, all_tokens(request)});
+            out.assign(1, {id, {}, 0, all_tokens(request), 0});
         }
         return out;
     };
@@ -108,7 +108,7 @@
         {
             if (!usable(request, upstreams, id))
                 continue;
-            out.push_back({id, {}, 0, all_tokens(request)});
+            out.push_back({id, {}, 0, all_tokens(request), 0});
             return out;
         }
         return out;
--- a/libraries/savorymount/routing/route_request.hpp
+++ b/libraries/savorymount/routing/route_request.hpp
@@ -43,6 +43,8 @@
     std::size_t expected_blocks = 0;
     /// Prompt tokens that are expected to be computed there; what `sent` and `started` take.
     std::uint64_t expected_tokens = 0;
+    /// Leading blocks that this entry has a hint for.
+    std::size_t hinted_blocks = 0;
 
     bool operator==(ranked_upstream const&) const = default;
 };
--- a/libraries/savorymount/routing/router.cpp
+++ b/libraries/savorymount/routing/router.cpp
@@ -24,6 +24,8 @@
 constexpr double work_per_request = 250;
 /// Requests that a prefix of an upper level is taken to have had beyond those seen.
 constexpr double prior_requests = 2;
+/// Weight of the newest observation in the calibration of placements.
+constexpr double calibration_step = 0.02;
 /// Most blocks whose hints are looked up in one decision, besides the search for the deepest one.
 constexpr std::size_t looked_up_blocks = 12;
 /// Cost that equals one step in the order of preference, so that equal upstreams are chosen alike
@@ -36,6 +38,7 @@
     : options_(options), random_(random), hints_(options.hints), load_(options.report_lag),
       work_(work_places, options.work_half_life)
 {
+    placed_hits_.fill(options.placed_confidence);
 }
 
 router::considered* router::consider(candidates const& upstreams, route_request const& request,
@@ -58,7 +61,7 @@
         rejected_.push_back(upstream);
         return nullptr;
     }
-    considered_.push_back({upstream, 0.0, 0, considered_.size(), {}});
+    considered_.push_back({upstream, 0.0, 0, 0, considered_.size(), {}});
     return &considered_.back();
 }
 
@@ -168,6 +171,7 @@
         considered* const it = consider(upstreams, request, hint.upstream);
         if (it == nullptr)
             continue;
+        it->hinted_blocks = std::max(it->hinted_blocks, block + 1);
         double const age = static_cast<double>(hint.age.count()) /
                            static_cast<double>(options_.hint_half_life.count());
         double const expected = std::exp2(-age) * ends_[block];
@@ -246,17 +250,48 @@
                           return left.cost != right.cost ? left.cost < right.cost
                                                          : left.rank < right.rank;
                       });
-    double const total = ends_.empty() ? 0.0 : ends_.back();
     for (std::size_t i = 0; i < length; ++i)
     {
         considered const& it = considered_[i];
-        double const missed = std::max(0.0, total - it.cached_bytes) / options_.bytes_per_token;
-        out.push_back(
-            {it.upstream, it.cost, it.blocks, static_cast<std::uint64_t>(std::llround(missed))});
+        double const missed =
+            ends_.empty() ? 0.0 : ends_.back() - expected_bytes(*request.prefix, it);
+        out.push_back({it.upstream, it.cost, it.blocks,
+                       static_cast<std::uint64_t>(
+                           std::llround(std::max(0.0, missed) / options_.bytes_per_token)),
+                       it.hinted_blocks});
+    }
+    return out;
+}
+
+double router::expected_bytes(prompt_prefix const& prefix, considered const& it) const
+{
+    // The cost prefers the place on which the entries agree, also for a prefix that is cached
+    // nowhere. The load estimate needs the work that is really to be expected there.
+    if (it.hinted_blocks >= it.blocks)
+        return it.cached_bytes;
+    double out = it.hinted_blocks > 0 ? ends_[it.hinted_blocks - 1] : 0.0;
+    std::size_t level = 0;
+    for (std::uint32_t const end : placement_of(prefix))
+    {
+        double const held = placed_hits_[level++];
+        if (end > it.hinted_blocks && end <= it.blocks)
+            out = std::max(out, held * ends_[end - 1]);
     }
     return out;
 }
 
+void router::calibrate(prompt_prefix const& prefix, ranked_upstream const& choice,
+                       std::size_t cached)
+{
+    std::size_t level = 0;
+    for (std::uint32_t const end : placement_of(prefix))
+    {
+        double& held = placed_hits_[level++];
+        if (end > choice.hinted_blocks && end <= choice.expected_blocks)
+            held += calibration_step * ((cached >= end ? 1.0 : 0.0) - held);
+    }
+}
+
 void router::sent(base::time_point now, route_request const& request, ranked_upstream const& choice)
 {
     load_.sent(now, choice.upstream, choice.expected_tokens);
@@ -277,12 +312,17 @@
 
 void router::finished(base::time_point now, route_request const& request,
                       ranked_upstream const& choice, std::string_view engine,
-                      std::optional<std::size_t> held_blocks)
+                      std::optional<std::size_t> held_blocks,
+                      std::optional<std::size_t> cached_blocks)
 {
     load_.finished(now, choice.upstream);
     if (hints_.note_engine(now, choice.upstream, engine))
         load_.forget(choice.upstream);
-    if (request.prefix == nullptr || !held_blocks)
+    if (request.prefix == nullptr)
+        return;
+    if (cached_blocks)
+        calibrate(*request.prefix, choice, *cached_blocks);
+    if (!held_blocks)
         return;
     std::span<std::uint64_t const> const digests = request.prefix->digests;
     std::size_t const held = std::min(*held_blocks, digests.size());
--- a/libraries/savorymount/routing/router.hpp
+++ b/libraries/savorymount/routing/router.hpp
@@ -2,10 +2,12 @@
 
 #include <savorymount/base/random_source.hpp>
 #include <savorymount/routing/cache_hints.hpp>
+#include <savorymount/routing/placement.hpp>
 #include <savorymount/routing/prefix_work.hpp>
 #include <savorymount/routing/route_request.hpp>
 #include <savorymount/routing/upstream_load.hpp>
 
+#include <array>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -54,10 +56,12 @@
     /// The first token arrived, or the request ended without one. Call once per sent request.
     void started(base::time_point now, ranked_upstream const& choice);
 
-    /// The request ended; call `started` before. `held_blocks` is the number of leading blocks that
-    /// the engine holds now, empty when the outcome doesn't say. `engine` is its process id.
+    /// The request ended; call `started` before. `engine` is the engine's process id, empty when
+    /// unknown. `held_blocks` is the number of leading blocks that the engine holds now, and
+    /// `cached_blocks` of those that were cached when prefill started; each empty when unknown.
     void finished(base::time_point now, route_request const& request, ranked_upstream const& choice,
-                  std::string_view engine, std::optional<std::size_t> held_blocks);
+                  std::string_view engine, std::optional<std::size_t> held_blocks,
+                  std::optional<std::size_t> cached_blocks = std::nullopt);
 
     /// A load report with the engine's process id, which may be empty for plain services.
     void load_reported(base::time_point now, upstream_id upstream, std::string_view engine,
@@ -81,6 +85,7 @@
         double cached_bytes = 0;
         /// Leading blocks behind `cached_bytes`.
         std::size_t blocks = 0;
+        std::size_t hinted_blocks = 0;
         /// Position in the order of preference.
         std::size_t rank = 0;
         base::duration cost{0};
@@ -97,12 +102,16 @@
     std::size_t wanted_members(base::time_point now, std::uint64_t digest, bool last,
                                std::size_t pool_size) const;
     void price(base::time_point now);
+    double expected_bytes(prompt_prefix const& prefix, considered const& it) const;
+    void calibrate(prompt_prefix const& prefix, ranked_upstream const& choice, std::size_t cached);
 
     router_options options_;
     base::random_source& random_;
     cache_hints hints_;
     upstream_load load_;
     prefix_work work_;
+    /// Observed share of requests that found a level cached where it was placed without a hint.
+    std::array<double, placement_levels> placed_hits_;
     // Scratch space of one decision, kept to avoid allocations.
     std::vector<considered> considered_;
     std::vector<upstream_id> scope_;
--- a/tests/libraries/routing/router_test.cpp
+++ b/tests/libraries/routing/router_test.cpp
@@ -62,7 +62,7 @@
 {
     prompt_prefix const first = prompt(1, 1);
     upstream_id const other = choose(decisions, at(seconds(0)), first).at(2).upstream;
-    decisions.finished(at(seconds(0)), {&first, {}}, {other, {}, 0, 0}, "p1", 6);
+    decisions.finished(at(seconds(0)), {&first, {}}, {other, {}, 0, 0, 0}, "p1", 6);
     prompt_prefix const second = prompt(1, 2);
     ranked_choice const choice = choose(decisions, at(seconds(1)), second);
     EXPECT_EQ(choice.at(0).upstream, other);
@@ -75,7 +75,7 @@
     prompt_prefix const first = prompt(1, 1);
     upstream_id const home = choose(decisions, at(seconds(0)), first).at(0).upstream;
     upstream_id const other = choose(decisions, at(seconds(0)), first).at(2).upstream;
-    decisions.finished(at(seconds(0)), {&first, {}}, {other, {}, 0, 0}, "p1", 6);
+    decisions.finished(at(seconds(0)), {&first, {}}, {other, {}, 0, 0, 0}, "p1", 6);
     decisions.load_reported(at(seconds(1)), other, "p2", {});
     EXPECT_EQ(choose(decisions, at(seconds(1)), first).at(0).upstream, home);
 }
@@ -149,8 +149,8 @@
         return id % 2 == 0 ? 1.0 : 0.0;
     };
     upstream_id const foreign = 500;
-    decisions.finished(at(seconds(0)), {&prefix, {}}, {foreign, {}, 0, 0}, "p1", 6);
-    decisions.finished(at(seconds(0)), {&prefix, {}}, {1, {}, 0, 0}, "p1", 6);
+    decisions.finished(at(seconds(0)), {&prefix, {}}, {foreign, {}, 0, 0, 0}, "p1", 6);
+    decisions.finished(at(seconds(0)), {&prefix, {}}, {1, {}, 0, 0, 0}, "p1", 6);
     std::vector<upstream_id> tried;
     for (int i = 0; i < 10; ++i)
     {
@@ -182,6 +182,23 @@
     EXPECT_LT(count, 280);
 }
 
+// Guards against an upstream that looks idle because its queued requests were expected to be hits.
+TEST_F(router_test, expected_work_follows_the_observed_hits)
+{
+    ranked_upstream first;
+    for (std::uint64_t client = 0; client < 200; ++client)
+    {
+        prompt_prefix const prefix = prompt(client, client);
+        ranked_upstream const choice = choose(decisions, at(seconds(0)), prefix).at(0);
+        if (client == 0)
+            first = choice;
+        decisions.finished(at(seconds(0)), {&prefix, {}}, choice, "p", 6, 0);
+    }
+    ranked_upstream const last = choose(decisions, at(seconds(100)), prompt(999, 999)).at(0);
+    EXPECT_LT(first.expected_tokens, 3000U);
+    EXPECT_GT(last.expected_tokens, 8000U);
+}
+
 // Guards against plain requests that all go to one upstream.
 TEST_F(router_test, plain_requests_follow_the_load)
 {
@@ -275,8 +292,8 @@
         if (random.below(2) == 0)
             continue;
         decisions.started(now, choice[0]);
-        decisions.finished(now, {&prefix, {}}, choice[0], std::to_string(random.below(2)),
-                           random.below(7));
+        std::string const engine = std::to_string(random.below(2));
+        decisions.finished(now, {&prefix, {}}, choice[0], engine, random.below(7), random.below(7));
     }
 }
 
--- a/utilities/bench/decision_time.cpp
+++ b/utilities/bench/decision_time.cpp
@@ -73,7 +73,7 @@
         auto const chosen = wall_clock::now();
         router.sent(now, {&prefix, {}}, choice.front());
         router.started(now, choice.front());
-        router.finished(now, {&prefix, {}}, choice.front(), "p", blocks);
+        router.finished(now, {&prefix, {}}, choice.front(), "p", blocks, blocks);
         auto const noted = wall_clock::now();
         if (times == nullptr)
             return;
--- a/utilities/bench/simulation.cpp
+++ b/utilities/bench/simulation.cpp
@@ -60,6 +60,7 @@
     simulated_request const* request = nullptr;
     std::vector<routing::upstream_id> tried;
     bool measured_blocks = false;
+    std::size_t cached_blocks = 0;
     std::optional<base::time_point> first_token;
     bool completed = false;
     bool refused = false;
@@ -225,7 +226,7 @@
             kind_ == workload_kind::hot_prefix || kind_ == workload_kind::moving_prefix;
         if (!(hot && request.workspace == disturbing_workspace) && !admit(request))
             return;
-        states_.push_back({&request, {}, false, {}, false, false});
+        states_.push_back({&request, {}, false, 0, {}, false, false});
         std::size_t const index = states_.size() - 1;
         std::size_t const shareable = request.prefix.digests.size() - 1;
         oracle_hits_.add(request.arrival, kind_, shareable,
@@ -309,8 +310,10 @@
             else
             {
                 at.ejection.succeeded(clock_.now(), chosen.upstream);
-                at.router.finished(clock_.now(), route, chosen, engine.engine_id(),
-                                   engine.cache().leading(state.request->prefix.digests));
+                std::string const id = engine.engine_id();
+                at.router.finished(clock_.now(), route, chosen, id,
+                                   engine.cache().leading(state.request->prefix.digests),
+                                   state.cached_blocks);
                 report_load(state.request->entry, chosen.upstream);
             }
         }
@@ -321,6 +324,7 @@
     void count_blocks(std::size_t index, std::size_t chosen, std::size_t cached)
     {
         request_state& state = states_[index];
+        state.cached_blocks = cached;
         if (std::exchange(state.measured_blocks, true))
             return;
         auto const& digests = state.request->prefix.digests;
