Balance the work over upstreams in the long run

Cause: rendezvous hashing gives some upstreams several large clients. Their queues came and went faster than load reports (about 0.5 s old on average), so the expected wait alone moved single requests, too late, and left copies behind. A trial with reports free of lag, and with a report on each first token, changed neither hits nor tail.

The entries see similar shares and so move the same prefixes.

--- a/libraries/savorymount/routing/router.cpp
+++ b/libraries/savorymount/routing/router.cpp
@@ -24,6 +24,8 @@
 constexpr double work_per_request = 250;
 /// Requests that a prefix of an upper level is taken to have had beyond those seen.
 constexpr double prior_requests = 2;
+/// Age at which the share of busy upstreams counts half.
+constexpr base::duration busy_half_life = std::chrono::seconds(10);
 /// Weight of the newest observation in the calibration of placements.
 constexpr double calibration_step = 0.02;
 /// Most blocks whose hints are looked up in one decision, besides the search for the deepest one.
@@ -36,7 +38,7 @@
 
 router::router(router_options const& options, base::random_source& random)
     : options_(options), random_(random), hints_(options.hints), load_(options.report_lag),
-      work_(work_places, options.work_half_life)
+      work_(work_places, options.work_half_life), shares_(options.work_half_life)
 {
     placed_hits_.fill(options.placed_confidence);
 }
@@ -206,24 +208,47 @@
     }
 }
 
-void router::price(base::time_point now)
+void router::price(base::time_point now, std::size_t pool_size)
 {
     double const total = ends_.empty() ? 0.0 : ends_.back();
     double const per_token = static_cast<double>(options_.prefill_per_token.count()) / 1000.0;
-    for (considered& it : considered_)
+    double const per_byte = per_token / options_.bytes_per_token;
+    loads_.clear();
+    std::size_t busy = 0;
+    for (considered const& it : considered_)
+    {
+        loads_.push_back(load_.estimate(now, it.upstream));
+        busy += loads_.back().requests > 0 ? 1 : 0;
+    }
+    note_busy(now, busy);
+    for (std::size_t i = 0; i < considered_.size(); ++i)
     {
-        load_estimate const load = load_.estimate(now, it.upstream);
-        double const missed = std::max(0.0, total - it.cached_bytes) / options_.bytes_per_token;
-        double const prefill = missed * per_token;
+        considered& it = considered_[i];
+        load_estimate const& load = loads_[i];
+        double const missed = std::max(0.0, total - it.cached_bytes);
+        double const excess = std::max(0.0, shares_.relative(now, it.upstream, pool_size) - 1.0);
         double const wait = static_cast<double>(load.queued_tokens) * per_token +
                             static_cast<double>(load.requests) *
                                 static_cast<double>(options_.delay_per_request.count());
+        double const prefill =
+            (missed + options_.balance * busy_share_ * excess * total) * per_byte;
         it.cost = base::duration(
                       static_cast<base::duration::rep>(options_.prefill_weight * prefill + wait)) +
                   cost_per_rank * it.rank;
     }
 }
 
+void router::note_busy(base::time_point now, std::size_t busy)
+{
+    if (considered_.empty())
+        return;
+    double const share = static_cast<double>(busy) / static_cast<double>(considered_.size());
+    double const age = static_cast<double>(std::max(base::duration(0), now - busy_at_).count());
+    double const left = std::exp2(-age / static_cast<double>(busy_half_life.count()));
+    busy_share_ = share + left * (busy_share_ - share);
+    busy_at_ = std::max(busy_at_, now);
+}
+
 ranked_choice router::choose(base::time_point now, route_request const& request,
                              candidates const& upstreams)
 {
@@ -242,7 +267,7 @@
         apply_hints(now, request, upstreams);
     }
     sample(request, upstreams);
-    price(now);
+    price(now, upstreams.pool->size());
     std::size_t const length = std::min(options_.ranked, considered_.size());
     std::partial_sort(considered_.begin(),
                       considered_.begin() + static_cast<std::ptrdiff_t>(length), considered_.end(),
@@ -300,6 +325,7 @@
         return;
     hints_.learn(now, request.prefix->digests, choice.upstream);
     double const work = work_per_request + static_cast<double>(choice.expected_tokens);
+    shares_.add(now, choice.upstream, work);
     work_.add_total(now, work);
     for (std::uint32_t const end : placement_of(*request.prefix))
         work_.add(now, request.prefix->digests[end - 1], work);
@@ -342,11 +368,13 @@
 {
     hints_.forget_upstream(now, upstream);
     load_.forget(upstream);
+    shares_.forget(upstream);
 }
 
 std::size_t router::memory_bytes() const
 {
-    return hints_.memory_bytes() + load_.memory_bytes() + work_.memory_bytes();
+    return hints_.memory_bytes() + load_.memory_bytes() + work_.memory_bytes() +
+           shares_.memory_bytes();
 }
 
 } // namespace savorymount::routing
--- a/libraries/savorymount/routing/router.hpp
+++ b/libraries/savorymount/routing/router.hpp
@@ -6,6 +6,7 @@
 #include <savorymount/routing/prefix_work.hpp>
 #include <savorymount/routing/route_request.hpp>
 #include <savorymount/routing/upstream_load.hpp>
+#include <savorymount/routing/upstream_share.hpp>
 
 #include <array>
 #include <optional>
@@ -25,9 +26,12 @@
     /// Time by which each open request delays a new one.
     base::duration delay_per_request = std::chrono::milliseconds(2);
     double bytes_per_token = 4.0;
+    /// Cost of an upstream that gets twice its share of this entry's work, in prefills of the
+    /// prompt.
+    double balance = 1.2;
     /// Weight of prefill against wait: computing a block again also delays later requests and
     /// evicts other blocks.
-    double prefill_weight = 2;
+    double prefill_weight = 2.0;
     /// Age at which half of the hinted blocks are expected to be evicted.
     base::duration hint_half_life = std::chrono::seconds(20);
     /// Expected share of a prefix that the upstreams of its placement hold without a hint.
@@ -101,7 +105,8 @@
                               candidates const& upstreams, std::size_t block);
     std::size_t wanted_members(base::time_point now, std::uint64_t digest, bool last,
                                std::size_t pool_size) const;
-    void price(base::time_point now);
+    void price(base::time_point now, std::size_t pool_size);
+    void note_busy(base::time_point now, std::size_t busy);
     double expected_bytes(prompt_prefix const& prefix, considered const& it) const;
     void calibrate(prompt_prefix const& prefix, ranked_upstream const& choice, std::size_t cached);
 
@@ -110,11 +115,16 @@
     cache_hints hints_;
     upstream_load load_;
     prefix_work work_;
+    upstream_share shares_;
     /// Observed share of requests that found a level cached where it was placed without a hint.
     std::array<double, placement_levels> placed_hits_;
+    /// Recent share of upstreams with open requests. An idle fleet needs no balance.
+    double busy_share_ = 0;
+    base::time_point busy_at_{};
     // Scratch space of one decision, kept to avoid allocations.
     std::vector<considered> considered_;
     std::vector<upstream_id> scope_;
+    std::vector<load_estimate> loads_;
     std::vector<upstream_id> rejected_;
     std::vector<double> ends_;
 };
