--- a/libraries/savorymount/routing/router.hpp
+++ b/libraries/savorymount/routing/router.hpp
@@ -28,10 +28,10 @@
     double bytes_per_token = 4.0;
     /// Cost of an upstream that gets twice its share of this entry's work, in prefills of the
     /// prompt.
-    double balance = 1.2;
+    double balance = 2.0;
     /// Weight of prefill against wait: computing a block again also delays later requests and
     /// evicts other blocks.
-    double prefill_weight = 2.0;
+    double prefill_weight = 3.0;
     /// Age at which half of the hinted blocks are expected to be evicted.
     base::duration hint_half_life = std::chrono::seconds(20);
     /// Expected share of a prefix that the upstreams of its placement hold without a hint.
