--- a/libraries/savorymount/configuration/schema.cpp
+++ b/libraries/savorymount/configuration/schema.cpp
@@ -62,7 +62,7 @@
 };
 
 constexpr std::array change_fields{
-    field_rule{"kind", field_type::name, "", "", 6, 6},
+    field_rule{"kind", field_type::constant, "", "", 0, 0, "change"},
     field_rule{"base", field_type::whole_number, "offset", "", 0, max_offset},
     field_rule{"operator", field_type::identifier, "", "", 1, max_identifier_length},
     field_rule{"time_ms", field_type::whole_number, "ms", "", 0, max_offset},
@@ -70,7 +70,7 @@
 };
 
 constexpr std::array snapshot_fields{
-    field_rule{"kind", field_type::name, "", "", 8, 8},
+    field_rule{"kind", field_type::constant, "", "", 0, 0, "snapshot"},
     field_rule{"version", field_type::whole_number, "offset", "", 1, max_offset},
     field_rule{"through", field_type::whole_number, "offset", "0", 0, max_offset},
     field_rule{"documents", field_type::object_list, "", "", 0, 10'000},
@@ -197,6 +197,8 @@
                "or \"..\" segments";
     case field_type::upstream_kind:
         return "\"model\" or \"plain\"";
+    case field_type::constant:
+        return "\"" + std::string(rule.constant) + "\"";
     case field_type::whole_number:
         return "a whole number from " + from_to(rule);
     case field_type::flag:
@@ -233,6 +235,8 @@
         return sized && is_path(text);
     case field_type::upstream_kind:
         return parse_upstream_kind(text).has_value();
+    case field_type::constant:
+        return text == rule.constant;
     default:
         return false;
     }
--- a/libraries/savorymount/configuration/schema.hpp
+++ b/libraries/savorymount/configuration/schema.hpp
@@ -23,6 +23,8 @@
     path,
     /// `model` or `plain`.
     upstream_kind,
+    /// The text in `constant`.
+    constant,
     whole_number,
     flag,
     /// Names without duplicates.
@@ -43,6 +45,7 @@
     std::string_view fallback;
     std::uint64_t minimum = 0;
     std::uint64_t maximum = 0;
+    std::string_view constant = {};
 };
 
 /// The fields of one kind of document or of an object inside one.
--- a/tests/libraries/configuration/publication_test.cpp
+++ b/tests/libraries/configuration/publication_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/libraries/configuration/seeded_check.hpp"
+#include "tests/libraries/seeded_property.hpp"
 #include <savorymount/configuration/configuration_log.hpp>
 #include <savorymount/configuration/publication.hpp>
 
@@ -95,7 +95,7 @@
 // way round, when responses are lost, records arrive late and other operators publish.
 TEST(publication, reported_outcome_is_true)
 {
-    tests::check(
+    savorymount::tests::check_seeded(
         20'263, 3'000,
         []
         {
