Count crashes at the entry, expose metrics, follow the linter

Change: the entry counts crashes too; /metrics shows requests and first-token times; linter findings are fixed. Conclusion: within one request a third crash is prevented.

--- a/libraries/savorymount/agent/agent_request.cpp
+++ b/libraries/savorymount/agent/agent_request.cpp
@@ -151,7 +151,7 @@
     }
     chunk.end = next_token_;
     if (!chunk.bytes.empty())
-        pump_->chunk(std::move(chunk));
+        pump_->chunk(chunk);
     if (!intact)
         stop(reason);
 }
--- a/libraries/savorymount/agent/answer_pump.cpp
+++ b/libraries/savorymount/agent/answer_pump.cpp
@@ -54,7 +54,7 @@
     send_head();
 }
 
-void answer_pump::chunk(streams::replay_chunk chunk)
+void answer_pump::chunk(streams::replay_chunk const& chunk)
 {
     base::error reason;
     if (buffer_.append(chunk, reason))
--- a/libraries/savorymount/agent/answer_pump.hpp
+++ b/libraries/savorymount/agent/answer_pump.hpp
@@ -40,7 +40,7 @@
     void finish();
 
     void head(int status, runtime::http_headers headers);
-    void chunk(streams::replay_chunk chunk);
+    void chunk(streams::replay_chunk const& chunk);
 
     /// Position behind the newest chunk.
     std::uint64_t position() const { return buffer_.end(); }
--- a/libraries/savorymount/entry/entry.cpp
+++ b/libraries/savorymount/entry/entry.cpp
@@ -39,6 +39,9 @@
     kernel_->set_peer_maker(
         [this](kj::Maybe<wire::Peer::Client> caller)
         { return wire::Peer::Client(kj::heap<runtime::base_peer>(*kernel_, kj::mv(caller))); });
+    kernel_->configuration().on_change(
+        [this](configuration::configuration const& current)
+        { quarantine_.set_quarantine(current.settings().quarantine); });
     kernel_->on_leave([this] { server_.stop_accepting(); });
     kernel_->add_status([this](nlohmann::json& status)
                         { status["running"] = server_.open_exchanges(); });
@@ -97,6 +100,22 @@
     std::make_shared<entry_request>(context_, exchange, std::move(*request))->start();
 }
 
+void entry::record(std::string const& workspace, std::string const& end,
+                   std::optional<base::duration> first_token)
+{
+    auto& metrics = kernel_->metrics();
+    metrics
+        .counter("savorymount_requests_total", "Requests by workspace and how they ended.",
+                 {{"workspace", workspace}, {"end", end}})
+        .add();
+    if (!first_token)
+        return;
+    metrics
+        .histogram("savorymount_first_token_seconds", "Time to the first byte of the answer.",
+                   {{"workspace", workspace}})
+        .record(std::chrono::duration<double>(*first_token).count());
+}
+
 std::string entry::make_request_id()
 {
     return kernel_->settings().instance + "-" + kernel_->settings().incarnation + "-" +
--- a/libraries/savorymount/entry/entry.hpp
+++ b/libraries/savorymount/entry/entry.hpp
@@ -28,11 +28,14 @@
 private:
     void handle(std::shared_ptr<runtime::http_exchange> const& exchange);
     std::string make_request_id();
+    void record(std::string const& workspace, std::string const& end,
+                std::optional<base::duration> first_token);
 
     entry_settings settings_;
     std::unique_ptr<runtime::kernel> kernel_;
     upstream_selector selector_;
     limits::overload_gate gate_;
+    retries::crash_quarantine quarantine_;
     entry_context context_;
     runtime::http_server server_;
     std::uint64_t next_request_ = 1;
--- a/libraries/savorymount/entry/entry_context.hpp
+++ b/libraries/savorymount/entry/entry_context.hpp
@@ -3,6 +3,7 @@
 #include <savorymount/entry/entry_settings.hpp>
 #include <savorymount/entry/upstream_selector.hpp>
 #include <savorymount/limits/overload_gate.hpp>
+#include <savorymount/retries/crash_quarantine.hpp>
 #include <savorymount/runtime/kernel.hpp>
 
 #include <functional>
@@ -18,6 +19,7 @@
     entry_settings const& settings;
     upstream_selector& selector;
     limits::overload_gate& gate;
+    retries::crash_quarantine& quarantine;
     /// Told about the end of each request: workspace, `completed` or an error kind, and the time
     /// to the first token, if there was one.
     std::function<void(std::string const& workspace, std::string const& end,
--- a/libraries/savorymount/entry/entry_request.cpp
+++ b/libraries/savorymount/entry/entry_request.cpp
@@ -48,6 +48,8 @@
         return kj::READY_NOW;
     if (!std::exchange(first_token_seen_, true) && upstream_)
         context_.selector.started(*upstream_);
+    if (!first_token_)
+        first_token_ = context_.kernel.now() - started_at_;
     base::error reason;
     if (!relay_.chunk(position, bytes, reason))
     {
@@ -63,7 +65,7 @@
 
 void entry_request::try_next()
 {
-    if (done_)
+    if (done_ || quarantined())
         return;
     auto const upstream = context_.selector.select(request_, tried_);
     if (upstream)
@@ -79,6 +81,17 @@
             1s);
 }
 
+bool entry_request::quarantined()
+{
+    auto const left = context_.quarantine.refused_for(context_.kernel.now(), request_.digest);
+    if (left)
+        end({base::error_kind::crashed,
+             "this request ended the upstreams that ran it twice and is refused for now; change "
+             "the request"},
+            {});
+    return left.has_value();
+}
+
 void entry_request::submit(selected_upstream const& upstream)
 {
     auto* const connection = context_.kernel.peers().find(upstream.name);
@@ -234,11 +247,14 @@
     {
         end_attempt(outcome);
         context_.gate.admitted(request_.workspace);
-        context_.record(request_.workspace, "completed", context_.kernel.now() - started_at_);
+        context_.record(request_.workspace, "completed", first_token_);
         finish();
         return;
     }
     may_have_run_ = true;
+    // The crash record takes a moment to reach the other agents, so this entry counts as well.
+    if (outcome.crashed)
+        context_.quarantine.crashed(context_.kernel.now(), request_.digest, source_request_);
     auto failed = outcome;
     failed.end = outcome_kind::failed;
     end_attempt(failed);
--- a/libraries/savorymount/entry/entry_request.hpp
+++ b/libraries/savorymount/entry/entry_request.hpp
@@ -41,6 +41,7 @@
     void give_up_source(base::error const& reason);
     void end_attempt(runtime::request_outcome const& outcome);
     void end(base::error const& reason, base::duration retry_after);
+    bool quarantined();
     void caller_gone();
     void finish();
 
@@ -61,6 +62,7 @@
     bool done_ = false;
     std::optional<base::error> last_reason_;
     base::time_point started_at_{};
+    std::optional<base::duration> first_token_;
     base::time_point attach_until_{};
     runtime::timer_service::subscription timer_;
 };
--- a/libraries/savorymount/runtime/base_peer.hpp
+++ b/libraries/savorymount/runtime/base_peer.hpp
@@ -16,6 +16,9 @@
     {
     }
 
+    // KJ's server interface has no virtual destructor of its own.
+    virtual ~base_peer() noexcept(false) = default;
+
 protected:
     kj::Promise<void> ping(PingContext call) override;
     kj::Promise<void> configuration(ConfigurationContext call) override;
--- a/libraries/savorymount/runtime/kernel.cpp
+++ b/libraries/savorymount/runtime/kernel.cpp
@@ -63,6 +63,10 @@
                      { handle_status(exchange); })
 {
     list_.on_list([this](std::vector<instance_record> const& list_now) { take_list(list_now); });
+    metrics_.gauge("savorymount_configuration_version", "Configuration version in force here.")
+        .set_source([this] { return static_cast<double>(configuration_.version()); });
+    metrics_.gauge("savorymount_peers", "Usable connections to other instances.")
+        .set_source([this] { return static_cast<double>(peers_.usable()); });
 }
 
 peer_connection_options kernel::peer_options(std::string const& name)
@@ -139,11 +143,13 @@
         return;
     }
     http_headers const text{{"content-type", "text/plain; version=0.0.4"}};
-    bool const ready = configuration_.ready() && shutdown_.accepting();
+    // An entry without any agent could only refuse, so the balancer should not choose it.
+    bool const connected = settings_.role != "entry" || peers_.usable() > 0;
+    bool const ready = configuration_.ready() && shutdown_.accepting() && connected;
     if (path == "/status")
         exchange->respond(200, {{"content-type", "application/json"}}, status().dump(2) + "\n");
     else if (path == "/metrics")
-        exchange->respond(200, text, metrics_ ? metrics_() : std::string());
+        exchange->respond(200, text, metrics_.render());
     else if (path == "/healthz")
         exchange->respond(200, text, "ok\n");
     else if (path == "/readyz")
@@ -166,6 +172,7 @@
                        {"data_centre", settings_.data_centre},
                        {"group", settings_.group},
                        {"version", configuration_.version()},
+                       {"peers", peers_.usable()},
                        {"state", shutdown_.accepting() ? "live" : "leaving"},
                        {"degraded", degraded}};
     for (auto const& it : status_hooks_)
--- a/libraries/savorymount/runtime/kernel.hpp
+++ b/libraries/savorymount/runtime/kernel.hpp
@@ -8,6 +8,7 @@
 #include <savorymount/runtime/kernel_settings.hpp>
 #include <savorymount/runtime/list_follower.hpp>
 #include <savorymount/runtime/log_follower.hpp>
+#include <savorymount/runtime/metrics.hpp>
 #include <savorymount/runtime/peer_pool.hpp>
 #include <savorymount/runtime/rpc_server.hpp>
 #include <savorymount/runtime/timer_service.hpp>
@@ -33,7 +34,6 @@
     using peer_maker = std::function<wire::Peer::Client(kj::Maybe<wire::Peer::Client> caller)>;
     /// Adds fields to the `/status` answer.
     using status_hook = std::function<void(nlohmann::json&)>;
-    using metrics_hook = std::function<std::string()>;
 
     /// Null, with a reason, when a plug-in is unknown.
     static std::unique_ptr<kernel> make(kernel_settings settings, base::error& reason);
@@ -50,11 +50,11 @@
     membership::instance_directory& directory() { return directory_; }
     membership::shutdown_state& shutdown() { return shutdown_; }
     peer_pool& peers() { return peers_; }
+    runtime::metrics& metrics() { return metrics_; }
     base::time_point now() const { return loop_->now(); }
 
     void set_peer_maker(peer_maker make) { make_peer_ = std::move(make); }
     void add_status(status_hook hook) { status_hooks_.push_back(std::move(hook)); }
-    void set_metrics(metrics_hook hook) { metrics_ = std::move(hook); }
     /// Called when SIGTERM arrives.
     void on_leave(std::function<void()> hook) { leave_hooks_.push_back(std::move(hook)); }
     /// Called for every heartbeat of a peer with its load.
@@ -96,7 +96,7 @@
     peer_pool peers_;
     peer_maker make_peer_;
     std::vector<status_hook> status_hooks_;
-    metrics_hook metrics_;
+    runtime::metrics metrics_;
     std::vector<std::function<void()>> leave_hooks_;
     std::vector<
         std::function<void(std::string const&, wire::Context::Reader, wire::LoadReport::Reader)>>
--- a/libraries/savorymount/runtime/peer_pool.cpp
+++ b/libraries/savorymount/runtime/peer_pool.cpp
@@ -1,6 +1,8 @@
 #include <savorymount/runtime/peer_pool.hpp>
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace savorymount::runtime
 {
@@ -40,6 +42,13 @@
         drop(it);
 }
 
+std::size_t peer_pool::usable() const
+{
+    return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                                  [](auto const& it)
+                                                  { return it.second->usable(); }));
+}
+
 peer_connection* peer_pool::find(std::string const& name)
 {
     auto const it = connections_.find(name);
--- a/libraries/savorymount/runtime/peer_pool.hpp
+++ b/libraries/savorymount/runtime/peer_pool.hpp
@@ -34,7 +34,8 @@
     /// The usable connection to the peer, or null.
     peer_connection* find(std::string const& name);
 
-    std::size_t size() const { return connections_.size(); }
+    /// Number of usable connections.
+    std::size_t usable() const;
 
 private:
     event_loop& loop_;
--- a/tests/libraries/limits/limits_world.cpp
+++ b/tests/libraries/limits/limits_world.cpp
@@ -480,8 +480,9 @@
         carry_out(at);
     }
     std::uint64_t const mean = 1'000'000 / it.per_second;
-    time_.after(base::duration(static_cast<std::int64_t>(1 + random_.below(2 * mean))),
-                [this, it, number, end] { generate(it, number, end); });
+    time_.after(
+        base::duration(static_cast<std::int64_t>(1 + random_.below(std::uint64_t{2} * mean))),
+        [this, it, number, end] { generate(it, number, end); });
 }
 
 void limits_world::deliver(unsigned number, std::uint64_t life, base::duration after,
--- a/tests/libraries/runtime/peer_connection_test.cpp
+++ b/tests/libraries/runtime/peer_connection_test.cpp
@@ -33,10 +33,10 @@
 class peer_connection_test : public testing::Test
 {
 protected:
-    void serve(std::string secret)
+    void serve(std::string const& secret)
     {
         server_ = std::make_unique<rpc_server>(
-            loop_, timers_, std::move(secret),
+            loop_, timers_, secret,
             [this](wire::Context::Reader, wire::Peer::Client)
             { return wire::Peer::Client(kj::heap<counting_peer>(pings_)); },
             [](wire::Context::Builder it) { it.setInstance("server"); });
