--- a/libraries/savorymount/limits/agent_list.hpp
+++ b/libraries/savorymount/limits/agent_list.hpp
@@ -27,8 +27,8 @@
     bool contains(std::string const& id) const { return by_id_.count(id) != 0; }
 
     /// The agent that should own the bucket of `workspace`: the first of its rendezvous order among
-    /// the agents that are not leaving. Empty if there is none.
-    std::string candidate(std::string_view workspace) const;
+    /// the agents that are not leaving, without `skipped`. Empty if there is none.
+    std::string candidate(std::string_view workspace, std::string_view skipped = {}) const;
 
 private:
     std::vector<entry> entries_;
--- a/libraries/savorymount/limits/bucket_lease.cpp
+++ b/libraries/savorymount/limits/bucket_lease.cpp
@@ -42,9 +42,11 @@
     note_presence(now, sent, list);
     note_absence(now, list, gap);
     auto const takeover_possible = !newest_ || newest_->agent.empty() || !absent_id_.empty();
-    // The rendezvous order costs a digest per agent, so it is computed only when it matters.
+    // The rendezvous order costs a digest per agent, so it is computed only when it matters. The
+    // list may still show an agent that released as live.
+    auto const skipped = newest_ ? newest_->released_by : std::string();
     candidate_ = fence_ == 0 && !leaving_ && takeover_possible &&
-                 list.candidate(workspace_) == own_list_id();
+                 list.candidate(workspace_, skipped) == own_list_id();
     advance(now, out);
     return out;
 }
--- a/libraries/savorymount/limits/lease_directory.cpp
+++ b/libraries/savorymount/limits/lease_directory.cpp
@@ -33,6 +33,8 @@
         if (record.fence != 0 && !(same_holder && record.fence == current->fence))
             return false;
         next.after_release = current->agent.empty();
+        if (record.agent.empty() && !current->agent.empty())
+            next.released_by = current->list_id();
         if (record.fence != 0)
         {
             next.fence = current->fence;
--- a/libraries/savorymount/limits/lease_directory.hpp
+++ b/libraries/savorymount/limits/lease_directory.hpp
@@ -24,6 +24,8 @@
     std::uint64_t previous = 0;
     /// True if the lease that this one followed had been released.
     bool after_release = false;
+    /// After a clean release, the list id of the holder that released.
+    std::string released_by{};
 
     /// The holder's id in the instance list, `agent#incarnation`.
     std::string list_id() const { return agent + "#" + incarnation; }
--- a/tests/libraries/limits/limits_invariant_test.cpp
+++ b/tests/libraries/limits/limits_invariant_test.cpp
@@ -301,6 +301,54 @@
         });
 }
 
+/// The longest time without an admission in a history with steady, small demand.
+base::duration longest_gap(fault_kind kind, std::uint32_t seed)
+{
+    history_plan plan;
+    plan.seed = seed;
+    plan.agents = 4;
+    plan.length = std::chrono::seconds(120);
+    plan.faults = {{kind, std::chrono::seconds(30), std::chrono::seconds(1), newest_holder}};
+    plan.demands = {{std::chrono::seconds(5), std::chrono::seconds(115), 10, 10}};
+    limits_world world(plan);
+    world.run();
+    auto const history = world.history();
+    base::duration out = std::chrono::hours(1);
+    for (std::size_t n = 1; n < history.size(); ++n)
+        out = std::max(n == 1 ? base::duration::zero() : out, history[n].at - history[n - 1].at);
+    return out;
+}
+
+// Guards against a workspace that stays without an owner: takeover takes the list's lag, the
+// absence and the waiting time of the design page, and a few polls.
+TEST(limits_invariant, lost_owner_is_replaced_in_time)
+{
+    limits::limit_timing const timing;
+    auto const polls = std::chrono::seconds(4);
+    auto const bound = timing.list_lag_bound + timing.absence() + timing.takeover_wait() + polls;
+    check_seeded(0x16, 50,
+                 [&]
+                 {
+                     auto const seed = *rc::gen::arbitrary<std::uint32_t>();
+                     RC_ASSERT(longest_gap(fault_kind::kill, seed) <= bound);
+                 });
+}
+
+// Guards against a clean shutdown that costs as much as a crash: the next owner starts as soon as
+// the grants have ended.
+TEST(limits_invariant, clean_release_hands_over_in_time)
+{
+    limits::limit_timing const timing;
+    auto const polls = std::chrono::seconds(4);
+    auto const bound = timing.grant_lifetime + timing.margin + polls;
+    check_seeded(0x17, 50,
+                 [&]
+                 {
+                     auto const seed = *rc::gen::arbitrary<std::uint32_t>();
+                     RC_ASSERT(longest_gap(fault_kind::leave, seed) <= bound);
+                 });
+}
+
 // Guards against a checker that accepts everything.
 TEST(limits_invariant, checker_finds_excess)
 {
--- a/tests/libraries/limits/limits_world.cpp
+++ b/tests/libraries/limits/limits_world.cpp
@@ -454,6 +454,12 @@
     }
     auto const index = admissions_.size();
     admissions_.push_back({{time_.now(), request.tokens}, request.tokens});
+    deliver(number, life, request.run / 2,
+            [this, request, reservation = result.reservation](node& at)
+            {
+                at.account->progress(local(at), reservation, request.used / 2);
+                carry_out(at);
+            });
     deliver(number, life, request.run,
             [this, index, request, reservation = result.reservation](node& at)
             {
