--- a/utilities/bench/simulation.cpp
+++ b/utilities/bench/simulation.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -70,7 +71,8 @@
 {
     if (values.empty())
         return 0;
-    auto const at = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
+    auto const at =
+        static_cast<std::size_t>(std::lround(share * static_cast<double>(values.size() - 1)));
     std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(at),
                      values.end());
     return values[at];
@@ -211,8 +213,7 @@
         level += rate * seconds(clock_.now() - refilled_at_[workspace]);
         level = std::min(level, rate * seconds(contract_burst));
         refilled_at_[workspace] = clock_.now();
-        auto const tokens = static_cast<double>(request.prefix.text_bytes / bytes_per_token +
-                                                request.answer_tokens);
+        auto const tokens = static_cast<double>(prompt_tokens(of_) + request.answer_tokens);
         if (level < tokens)
             return false;
         level -= tokens;
