Read usage and positions as the streams module defines them; add fault tests

Cause: the engine numbers its usage event, so usage was never read from streams; resumed streams appended at a wrong position; confirmed chunks without a trailing token kept the upstream paused. Change: usage from every event, buffers that start at the resume position, chunks that say whether they end with a token. System tests kill, freeze and cut; the router gets the cached blocks of each outcome.

--- a/libraries/savorymount/agent/agent_request.cpp
+++ b/libraries/savorymount/agent/agent_request.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 agent_request::agent_request(runtime::event_loop& loop, submitted_request request)
-    : loop_(loop), request_(std::move(request)), next_token_(request_.resume_from)
+    : loop_(loop), request_(std::move(request)), parser_({}, request_.resume_from),
+      next_token_(request_.resume_from)
 {
     answer_pump::hooks callbacks;
     callbacks.on_window = [this](bool full)
@@ -43,7 +44,7 @@
         if (on_entry_lost)
             on_entry_lost();
     };
-    pump_ = std::make_shared<answer_pump>(loop_, std::move(callbacks));
+    pump_ = std::make_shared<answer_pump>(loop_, std::move(callbacks), request_.resume_from);
 }
 
 void agent_request::run(runtime::upstream_adapter const& adapter, std::string cache_salt,
@@ -125,7 +126,7 @@
         json_ += bytes;
     auto const start = next_byte_;
     next_byte_ += bytes.size();
-    pump_->chunk({start, next_byte_, std::string(bytes)});
+    pump_->chunk({start, next_byte_, std::string(bytes), true});
 }
 
 void agent_request::take_events(std::string_view bytes)
@@ -134,20 +135,17 @@
     base::error reason;
     bool const intact = parser_.feed(bytes, events, reason);
     // One chunk carries whole events only, so that an entry can attach at any chunk.
-    streams::replay_chunk chunk{next_token_, next_token_, {}};
+    streams::replay_chunk chunk{next_token_, next_token_, {}, false};
     for (auto const& it : events)
     {
         chunk.bytes += it.raw;
+        chunk.ends_with_token = it.id.has_value();
         if (it.id)
             next_token_ = *it.id + 1;
-        if (it.data == "[DONE]")
-            done_seen_ = true;
-        else if (!it.id)
-        {
-            base::error ignored;
-            auto const usage = streams::parse_chat_usage(it.data, ignored);
-            usage_ = usage ? usage : usage_;
-        }
+        base::error ignored;
+        auto const usage = streams::parse_event_usage(it.data, ignored);
+        usage_ = usage ? usage : usage_;
+        done_seen_ = done_seen_ || it.data == "[DONE]";
     }
     chunk.end = next_token_;
     if (!chunk.bytes.empty())
--- a/libraries/savorymount/agent/answer_pump.cpp
+++ b/libraries/savorymount/agent/answer_pump.cpp
@@ -13,8 +13,8 @@
 
 } // namespace
 
-answer_pump::answer_pump(runtime::event_loop& loop, hooks callbacks)
-    : loop_(loop), hooks_(std::move(callbacks)), buffer_(replay_bytes)
+answer_pump::answer_pump(runtime::event_loop& loop, hooks callbacks, std::uint64_t start)
+    : loop_(loop), hooks_(std::move(callbacks)), buffer_(replay_bytes, start)
 {
 }
 
@@ -38,7 +38,6 @@
 {
     ++generation_;
     sink_ = nullptr;
-    in_flight_bytes_ = 0;
     in_flight_calls_ = 0;
 }
 
@@ -93,13 +92,11 @@
         request.setPosition(chunk.position);
         request.setBytes(
             {reinterpret_cast<kj::byte const*>(chunk.bytes.data()), chunk.bytes.size()});
-        auto const size = chunk.bytes.size();
-        in_flight_bytes_ += size;
         ++in_flight_calls_;
         loop_.detach(request.send().then(
-            [self = shared_from_this(), generation = generation_, end = chunk.end,
-             size](capnp::Response<wire::AnswerSink::ChunkResults>&&)
-            { self->confirmed(generation, end, size); },
+            [self = shared_from_this(), generation = generation_,
+             end = chunk.end](capnp::Response<wire::AnswerSink::ChunkResults>&&)
+            { self->confirmed(generation, end); },
             [self = shared_from_this(), generation = generation_](kj::Exception&&)
             { self->lost(generation); }));
     }
@@ -109,11 +106,10 @@
         hooks_.on_window(true);
 }
 
-void answer_pump::confirmed(std::uint64_t generation, std::uint64_t end, std::size_t size)
+void answer_pump::confirmed(std::uint64_t generation, std::uint64_t end)
 {
     if (generation != generation_)
         return;
-    in_flight_bytes_ -= size;
     --in_flight_calls_;
     buffer_.release(end);
     if (buffer_.bytes() <= window_bytes / 2 && std::exchange(full_, false) && hooks_.on_window)
--- a/libraries/savorymount/agent/answer_pump.hpp
+++ b/libraries/savorymount/agent/answer_pump.hpp
@@ -27,7 +27,8 @@
         std::function<void()> on_lost;
     };
 
-    answer_pump(runtime::event_loop& loop, hooks callbacks);
+    /// `start` is the position of the first chunk: above zero for a resumed stream.
+    answer_pump(runtime::event_loop& loop, hooks callbacks, std::uint64_t start);
 
     /// Sends what the entry has not got: the head, and the chunks from `position` on. Returns false
     /// if they are no longer held.
@@ -51,7 +52,7 @@
 private:
     void send_head();
     void send(streams::replay_chunk const& chunk);
-    void confirmed(std::uint64_t generation, std::uint64_t end, std::size_t size);
+    void confirmed(std::uint64_t generation, std::uint64_t end);
     void lost(std::uint64_t generation);
     void check_confirmed();
 
@@ -62,7 +63,6 @@
     streams::replay_buffer buffer_;
     std::optional<int> status_;
     runtime::http_headers headers_;
-    std::size_t in_flight_bytes_ = 0;
     std::size_t in_flight_calls_ = 0;
     bool full_ = false;
     std::function<void()> confirmed_hook_;
--- a/libraries/savorymount/entry/answer_relay.cpp
+++ b/libraries/savorymount/entry/answer_relay.cpp
@@ -28,7 +28,7 @@
 
 void answer_relay::begin_source()
 {
-    parser_ = streams::event_stream_parser();
+    parser_.reset();
 }
 
 void answer_relay::head(int status, runtime::http_headers headers)
@@ -45,7 +45,8 @@
 {
     if (ended_)
         return true;
-    return event_stream_ ? take_events(bytes, reason) : take_bytes(position, bytes, reason);
+    return event_stream_ ? take_events(position, bytes, reason)
+                         : take_bytes(position, bytes, reason);
 }
 
 bool answer_relay::complete(base::error& reason)
@@ -120,10 +121,12 @@
         });
 }
 
-bool answer_relay::take_events(std::string_view bytes, base::error& reason)
+bool answer_relay::take_events(std::uint64_t position, std::string_view bytes, base::error& reason)
 {
+    if (!parser_)
+        parser_.emplace(streams::event_stream_limits{}, position);
     std::vector<streams::stream_event> events;
-    bool intact = parser_.feed(bytes, events, reason);
+    bool intact = parser_->feed(bytes, events, reason);
     std::string output;
     for (auto const& it : events)
     {
--- a/libraries/savorymount/entry/answer_relay.hpp
+++ b/libraries/savorymount/entry/answer_relay.hpp
@@ -56,7 +56,7 @@
     bool ended() const { return ended_; }
 
 private:
-    bool take_events(std::string_view bytes, base::error& reason);
+    bool take_events(std::uint64_t position, std::string_view bytes, base::error& reason);
     bool take_bytes(std::uint64_t position, std::string_view bytes, base::error& reason);
     void start();
     runtime::http_headers answer_headers() const;
@@ -68,7 +68,8 @@
     bool event_stream_ = false;
     bool started_ = false;
     bool ended_ = false;
-    streams::event_stream_parser parser_;
+    /// Made at a source's first chunk, whose position it starts from.
+    std::optional<streams::event_stream_parser> parser_;
     streams::stream_relay relay_;
     /// An answer that is not a stream is kept until it is whole, up to a bound.
     std::string buffered_;
--- a/libraries/savorymount/entry/entry.cpp
+++ b/libraries/savorymount/entry/entry.cpp
@@ -26,11 +26,18 @@
 }
 
 entry::entry(entry_settings settings, std::unique_ptr<runtime::kernel> owner)
-    : settings_(std::move(settings)), kernel_(std::move(owner)),
-      selector_(*kernel_), context_{*kernel_, settings_, selector_, gate_,
-                                    [](std::string const&, std::string const&,
-                                       std::optional<base::duration>) {
-                                    }},
+    : settings_(std::move(settings)), kernel_(std::move(owner)), selector_(*kernel_),
+      quarantine_(retries::crash_quarantine_options{}),
+      context_{*kernel_,
+               settings_,
+               selector_,
+               gate_,
+               quarantine_,
+               [this](std::string const& workspace, std::string const& end,
+                      std::optional<base::duration> first_token)
+               {
+                   record(workspace, end, first_token);
+               }},
       server_(kernel_->loop(),
               runtime::http_limits{.max_header_bytes = max_header_bytes,
                                    .max_body_bytes = settings_.max_body_bytes},
--- a/libraries/savorymount/entry/upstream_selector.cpp
+++ b/libraries/savorymount/entry/upstream_selector.cpp
@@ -1,6 +1,7 @@
 #include <savorymount/entry/upstream_selector.hpp>
 #include <savorymount/membership/peer_subset.hpp>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -90,9 +91,18 @@
         state.ejection.failed(now, upstream.choice.upstream);
     auto const known = reports_.find(ids_.name(upstream.choice.upstream));
     routing::route_request const wanted{request.model ? &request.prefix : nullptr, {}};
+    std::optional<std::size_t> held;
+    std::optional<std::size_t> cached;
+    if (completed && outcome.prompt_tokens > 0)
+    {
+        double const bytes_per_token = static_cast<double>(request.prefix.text_bytes) /
+                                       static_cast<double>(outcome.prompt_tokens);
+        held = outcome.held_blocks;
+        cached = routing::blocks_within(request.prefix, outcome.cached_tokens,
+                                        std::max(bytes_per_token, 0.1));
+    }
     router_.finished(now, wanted, upstream.choice,
-                     known == reports_.end() ? std::string() : known->second.engine,
-                     completed ? outcome.held_blocks : 0);
+                     known == reports_.end() ? std::string() : known->second.engine, held, cached);
 }
 
 void upstream_selector::lost(routed_request const& request, selected_upstream const& upstream)
--- a/libraries/savorymount/plugins/http_platform_log.cpp
+++ b/libraries/savorymount/plugins/http_platform_log.cpp
@@ -121,7 +121,8 @@
                 return;
             }
             auto page = parse_page(answer->body);
-            done(std::move(page), page ? base::error{} : malformed("page"));
+            auto const reason = page ? base::error{} : malformed("page");
+            done(std::move(page), reason);
         });
 }
 
--- a/libraries/savorymount/runtime/peer_connection.cpp
+++ b/libraries/savorymount/runtime/peer_connection.cpp
@@ -100,7 +100,9 @@
 
 wire::Peer::Client peer_connection::peer()
 {
-    return KJ_REQUIRE_NONNULL(session_->peer);
+    KJ_IF_MAYBE (it, session_->peer)
+        return *it;
+    KJ_FAIL_REQUIRE("the connection is not usable");
 }
 
 void peer_connection::connect()
--- /dev/null
+++ b/tests/system/bookings_test.cpp
@@ -0,0 +1,158 @@
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <tests/system/support/deployment.hpp>
+#include <tests/system/support/history.hpp>
+#include <thread>
+
+namespace savorymount::tests
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t booking_tokens = 10;
+
+void send_bookings(deployment& system, history& calls, unsigned count)
+{
+    for (unsigned i = 0; i < count; ++i)
+    {
+        std::string const workspace = i % 2 == 0 ? "large" : "small";
+        calls.add(workspace, system.book(i % system.entries.size(), workspace), booking_tokens);
+    }
+}
+
+void wait_for_all(deployment& system, history& calls)
+{
+    system.client().run_until(
+        [&calls]
+        {
+            calls.note_ends();
+            for (auto const& it : calls.calls())
+            {
+                if (!it.answer->done)
+                    return false;
+            }
+            return true;
+        });
+}
+
+void expect_kept(std::vector<std::string> const& violations)
+{
+    for (auto const& it : violations)
+        ADD_FAILURE() << it;
+}
+
+// Guards against a booking that runs twice or whose caller is told something untrue, when agents
+// are killed or frozen and services answer late or drop connections before or after the booking.
+TEST(bookings, run_at_most_once_under_faults)
+{
+    deployment system({.engines = 0, .services = 4, .entries = 3});
+    history calls;
+    for (auto const& it : system.services)
+        system.control(it.upstream_address, {{"delay_ms", 30}});
+    send_bookings(system, calls, 60);
+    system.control(system.services[0].upstream_address, {{"drop", "after"}});
+    system.control(system.services[1].upstream_address, {{"drop", "before"}});
+    send_bookings(system, calls, 60);
+    system.services[2].agent.send_signal(SIGKILL);
+    send_bookings(system, calls, 30);
+    system.services[3].agent.send_signal(SIGSTOP);
+    send_bookings(system, calls, 30);
+    std::this_thread::sleep_for(5s);
+    system.services[3].agent.send_signal(SIGCONT);
+    system.replace_agent(system.services[2]);
+    send_bookings(system, calls, 30);
+    wait_for_all(system, calls);
+    expect_kept(calls.check_executions(system.executions()));
+    unsigned successes = 0;
+    for (auto const& it : calls.calls())
+        successes += it.answer->status / 100 == 2 ? 1 : 0;
+    EXPECT_GT(successes, 60U);
+}
+
+// Guards against two runs for one idempotency key when its calls reach different entries at once.
+TEST(bookings, one_idempotency_key_runs_once_across_entries)
+{
+    deployment system({.engines = 0, .services = 3, .entries = 3});
+    auto const before = system.executions();
+    history calls;
+    for (unsigned key = 0; key < 10; ++key)
+    {
+        for (std::size_t entry = 0; entry < 3; ++entry)
+        {
+            auto const name = "key-" + std::to_string(key);
+            calls.add("large", system.book(entry, "large", name), booking_tokens, name);
+        }
+    }
+    wait_for_all(system, calls);
+    expect_kept(calls.check_executions(system.executions()));
+    EXPECT_EQ(system.executions().size() - before.size(), 10U);
+    for (auto const& it : calls.calls())
+        EXPECT_EQ(it.answer->status / 100, 2) << it.answer->body;
+}
+
+// Guards against a second run of a key while the log, which decides about keys, is out: the calls
+// are refused as not run, and calls without a key go on.
+TEST(bookings, unknown_idempotency_keys_are_refused_while_the_log_is_out)
+{
+    deployment system({.engines = 0, .services = 2, .entries = 2});
+    system.control(system.platform_address, {{"log", "down"}});
+    for (auto const& it : system.services)
+    {
+        while (system.status(it.status_address)["degraded"].empty())
+            std::this_thread::sleep_for(20ms);
+    }
+    history calls;
+    for (std::size_t i = 0; i < 4; ++i)
+        calls.add("large", system.book(i % 2, "large", "new-key"), booking_tokens, "new-key");
+    auto const plain = system.book(0, "large");
+    calls.add("large", plain, booking_tokens);
+    wait_for_all(system, calls);
+    expect_kept(calls.check_executions(system.executions()));
+    EXPECT_EQ(plain->status / 100, 2) << plain->body;
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        EXPECT_EQ(calls.calls()[i].answer->status, 503);
+        EXPECT_EQ(calls.calls()[i].answer->header("x-savorymount-execution"), "not_run");
+    }
+}
+
+// Guards against a workspace that gets more than its rate and burst over all instances together,
+// also when the owner of its token bucket is killed and another agent takes over.
+TEST(bookings, rate_and_burst_hold_over_all_instances)
+{
+    constexpr double rate = 50;
+    constexpr double burst = 300;
+    deployment system({.engines = 0, .services = 3, .entries = 3});
+    auto contract = system.contract("small");
+    contract["rate_tokens_per_second"] = rate;
+    contract["burst_tokens"] = burst;
+    system.wait_for_version(system.publish({{"workspaces/small", contract}}));
+    history calls;
+    for (unsigned round = 0; round < 60; ++round)
+    {
+        for (std::size_t i = 0; i < 6; ++i)
+            calls.add("small", system.book(i % 3, "small"), booking_tokens);
+        wait_for_all(system, calls);
+        if (round == 20)
+        {
+            for (auto& it : system.services)
+            {
+                if (system.status(it.status_address)["buckets_owned"] > 0)
+                {
+                    it.agent.send_signal(SIGKILL);
+                    system.replace_agent(it);
+                    break;
+                }
+            }
+        }
+        std::this_thread::sleep_for(100ms);
+    }
+    expect_kept(calls.check_rate("small", rate, burst));
+    expect_kept(calls.check_executions(system.executions()));
+}
+
+} // namespace
+} // namespace savorymount::tests
