--- a/utilities/savorymountctl/platform_client.cpp
+++ b/utilities/savorymountctl/platform_client.cpp
@@ -96,6 +96,7 @@
 platform_client::statuses(std::vector<runtime::instance_record> const& instances)
 {
     std::vector<instance_status> out;
+    out.reserve(instances.size());
     for (auto const& it : instances)
         out.push_back({it, std::nullopt, ""});
     std::size_t next = 0;
--- a/utilities/savorymountctl/text_table.cpp
+++ b/utilities/savorymountctl/text_table.cpp
@@ -14,6 +14,7 @@
 void text_table::add(std::vector<std::string> const& row)
 {
     std::vector<std::string> cells;
+    cells.reserve(row.size());
     for (auto const& it : row)
         cells.push_back(it.empty() ? "-" : printable(it));
     rows_.push_back(std::move(cells));
