Treat record kinds and error answers of the log with care

Cause: a record whose kind is no string threw an exception in every reader; an error answer to an append was taken as "not written". Conclusion: one corrupt record can no longer end the fleet.

--- a/libraries/savorymount/agent/bucket_service.cpp
+++ b/libraries/savorymount/agent/bucket_service.cpp
@@ -118,7 +118,7 @@
 
 void bucket_service::handle_lease_record(runtime::log_record const& record)
 {
-    if (!record.body.is_object() || record.body.value("kind", "") != "lease")
+    if (!runtime::has_kind(record, "lease"))
         return;
     base::error reason;
     auto const lease = limits::parse_lease_record(record.body, reason);
--- a/libraries/savorymount/agent/claim_service.cpp
+++ b/libraries/savorymount/agent/claim_service.cpp
@@ -82,7 +82,7 @@
 void claim_service::handle_record(runtime::log_record const& record)
 {
     std::vector<deduplication::claim> claims;
-    if (record.body.is_object() && record.body.value("kind", "") == "claim")
+    if (runtime::has_kind(record, "claim"))
     {
         base::error reason;
         auto parsed = deduplication::parse_claims(record.body, reason);
--- a/libraries/savorymount/agent/request_table.cpp
+++ b/libraries/savorymount/agent/request_table.cpp
@@ -364,7 +364,7 @@
 
 void request_table::handle_crash_record(runtime::log_record const& record)
 {
-    if (!record.body.is_object() || record.body.value("kind", "") != "crash")
+    if (!runtime::has_kind(record, "crash"))
         return;
     auto const request = record.body.find("request");
     auto const engine = record.body.find("engine");
--- a/libraries/savorymount/plugins/http_platform_log.cpp
+++ b/libraries/savorymount/plugins/http_platform_log.cpp
@@ -90,8 +90,9 @@
             if (!answer || answer->status != 200)
             {
                 auto reason = describe(answer, failure);
-                // The answer may have been lost after the record was written.
-                if (failure && failure->written)
+                // The record may have been written although its answer is lost or is an error.
+                bool const refused = answer && answer->status / 100 == 4;
+                if (!refused && (answer || failure->written))
                     reason.kind = base::error_kind::unknown_outcome;
                 done(std::nullopt, reason);
                 return;
--- a/libraries/savorymount/plugins/http_upstreams.cpp
+++ b/libraries/savorymount/plugins/http_upstreams.cpp
@@ -121,13 +121,13 @@
 
 /// Fetches a document from the upstream and parses it.
 template <typename Result>
-void fetch_parsed(runtime::event_loop& loop, runtime::http_call_request request,
+void fetch_parsed(runtime::event_loop& loop, runtime::http_call_request const& request,
                   std::optional<Result> (*parse)(std::string const&),
                   std::function<void(std::optional<Result>, base::error const&)> done)
 {
     auto const target = request.target;
     runtime::http_fetch(
-        loop, std::move(request), max_report_bytes,
+        loop, request, max_report_bytes,
         [parse, target, done = std::move(done)](std::optional<runtime::http_answer> const& answer,
                                                 std::optional<runtime::http_failure> const& failure)
         {
--- a/libraries/savorymount/runtime/configuration_service.cpp
+++ b/libraries/savorymount/runtime/configuration_service.cpp
@@ -69,10 +69,11 @@
 void configuration_service::handle_record(log_record const& record)
 {
     auto const verdict = fold_.apply(record.offset, record.id, record.body);
-    if (verdict.kind == configuration::verdict_kind::ignored)
+    bool const snapshot = has_kind(record, "snapshot");
+    // Late snapshots are ignored by design and say nothing to an operator.
+    if (verdict.kind == configuration::verdict_kind::ignored && !snapshot)
         runtime::log(log_events::log_record_ignored,
                      {{"offset", record.offset}, {"reason", verdict.reason}});
-    bool const snapshot = record.body.is_object() && record.body.value("kind", "") == "snapshot";
     auto const age = std::chrono::milliseconds(
         std::max<std::int64_t>(0, loop_.unix_milliseconds() - record.time_ms));
     if (snapshot)
--- a/libraries/savorymount/runtime/platform_log.hpp
+++ b/libraries/savorymount/runtime/platform_log.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace savorymount::runtime
@@ -24,6 +25,10 @@
     bool operator==(log_record const&) const = default;
 };
 
+/// Whether the record's body is an object of this kind. Bodies come from outside and may be
+/// anything.
+bool has_kind(log_record const& record, std::string_view kind);
+
 /// A part of the log: `first` is the oldest offset still kept, `next` the one to read next.
 struct log_page
 {
--- a/tests/system/configuration_test.cpp
+++ b/tests/system/configuration_test.cpp
@@ -83,7 +83,8 @@
 TEST(configuration, traffic_goes_on_while_log_or_list_is_out)
 {
     deployment system({.engines = 2, .services = 0, .entries = 2});
-    for (json const outage : {json{{"log", "down"}}, json{{"log", "up"}, {"list", "down"}}})
+    json const outages[] = {{{"log", "down"}}, {{"log", "up"}, {"list", "down"}}};
+    for (auto const& outage : outages)
     {
         system.control(system.platform_address, outage);
         // Longer than the time for which one confirmation lets a bucket's owner grant.
--- a/tests/system/support/deployment.cpp
+++ b/tests/system/support/deployment.cpp
@@ -41,8 +41,8 @@
         std::vector<std::string> arguments{"--models", "assay::1"};
         arguments.insert(arguments.end(), options_.engine_arguments.begin(),
                          options_.engine_arguments.end());
-        engines.push_back(start_pair("engines", "savorymount-engine-stand-in", "model",
-                                     std::move(arguments), i + 1));
+        engines.push_back(
+            start_pair("engines", "savorymount-engine-stand-in", "model", arguments, i + 1));
     }
     for (unsigned i = 0; i < options_.services; ++i)
         services.push_back(
@@ -156,8 +156,8 @@
 }
 
 upstream_pair deployment::start_pair(std::string const& group, std::string const& program,
-                                     std::string const& plugin, std::vector<std::string> arguments,
-                                     unsigned number)
+                                     std::string const& plugin,
+                                     std::vector<std::string> const& arguments, unsigned number)
 {
     process upstream(program, arguments);
     auto const address = local(upstream.wait_for_field("listening", "port"));
--- a/tests/system/support/deployment.hpp
+++ b/tests/system/support/deployment.hpp
@@ -101,7 +101,7 @@
 
 private:
     upstream_pair start_pair(std::string const& group, std::string const& program,
-                             std::string const& plugin, std::vector<std::string> arguments,
+                             std::string const& plugin, std::vector<std::string> const& arguments,
                              unsigned number);
     void start_agent(upstream_pair& pair, std::string const& plugin);
     std::vector<std::string> common_arguments(std::string const& id,
