Share answers between calls with one idempotency key; wait for a bucket's owner

Cause: system tests under faults failed. Calls that share an idempotency key took the answer's connection from each other and asked for chunks that had been released (20 of 30 calls got "unknown"). An agent that had no connection to the bucket's owner yet refused at once (5 of 210 bookings succeeded, and the engines of a crashing request answered 503 instead of 502). Change: keyed requests keep their chunks and each further call gets a copy of the whole answer; requests wait up to 5 s for the owner's connection or hand-over; crashed outcomes carry the kind crashed.

--- a/libraries/savorymount/agent/agent_request.cpp
+++ b/libraries/savorymount/agent/agent_request.cpp
@@ -44,7 +44,8 @@
         if (on_entry_lost)
             on_entry_lost();
     };
-    pump_ = std::make_shared<answer_pump>(loop_, std::move(callbacks), request_.resume_from);
+    pump_ = std::make_shared<answer_pump>(loop_, std::move(callbacks), request_.resume_from,
+                                          !request_.idempotency_key.empty());
 }
 
 void agent_request::run(runtime::upstream_adapter const& adapter, std::string cache_salt,
--- a/libraries/savorymount/agent/answer_pump.cpp
+++ b/libraries/savorymount/agent/answer_pump.cpp
@@ -13,11 +13,32 @@
 
 } // namespace
 
-answer_pump::answer_pump(runtime::event_loop& loop, hooks callbacks, std::uint64_t start)
-    : loop_(loop), hooks_(std::move(callbacks)), buffer_(replay_bytes, start)
+answer_pump::answer_pump(runtime::event_loop& loop, hooks callbacks, std::uint64_t start,
+                         bool keep_all)
+    : loop_(loop), hooks_(std::move(callbacks)), buffer_(replay_bytes, start), keep_all_(keep_all)
 {
 }
 
+std::shared_ptr<answer_pump> answer_pump::copy() const
+{
+    base::error reason;
+    auto const chunks = buffer_.from(0, reason);
+    if (!chunks)
+        return nullptr;
+    auto out = std::make_shared<answer_pump>(loop_, hooks{}, 0, true);
+    out->status_ = status_;
+    out->headers_ = headers_;
+    for (auto const& it : *chunks)
+        out->buffer_.append(it, reason);
+    return out;
+}
+
+std::size_t answer_pump::unconfirmed_bytes() const
+{
+    // Without a connection the buffer alone counts, so that a lost entry can't make it grow.
+    return keep_all_ ? in_flight_bytes_ : buffer_.bytes();
+}
+
 bool answer_pump::attach(wire::AnswerSink::Client sink, std::uint64_t position)
 {
     base::error reason;
@@ -26,7 +47,8 @@
         return false;
     detach();
     sink_ = kj::mv(sink);
-    buffer_.release(position);
+    if (!keep_all_)
+        buffer_.release(position);
     if (status_)
         send_head();
     for (auto const& it : *chunks)
@@ -38,6 +60,7 @@
 {
     ++generation_;
     sink_ = nullptr;
+    in_flight_bytes_ = 0;
     in_flight_calls_ = 0;
 }
 
@@ -92,27 +115,30 @@
         request.setPosition(chunk.position);
         request.setBytes(
             {reinterpret_cast<kj::byte const*>(chunk.bytes.data()), chunk.bytes.size()});
+        auto const size = chunk.bytes.size();
+        in_flight_bytes_ += size;
         ++in_flight_calls_;
         loop_.detach(request.send().then(
-            [self = shared_from_this(), generation = generation_,
-             end = chunk.end](capnp::Response<wire::AnswerSink::ChunkResults>&&)
-            { self->confirmed(generation, end); },
+            [self = shared_from_this(), generation = generation_, end = chunk.end,
+             size](capnp::Response<wire::AnswerSink::ChunkResults>&&)
+            { self->confirmed(generation, end, size); },
             [self = shared_from_this(), generation = generation_](kj::Exception&&)
             { self->lost(generation); }));
     }
-    // Without a sink the buffer alone counts, so that a lost entry can't make this process grow.
-    bool const full = buffer_.bytes() > window_bytes;
+    bool const full = unconfirmed_bytes() > window_bytes;
     if (full && !std::exchange(full_, true) && hooks_.on_window)
         hooks_.on_window(true);
 }
 
-void answer_pump::confirmed(std::uint64_t generation, std::uint64_t end)
+void answer_pump::confirmed(std::uint64_t generation, std::uint64_t end, std::size_t size)
 {
     if (generation != generation_)
         return;
+    in_flight_bytes_ -= size;
     --in_flight_calls_;
-    buffer_.release(end);
-    if (buffer_.bytes() <= window_bytes / 2 && std::exchange(full_, false) && hooks_.on_window)
+    if (!keep_all_)
+        buffer_.release(end);
+    if (unconfirmed_bytes() <= window_bytes / 2 && std::exchange(full_, false) && hooks_.on_window)
         hooks_.on_window(false);
     check_confirmed();
 }
--- a/libraries/savorymount/agent/answer_pump.hpp
+++ b/libraries/savorymount/agent/answer_pump.hpp
@@ -27,8 +27,12 @@
         std::function<void()> on_lost;
     };
 
-    /// `start` is the position of the first chunk: above zero for a resumed stream.
-    answer_pump(runtime::event_loop& loop, hooks callbacks, std::uint64_t start);
+    /// `start` is the position of the first chunk: above zero for a resumed stream. With
+    /// `keep_all` confirmed chunks are kept too, for calls that share the answer.
+    answer_pump(runtime::event_loop& loop, hooks callbacks, std::uint64_t start, bool keep_all);
+
+    /// A pump with the same answer for another call; null if a part is no longer held.
+    std::shared_ptr<answer_pump> copy() const;
 
     /// Sends what the entry has not got: the head, and the chunks from `position` on. Returns false
     /// if they are no longer held.
@@ -52,7 +56,8 @@
 private:
     void send_head();
     void send(streams::replay_chunk const& chunk);
-    void confirmed(std::uint64_t generation, std::uint64_t end);
+    void confirmed(std::uint64_t generation, std::uint64_t end, std::size_t size);
+    std::size_t unconfirmed_bytes() const;
     void lost(std::uint64_t generation);
     void check_confirmed();
 
@@ -63,6 +68,8 @@
     streams::replay_buffer buffer_;
     std::optional<int> status_;
     runtime::http_headers headers_;
+    bool keep_all_;
+    std::size_t in_flight_bytes_ = 0;
     std::size_t in_flight_calls_ = 0;
     bool full_ = false;
     std::function<void()> confirmed_hook_;
--- a/libraries/savorymount/agent/bucket_service.cpp
+++ b/libraries/savorymount/agent/bucket_service.cpp
@@ -12,8 +12,9 @@
 using namespace std::chrono_literals;
 
 constexpr base::duration tick_interval = 100ms;
-// A request that has not got its tokens after this time is answered rather than kept.
-constexpr base::duration longest_wait = 2s;
+// A request that has not got its tokens after this time is answered rather than kept. The hand-over
+// of a bucket after a clean shutdown takes up to 3.5 s, which callers should not notice.
+constexpr base::duration longest_wait = 5s;
 
 } // namespace
 
@@ -265,7 +266,9 @@
         state.waiting.pop_front();
         auto answer = state.account.admit(now, request.tokens, request.first);
         request.first = false;
-        bool const undecided = answer.result == limits::admission::verdict::waiting;
+        // An owner that is being connected or taken over may be reachable in a moment.
+        bool const undecided = answer.result == limits::admission::verdict::waiting ||
+                               answer.result == limits::admission::verdict::unavailable;
         if (undecided && now - request.since < longest_wait)
         {
             still_waiting.push_back(std::move(request));
--- a/libraries/savorymount/agent/request_table.cpp
+++ b/libraries/savorymount/agent/request_table.cpp
@@ -98,7 +98,11 @@
         else if (refuse_if_absent && found.state == deduplication::outcome_state::absent)
             it = refuse_for_good(id);
     }
-    if (!it || !it->pump().attach(kj::mv(sink), position))
+    if (!it)
+        return attach_result{};
+    if (!refuse_if_absent)
+        return follow(it, kj::mv(sink));
+    if (!it->pump().attach(kj::mv(sink), position))
         return attach_result{};
     it->abandoned = {};
     return wait(it).then(
@@ -107,6 +111,27 @@
         });
 }
 
+kj::Promise<request_table::attach_result> request_table::follow(request_pointer const& it,
+                                                                wire::AnswerSink::Client sink)
+{
+    // The first call keeps its connection; the others get the whole answer once it is there.
+    return wait(it).then(
+        [it, sink = kj::mv(sink)](
+            runtime::request_outcome&& outcome) mutable -> kj::Promise<attach_result>
+        {
+            if (outcome.end != outcome_kind::completed)
+                return attach_result{true, std::move(outcome)};
+            auto const copy = it->pump().copy();
+            if (!copy || !copy->attach(kj::mv(sink), 0))
+                return attach_result{};
+            auto paf = kj::newPromiseAndFulfiller<void>();
+            auto const fulfiller =
+                std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(paf.fulfiller));
+            copy->when_confirmed([fulfiller] { (*fulfiller)->fulfill(); });
+            return paf.promise.then([copy, outcome]() -> attach_result { return {true, outcome}; });
+        });
+}
+
 request_table::request_pointer request_table::refuse_for_good(std::string const& id)
 {
     auto const now = kernel_.now();
@@ -343,7 +368,10 @@
             evidence.engine_after = answers ? engine : std::string();
             outcome.crashed = retries::is_crash(evidence);
             if (outcome.crashed)
+            {
+                outcome.reason.kind = base::error_kind::crashed;
                 note_crash(it);
+            }
             finish(it, std::move(outcome));
         });
 }
--- a/libraries/savorymount/agent/request_table.hpp
+++ b/libraries/savorymount/agent/request_table.hpp
@@ -64,6 +64,7 @@
     void ended(request_pointer const& it, runtime::request_outcome outcome);
     void release_slot(request_pointer const& it, runtime::request_outcome const& outcome);
     void finish(request_pointer const& it, runtime::request_outcome outcome);
+    kj::Promise<attach_result> follow(request_pointer const& it, wire::AnswerSink::Client sink);
     request_pointer refuse_for_good(std::string const& id);
     void entry_lost(request_pointer const& it);
     void refuse(request_pointer const& it, base::error reason, base::duration retry_after,
