--- a/libraries/savorymount/agent/bucket_service.cpp
+++ b/libraries/savorymount/agent/bucket_service.cpp
@@ -15,6 +15,8 @@
 // A request that has not got its tokens after this time is answered rather than kept. The hand-over
 // of a bucket after a clean shutdown takes up to 3.5 s, which callers should not notice.
 constexpr base::duration longest_wait = 5s;
+// A leaving agent does not wait longer for a log that is out.
+constexpr base::duration longest_release = 15s;
 
 } // namespace
 
@@ -177,6 +179,7 @@
         update_owner(it.first, state);
         serve_waiting(it.first, state);
     }
+    check_released(now);
 }
 
 void bucket_service::leave()
@@ -184,6 +187,22 @@
     auto const now = kernel_.now();
     for (auto& it : workspaces_)
         carry_out(it.first, it.second, it.second.lease.leave(now));
+    // The process stays up until its leases are released, so that another agent need not wait for
+    // their end.
+    kernel_.shutdown().begin_duty();
+    release_until_ = now + longest_release;
+}
+
+void bucket_service::check_released(base::time_point now)
+{
+    if (!release_until_)
+        return;
+    bool const released = std::all_of(workspaces_.begin(), workspaces_.end(),
+                                      [](auto const& it) { return it.second.lease.released(); });
+    if (!released && now < *release_until_)
+        return;
+    release_until_.reset();
+    kernel_.shutdown().end_duty();
 }
 
 void bucket_service::carry_out(std::string const& workspace, workspace_state& state,
--- a/libraries/savorymount/agent/bucket_service.hpp
+++ b/libraries/savorymount/agent/bucket_service.hpp
@@ -71,6 +71,7 @@
     void handle_list(std::vector<runtime::instance_record> const& list);
     void tick();
     void leave();
+    void check_released(base::time_point now);
     void carry_out(std::string const& workspace, workspace_state& state,
                    std::vector<limits::lease_action> const& actions);
     void append(std::string const& workspace, limits::append_lease const& action);
@@ -90,6 +91,8 @@
     runtime::kernel& kernel_;
     limits::lease_directory directory_;
     std::map<std::string, workspace_state> workspaces_;
+    /// While leaving: until when the release of the leases is awaited.
+    std::optional<base::time_point> release_until_;
     runtime::timer_service::subscription timer_;
 };
 
