Report the prompt as used when a request starts; fix the rate test

Cause: the rate test published the rate as 50.0, which is no whole number; the change was rejected and the test waited for ever. Prompts stayed reserved until the end of their request. Change: whole numbers in the test and a hang limit with the log in the fixture; grant_account::progress is called at the start of a run; leases are renewed at a quarter of the log's retention.

--- a/libraries/savorymount/agent/bucket_service.cpp
+++ b/libraries/savorymount/agent/bucket_service.cpp
@@ -48,6 +48,14 @@
     serve_waiting(workspace, *state);
 }
 
+void bucket_service::progress(std::string const& workspace, std::uint64_t reservation,
+                              std::uint64_t used)
+{
+    auto* const state = find(workspace);
+    if (state != nullptr)
+        state->account.progress(kernel_.now(), reservation, used);
+}
+
 void bucket_service::complete(std::string const& workspace, std::uint64_t reservation,
                               std::uint64_t used)
 {
@@ -106,8 +114,9 @@
                 it->workspace,
                 workspace_state{
                     .account = limits::grant_account(it->rate_tokens_per_second, it->burst_tokens),
-                    .lease = limits::bucket_lease(it->workspace, settings.instance,
-                                                  settings.incarnation),
+                    .lease =
+                        limits::bucket_lease(it->workspace, settings.instance, settings.incarnation,
+                                             {}, settings.log_retention / 4),
                     .bucket = nullptr,
                     .waiting = {},
                     .granting = false});
--- a/libraries/savorymount/agent/bucket_service.hpp
+++ b/libraries/savorymount/agent/bucket_service.hpp
@@ -30,6 +30,9 @@
     /// verdict is never `waiting`.
     void admit(std::string const& workspace, std::uint64_t tokens, admit_done done);
 
+    /// Tells that `used` tokens of a reservation are certainly used by now.
+    void progress(std::string const& workspace, std::uint64_t reservation, std::uint64_t used);
+
     /// Ends a reservation.
     void complete(std::string const& workspace, std::uint64_t reservation, std::uint64_t used);
 
--- a/libraries/savorymount/agent/request_table.cpp
+++ b/libraries/savorymount/agent/request_table.cpp
@@ -333,6 +333,11 @@
     if (!request.model.empty())
         salt = base::sha256_hex(request.workspace + "\n" + request.model + "\n" + request.adapter +
                                 "\n" + request.model_version);
+    // The prompt is computed whatever the answer's length, so its tokens need not stay reserved.
+    if (it->reservation != 0)
+        buckets_.progress(request.workspace, it->reservation,
+                          it->reserved_tokens -
+                              std::min(it->reserved_tokens, request.answer_tokens));
     it->run(adapter_, salt, settings_.upstream_idle_timeout,
             [this, it](runtime::request_outcome outcome) { ended(it, std::move(outcome)); });
 }
--- a/tests/system/bookings_test.cpp
+++ b/tests/system/bookings_test.cpp
@@ -144,8 +144,8 @@
 // also when the owner of its token bucket is killed and another agent takes over.
 TEST(bookings, rate_and_burst_hold_over_all_instances)
 {
-    constexpr double rate = 50;
-    constexpr double burst = 300;
+    constexpr unsigned rate = 50;
+    constexpr unsigned burst = 300;
     deployment system({.engines = 0, .services = 3, .entries = 3});
     auto contract = system.contract("small");
     contract["rate_tokens_per_second"] = rate;
--- a/tests/system/support/deployment.cpp
+++ b/tests/system/support/deployment.cpp
@@ -1,5 +1,6 @@
 #include <savorymount/base/random_source.hpp>
 
+#include <chrono>
 #include <stdexcept>
 #include <tests/system/support/deployment.hpp>
 #include <thread>
@@ -13,6 +14,8 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
+// Only ends a test that hangs; far above what a loaded machine needs.
+constexpr auto hang_limit = 60s;
 constexpr char shared_secret[] = "a shared secret of the tests";
 
 runtime::network_address local(std::string const& port)
@@ -90,6 +93,7 @@
 
 void deployment::wait_for_version(std::uint64_t version)
 {
+    auto const limit = std::chrono::steady_clock::now() + hang_limit;
     std::vector<std::pair<process*, runtime::network_address>> all;
     for (auto& it : engines)
         all.emplace_back(&it.agent, it.status_address);
@@ -100,7 +104,12 @@
     for (auto const& it : all)
     {
         while (it.first->running() && status(it.second)["version"].get<std::uint64_t>() < version)
+        {
+            if (std::chrono::steady_clock::now() > limit)
+                throw std::runtime_error("version " + std::to_string(version) +
+                                         " did not come into force: " + it.first->output());
             std::this_thread::sleep_for(10ms);
+        }
     }
 }
 
