Reserve the entries of a slope

Cause: the linter asks for reserved capacity before a loop that appends. Change: the entries are reserved.

--- a/utilities/slopes/main.cpp
+++ b/utilities/slopes/main.cpp
@@ -220,8 +220,10 @@
 /// Computing one entry's subset of the upstreams, by the number of upstreams.
 void choose_peer_subset(benchmark::State& state)
 {
+    constexpr int entry_count = 1500;
     std::vector<membership::subset_entry> entries;
-    for (int i = 0; i < 1500; ++i)
+    entries.reserve(entry_count);
+    for (int i = 0; i < entry_count; ++i)
         entries.push_back({"entry-" + std::to_string(i), "dc-" + std::to_string(i % 10)});
     membership::peer_subset const subset(std::move(entries), {});
     std::vector<std::string> upstreams;
