--- a/libraries/savorymount/entry/answer_relay.cpp
+++ b/libraries/savorymount/entry/answer_relay.cpp
@@ -121,6 +121,13 @@
         });
 }
 
+void answer_relay::close()
+{
+    ended_ = true;
+    for (auto const& it : std::exchange(room_hooks_, {}))
+        it();
+}
+
 bool answer_relay::take_events(std::uint64_t position, std::string_view bytes, base::error& reason)
 {
     if (!parser_)
--- a/libraries/savorymount/entry/answer_relay.hpp
+++ b/libraries/savorymount/entry/answer_relay.hpp
@@ -53,6 +53,9 @@
     /// Calls `hook` once the caller has taken enough for more to be sent.
     void when_room(std::function<void()> hook);
 
+    /// Nothing more is passed on: lets sources that wait for room go on.
+    void close();
+
     bool ended() const { return ended_; }
 
 private:
--- a/libraries/savorymount/entry/entry.cpp
+++ b/libraries/savorymount/entry/entry.cpp
@@ -50,8 +50,12 @@
         [this](configuration::configuration const& current)
         { quarantine_.set_quarantine(current.settings().quarantine); });
     kernel_->on_leave([this] { server_.stop_accepting(); });
-    kernel_->add_status([this](nlohmann::json& status)
-                        { status["running"] = server_.open_exchanges(); });
+    kernel_->add_status(
+        [this](nlohmann::json& status)
+        {
+            status["running"] = server_.open_exchanges();
+            status["upstreams"] = selector_.ready_upstreams();
+        });
 }
 
 bool entry::start(base::error& reason)
--- a/libraries/savorymount/entry/entry_request.cpp
+++ b/libraries/savorymount/entry/entry_request.cpp
@@ -365,6 +365,8 @@
 void entry_request::finish()
 {
     done_ = true;
+    // An agent must not wait for a caller that has gone.
+    relay_.close();
     timer_ = {};
     exchange_->on_close(nullptr);
     context_.kernel.shutdown().end_request();
--- a/libraries/savorymount/entry/upstream_selector.cpp
+++ b/libraries/savorymount/entry/upstream_selector.cpp
@@ -128,6 +128,12 @@
     router_.load_reported(kernel_.now(), ids_.intern(instance.id), known.engine, measured);
 }
 
+std::size_t upstream_selector::ready_upstreams() const
+{
+    return static_cast<std::size_t>(std::count_if(reports_.begin(), reports_.end(),
+                                                  [](auto const& it) { return it.second.ready; }));
+}
+
 retries::retry_budget& upstream_selector::budget(std::string const& name)
 {
     return group(name).budget;
--- a/libraries/savorymount/entry/upstream_selector.hpp
+++ b/libraries/savorymount/entry/upstream_selector.hpp
@@ -52,6 +52,9 @@
     /// Takes a load report from a heartbeat or an outcome.
     void take_load(std::string const& name, wire::LoadReport::Reader load);
 
+    /// Number of agents that report a healthy upstream.
+    std::size_t ready_upstreams() const;
+
     retries::retry_budget& budget(std::string const& group);
 
 private:
--- a/tests/system/bookings_test.cpp
+++ b/tests/system/bookings_test.cpp
@@ -93,6 +93,22 @@
     EXPECT_GT(successes(calls), 60U);
 }
 
+// Guards against an outcome that stays unknown, or a second run, when the connection to the agent
+// goes silent during a booking: the entry must learn the outcome over a new connection.
+TEST(bookings, outcome_is_learned_over_a_new_connection)
+{
+    deployment system({.engines = 0, .services = 1, .entries = 1, .relayed = true});
+    system.control(system.services[0].upstream_address, {{"delay_ms", 2000}});
+    history calls;
+    send_bookings(system, calls, 4);
+    while (system.status(system.services[0].status_address)["running"] != 4)
+        std::this_thread::sleep_for(10ms);
+    system.control(system.services[0].relay_control, {{"mode", "blackhole_existing"}});
+    wait_for_all(system, calls);
+    expect_kept(calls.check_executions(system.executions()));
+    EXPECT_EQ(successes(calls), 4U);
+}
+
 // Guards against two runs for one idempotency key when its calls reach different entries at once.
 TEST(bookings, one_idempotency_key_runs_once_across_entries)
 {
--- a/tests/system/streams_test.cpp
+++ b/tests/system/streams_test.cpp
@@ -91,6 +91,22 @@
         EXPECT_TRUE(has_all_tokens(*it, 20));
 }
 
+// Guards against a stream that hangs when its connection goes silent for good while new ones work:
+// the entry must notice the missing heartbeats and go on over a new connection to the same agent.
+TEST(streams, go_on_over_a_new_connection_when_the_old_one_goes_silent)
+{
+    deployment system({.engines = 1,
+                       .services = 0,
+                       .entries = 1,
+                       .relayed = true,
+                       .engine_arguments = {"--token-ms", "20"}});
+    auto const answer = system.prompt(0, "large", {"rules", "client"}, true, 400);
+    wait_for_bytes(system, answer);
+    system.control(system.engines[0].relay_control, {{"mode", "blackhole_existing"}});
+    system.client().wait({answer});
+    EXPECT_TRUE(has_all_tokens(*answer, 400));
+}
+
 // Guards against a graceful shutdown that cuts a running stream or takes new work.
 TEST(streams, shutdown_of_entry_and_agent_cuts_nothing)
 {
@@ -133,5 +149,24 @@
     EXPECT_TRUE(has_all_tokens(*other, 5));
 }
 
+// Guards against callers that leave in mid-stream and keep slots or block a shutdown.
+TEST(streams, callers_that_leave_hold_nothing)
+{
+    deployment system(
+        {.engines = 1, .services = 0, .entries = 1, .engine_arguments = {"--token-ms", "20"}});
+    for (unsigned i = 0; i < 20; ++i)
+    {
+        auto const answer =
+            system.prompt(0, "large", {"rules", "client " + std::to_string(i)}, true, 1000);
+        wait_for_bytes(system, answer);
+        system.client().cancel(answer);
+    }
+    auto& engine = system.engines[0];
+    while (system.status(engine.status_address)["running"] != 0)
+        continue;
+    engine.agent.send_signal(SIGTERM);
+    EXPECT_EQ(engine.agent.wait(), 0);
+}
+
 } // namespace
 } // namespace savorymount::tests
--- a/tests/system/support/deployment.cpp
+++ b/tests/system/support/deployment.cpp
@@ -196,7 +196,15 @@
     auto const status_listen = pair.agent.wait_for_field(marker, "status");
     pair.agent_address = parse(listen);
     pair.status_address = parse(status_listen);
-    list(pair.agent_id + "#" + pair.incarnation, "agent", listen, status_listen, pair.group);
+    auto const reachable = options_.relayed ? start_relay(pair, listen) : listen;
+    list(pair.agent_id + "#" + pair.incarnation, "agent", reachable, status_listen, pair.group);
+}
+
+std::string deployment::start_relay(upstream_pair& pair, std::string const& target)
+{
+    pair.relay.emplace("savorymount-fault-relay", std::vector<std::string>{"--target", target});
+    pair.relay_control = local(pair.relay->wait_for_field("listening", "port"));
+    return "127.0.0.1:" + pair.relay->wait_for_field("relaying", "port");
 }
 
 std::vector<std::string> deployment::common_arguments(std::string const& id,
--- a/tests/system/support/deployment.hpp
+++ b/tests/system/support/deployment.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tests/system/support/process.hpp>
 #include <tests/system/support/test_client.hpp>
@@ -23,6 +24,8 @@
     unsigned services = 1;
     unsigned entries = 2;
     unsigned concurrency = 16;
+    /// Puts a fault relay in front of each agent's internal port.
+    bool relayed = false;
     std::vector<std::string> engine_arguments = {};
     std::vector<std::string> platform_arguments = {};
 };
@@ -38,6 +41,8 @@
     process agent;
     runtime::network_address agent_address;
     runtime::network_address status_address;
+    std::optional<process> relay = std::nullopt;
+    runtime::network_address relay_control = {};
 };
 
 struct entry_process
@@ -104,6 +109,7 @@
                              std::string const& plugin, std::vector<std::string> const& arguments,
                              unsigned number);
     void start_agent(upstream_pair& pair, std::string const& plugin);
+    std::string start_relay(upstream_pair& pair, std::string const& target);
     std::vector<std::string> common_arguments(std::string const& id,
                                               std::string const& incarnation);
     void list(std::string const& id, std::string const& role, std::string const& address,
