--- a/libraries/savorymount/agent/request_table.cpp
+++ b/libraries/savorymount/agent/request_table.cpp
@@ -386,7 +386,10 @@
     auto const& request = it->request();
     runtime::log(runtime::log_events::upstream_crashed,
                  {{"request", request.id}, {"engine", it->engine_before}});
-    quarantine_.crashed(kernel_.now(), request.digest, it->engine_before);
+    auto const now = kernel_.now();
+    quarantine_.crashed(now, request.digest, it->engine_before);
+    if (quarantine_.refused_for(now, request.digest))
+        runtime::log(runtime::log_events::request_quarantined, {{"request", request.id}});
     nlohmann::json const body{{"kind", "crash"},
                               {"workspace", request.workspace},
                               {"request", request.digest},
--- a/tests/system/session_test.cpp
+++ b/tests/system/session_test.cpp
@@ -22,7 +22,7 @@
     {
         auto const value = answer.header(name);
         if (!value.empty())
-            out += name + ": " + value + "\n";
+            out.append(name).append(": ").append(value).append("\n");
     }
     return out + "\n" + answer.body + "\n";
 }
