--- /dev/null
+++ b/libraries/savorymount/runtime/http_message.cpp
@@ -0,0 +1,93 @@
+#include <savorymount/runtime/http_message.hpp>
+
+#include <algorithm>
+#include <array>
+#include <http_parser.h>
+
+namespace savorymount::runtime
+{
+namespace
+{
+
+constexpr std::array<std::string_view, 10> hop_by_hop_names{
+    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length",     "Expect"};
+
+std::string trim(std::string_view text)
+{
+    auto const first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return std::string(text.substr(first, text.find_last_not_of(" \t") - first + 1));
+}
+
+void append_headers(std::string& out, http_headers const& headers)
+{
+    for (auto const& it : headers)
+    {
+        out += it.name;
+        out += ": ";
+        out += it.value;
+        out += "\r\n";
+    }
+    out += "\r\n";
+}
+
+} // namespace
+
+bool is_hop_by_hop(std::string_view name)
+{
+    return std::any_of(hop_by_hop_names.begin(), hop_by_hop_names.end(),
+                       [name](std::string_view it) { return equal_header_names(it, name); });
+}
+
+std::vector<std::string> connection_options(http_headers const& headers)
+{
+    std::vector<std::string> out;
+    for (auto const& header : headers)
+    {
+        if (!equal_header_names(header.name, "Connection"))
+            continue;
+        std::string_view rest = header.value;
+        while (!rest.empty())
+        {
+            auto const comma = std::min(rest.find(','), rest.size());
+            out.push_back(trim(rest.substr(0, comma)));
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    return out;
+}
+
+http_headers end_to_end_headers(http_headers const& headers)
+{
+    auto const named = connection_options(headers);
+    http_headers out;
+    for (auto const& header : headers)
+    {
+        bool const listed =
+            std::any_of(named.begin(), named.end(),
+                        [&header](auto const& it) { return equal_header_names(it, header.name); });
+        if (!listed && !is_hop_by_hop(header.name))
+            out.push_back(header);
+    }
+    return out;
+}
+
+std::string serialize_request_head(std::string const& method, std::string const& target,
+                                   http_headers const& headers)
+{
+    std::string out = method + " " + target + " HTTP/1.1\r\n";
+    append_headers(out, headers);
+    return out;
+}
+
+std::string serialize_response_head(int status, http_headers const& headers)
+{
+    std::string out = "HTTP/1.1 " + std::to_string(status) + " " +
+                      http_status_str(static_cast<http_status>(status)) + "\r\n";
+    append_headers(out, headers);
+    return out;
+}
+
+} // namespace savorymount::runtime
--- /dev/null
+++ b/libraries/savorymount/runtime/http_message_reader.cpp
@@ -0,0 +1,172 @@
+#include <savorymount/runtime/http_message_reader.hpp>
+
+#include <utility>
+
+namespace savorymount::runtime
+{
+namespace
+{
+
+// Line ends and separators that a field needs besides its name and value.
+constexpr std::size_t field_overhead_bytes = 4;
+constexpr int parsing_continues = 0;
+constexpr int parsing_fails = -1;
+constexpr int response_has_no_body = 1;
+
+bool asks_for_continue(http_headers const& headers)
+{
+    auto const value = find_header(headers, "Expect");
+    return value && equal_header_names(*value, "100-continue");
+}
+
+} // namespace
+
+http_message_reader::http_message_reader(http_message_kind kind, std::size_t max_header_bytes,
+                                         http_message_hooks hooks)
+    : hooks_(std::move(hooks)), max_header_bytes_(max_header_bytes), settings_(make_settings())
+{
+    http_parser_init(&parser_, kind == http_message_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_.data = this;
+}
+
+::http_parser_settings http_message_reader::make_settings()
+{
+    ::http_parser_settings out;
+    http_parser_settings_init(&out);
+    out.on_message_begin = on_begin;
+    out.on_url = on_url;
+    out.on_header_field = on_field;
+    out.on_header_value = on_value;
+    out.on_headers_complete = on_headers_complete;
+    out.on_body = on_body;
+    out.on_message_complete = on_complete;
+    return out;
+}
+
+std::optional<std::size_t> http_message_reader::feed(std::string_view bytes, base::error& reason)
+{
+    http_parser_pause(&parser_, 0);
+    auto const consumed = http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
+    auto const failure = HTTP_PARSER_ERRNO(&parser_);
+    if (failure == HPE_OK || failure == HPE_PAUSED)
+        return consumed;
+    if (too_large_ || failure == HPE_HEADER_OVERFLOW)
+        reason = {base::error_kind::too_large, "the header is larger than " +
+                                                   std::to_string(max_header_bytes_) +
+                                                   " bytes; send fewer or shorter fields"};
+    else
+        reason = {base::error_kind::invalid_input,
+                  std::string("the message is malformed: ") + http_errno_description(failure)};
+    return std::nullopt;
+}
+
+bool http_message_reader::finish()
+{
+    if (!inside_)
+        return false;
+    http_parser_pause(&parser_, 0);
+    http_parser_execute(&parser_, &settings_, nullptr, 0);
+    auto const failure = HTTP_PARSER_ERRNO(&parser_);
+    return !inside_ && (failure == HPE_OK || failure == HPE_PAUSED);
+}
+
+http_message_reader& http_message_reader::self(::http_parser* parser)
+{
+    return *static_cast<http_message_reader*>(parser->data);
+}
+
+int http_message_reader::on_begin(::http_parser* parser)
+{
+    auto& reader = self(parser);
+    reader.head_ = {};
+    reader.header_bytes_ = 0;
+    reader.inside_ = true;
+    reader.head_complete_ = false;
+    reader.last_was_value_ = true;
+    return parsing_continues;
+}
+
+int http_message_reader::on_url(::http_parser* parser, char const* at, std::size_t length)
+{
+    auto& reader = self(parser);
+    reader.head_.target.append(at, length);
+    return reader.count_header_bytes(length) ? parsing_continues : parsing_fails;
+}
+
+int http_message_reader::on_field(::http_parser* parser, char const* at, std::size_t length)
+{
+    auto& reader = self(parser);
+    // NOTE: Fields after the head are trailers of a chunked body. They are counted and dropped.
+    if (!reader.head_complete_)
+    {
+        if (reader.last_was_value_)
+            reader.head_.headers.push_back({});
+        reader.last_was_value_ = false;
+        reader.head_.headers.back().name.append(at, length);
+    }
+    return reader.count_header_bytes(length + field_overhead_bytes) ? parsing_continues
+                                                                    : parsing_fails;
+}
+
+int http_message_reader::on_value(::http_parser* parser, char const* at, std::size_t length)
+{
+    auto& reader = self(parser);
+    if (!reader.head_complete_)
+    {
+        reader.last_was_value_ = true;
+        reader.head_.headers.back().value.append(at, length);
+    }
+    return reader.count_header_bytes(length) ? parsing_continues : parsing_fails;
+}
+
+int http_message_reader::on_headers_complete(::http_parser* parser)
+{
+    auto& reader = self(parser);
+    reader.head_complete_ = true;
+    reader.head_.keep_alive = http_should_keep_alive(parser) != 0;
+    if (parser->type == HTTP_REQUEST)
+        reader.head_.method = http_method_str(static_cast<http_method>(parser->method));
+    else
+        reader.head_.status = static_cast<int>(parser->status_code);
+    bool const has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+    if (has_length)
+        reader.head_.content_length = parser->content_length;
+    reader.head_.expects_continue = asks_for_continue(reader.head_.headers);
+    if (reader.is_interim())
+        return response_has_no_body;
+    reader.hooks_.head(reader.head_);
+    return parsing_continues;
+}
+
+int http_message_reader::on_body(::http_parser* parser, char const* at, std::size_t length)
+{
+    self(parser).hooks_.body(std::string_view(at, length));
+    return parsing_continues;
+}
+
+int http_message_reader::on_complete(::http_parser* parser)
+{
+    auto& reader = self(parser);
+    if (reader.is_interim())
+        return parsing_continues;
+    reader.inside_ = false;
+    http_parser_pause(parser, 1);
+    reader.hooks_.end();
+    return parsing_continues;
+}
+
+bool http_message_reader::count_header_bytes(std::size_t n)
+{
+    header_bytes_ += n;
+    too_large_ = header_bytes_ > max_header_bytes_;
+    return !too_large_;
+}
+
+bool http_message_reader::is_interim() const
+{
+    constexpr int first_interim = 100;
+    constexpr int first_final = 200;
+    return head_.status >= first_interim && head_.status < first_final;
+}
+
+} // namespace savorymount::runtime
--- /dev/null
+++ b/libraries/savorymount/runtime/http_message_reader.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <savorymount/base/error.hpp>
+#include <savorymount/runtime/http_message.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <http_parser.h>
+#include <optional>
+#include <string_view>
+
+namespace savorymount::runtime
+{
+
+enum class http_message_kind
+{
+    request,
+    response
+};
+
+/// What the reader reports about one message, in this order. `body` comes zero or more times.
+struct http_message_hooks
+{
+    std::function<void(http_head const&)> head;
+    std::function<void(std::string_view)> body;
+    std::function<void()> end;
+};
+
+/// Reads the HTTP/1.1 messages of one connection, one at a time. Interim responses are skipped.
+class http_message_reader
+{
+public:
+    http_message_reader(http_message_kind kind, std::size_t max_header_bytes,
+                        http_message_hooks hooks);
+    http_message_reader(http_message_reader const&) = delete;
+    http_message_reader& operator=(http_message_reader const&) = delete;
+
+    /// Reads up to the end of the current message and returns the bytes consumed. Empty, with
+    /// `too_large` or `invalid_input`, when the input is no valid message.
+    std::optional<std::size_t> feed(std::string_view bytes, base::error& reason);
+
+    /// Tells that the peer closed its side in good order. True if that ends a whole message.
+    bool finish();
+
+    /// Whether a message has begun and not ended.
+    bool inside_message() const { return inside_; }
+
+private:
+    static http_message_reader& self(::http_parser* parser);
+    static int on_begin(::http_parser* parser);
+    static int on_url(::http_parser* parser, char const* at, std::size_t length);
+    static int on_field(::http_parser* parser, char const* at, std::size_t length);
+    static int on_value(::http_parser* parser, char const* at, std::size_t length);
+    static int on_headers_complete(::http_parser* parser);
+    static int on_body(::http_parser* parser, char const* at, std::size_t length);
+    static int on_complete(::http_parser* parser);
+    static ::http_parser_settings make_settings();
+
+    bool count_header_bytes(std::size_t n);
+    bool is_interim() const;
+
+    http_message_hooks hooks_;
+    std::size_t max_header_bytes_;
+    std::size_t header_bytes_ = 0;
+    ::http_parser parser_{};
+    ::http_parser_settings settings_;
+    http_head head_;
+    bool inside_ = false;
+    bool head_complete_ = false;
+    bool last_was_value_ = true;
+    bool too_large_ = false;
+};
+
+} // namespace savorymount::runtime
--- /dev/null
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -0,0 +1,270 @@
+#include <savorymount/runtime/connection_socket.hpp>
+#include <savorymount/runtime/inbound_connection.hpp>
+
+#include <event2/buffer.h>
+
+#include <sys/socket.h>
+#include <utility>
+
+namespace savorymount::runtime
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// Input that waits behind a request that is being answered; more stays in the socket.
+constexpr std::size_t read_ahead_bytes = std::size_t{64} * 1024;
+// How long a closed connection reads on, so that the response is not lost to a reset.
+constexpr base::duration linger_time = 1s;
+constexpr base::duration client_silence = 3s;
+constexpr char const* continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
+
+int status_of(base::error const& reason, bool in_body)
+{
+    if (reason.kind != base::error_kind::too_large)
+        return 400;
+    return in_body ? 413 : 431;
+}
+
+} // namespace
+
+inbound_connection::inbound_connection(event_loop& loop, timer_service& timers,
+                                       evutil_socket_t socket, inbound_hooks hooks)
+    : timers_(timers), hooks_(std::move(hooks)), limits_(hooks_.limits()),
+      buffer_(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE)),
+      reader_(http_message_kind::request, limits_.max_header_bytes,
+              {[this](http_head const& head) { take_head(head); },
+               [this](std::string_view bytes) { take_body(bytes); },
+               [this]
+               {
+                   complete_ = true;
+               }})
+{
+    watch_for_silence(socket, client_silence);
+    bufferevent_setcb(buffer_, handle_read, handle_write, handle_event, this);
+    bufferevent_setwatermark(buffer_, EV_READ, 0, read_ahead_bytes);
+    bufferevent_enable(buffer_, EV_READ | EV_WRITE);
+    arm(limits_.idle_timeout);
+}
+
+inbound_connection::~inbound_connection()
+{
+    if (buffer_ != nullptr)
+        bufferevent_free(buffer_);
+}
+
+void inbound_connection::respond(int status, http_headers headers, std::string_view body)
+{
+    if (phase_ != phase::responding)
+        return;
+    headers = framed(std::move(headers));
+    headers.push_back({"Content-Length", std::to_string(body.size())});
+    send(serialize_response_head(status, headers));
+    send(body);
+    end_response();
+}
+
+void inbound_connection::start(int status, http_headers headers)
+{
+    if (phase_ != phase::responding)
+        return;
+    headers = framed(std::move(headers));
+    headers.push_back({"Transfer-Encoding", "chunked"});
+    send(serialize_response_head(status, headers));
+}
+
+void inbound_connection::write(std::string_view bytes)
+{
+    if (phase_ != phase::responding || bytes.empty())
+        return;
+    char size[24];
+    auto const n = evutil_snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    send(std::string_view(size, static_cast<std::size_t>(n)));
+    send(bytes);
+    send("\r\n");
+}
+
+void inbound_connection::finish()
+{
+    if (phase_ != phase::responding)
+        return;
+    send("0\r\n\r\n");
+    end_response();
+}
+
+void inbound_connection::abort()
+{
+    gone_ = nullptr;
+    close();
+}
+
+std::size_t inbound_connection::buffered_bytes() const
+{
+    return buffer_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(buffer_));
+}
+
+void inbound_connection::close()
+{
+    if (phase_ == phase::closed)
+        return;
+    auto const keep = shared_from_this();
+    phase_ = phase::closed;
+    timeout_ = {};
+    bufferevent_free(std::exchange(buffer_, nullptr));
+    drained_ = nullptr;
+    if (auto const hook = std::exchange(gone_, nullptr))
+        hook();
+    hooks_.closed(*this);
+}
+
+void inbound_connection::handle_read(bufferevent*, void* self)
+{
+    auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
+    keep->read_input();
+}
+
+void inbound_connection::handle_write(bufferevent*, void* self)
+{
+    auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
+    if (auto const hook = std::exchange(keep->drained_, nullptr))
+        hook();
+    if (keep->phase_ == phase::lingering)
+        shutdown(bufferevent_getfd(keep->buffer_), SHUT_WR);
+}
+
+void inbound_connection::handle_event(bufferevent*, short, void* self)
+{
+    auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
+    keep->close();
+}
+
+void inbound_connection::read_input()
+{
+    auto* const input = bufferevent_get_input(buffer_);
+    if (phase_ == phase::lingering)
+        evbuffer_drain(input, evbuffer_get_length(input));
+    while ((phase_ == phase::waiting || phase_ == phase::receiving) &&
+           evbuffer_get_length(input) > 0)
+    {
+        if (phase_ == phase::waiting)
+        {
+            phase_ = phase::receiving;
+            arm(limits_.header_timeout);
+        }
+        auto const n = evbuffer_get_contiguous_space(input);
+        auto const* const bytes = reinterpret_cast<char const*>(evbuffer_pullup(input, n));
+        base::error reason;
+        auto const consumed = reader_.feed({bytes, static_cast<std::size_t>(n)}, reason);
+        if (!consumed || refusal_)
+        {
+            reject(refusal_.value_or(reason));
+            return;
+        }
+        evbuffer_drain(input, *consumed);
+        if (std::exchange(complete_, false))
+            take_request();
+    }
+}
+
+void inbound_connection::take_head(http_head const& head)
+{
+    request_ = {head, {}};
+    keep_alive_ = head.keep_alive;
+    if (head.content_length.value_or(0) > limits_.max_body_bytes)
+    {
+        refusal_ = base::error{base::error_kind::too_large,
+                               "the body is larger than " + std::to_string(limits_.max_body_bytes) +
+                                   " bytes; send a smaller one"};
+        return;
+    }
+    arm(limits_.idle_timeout);
+    if (head.expects_continue)
+        send(continue_response);
+}
+
+void inbound_connection::take_body(std::string_view bytes)
+{
+    if (refusal_)
+        return;
+    if (request_.body.size() + bytes.size() > limits_.max_body_bytes)
+    {
+        refusal_ = base::error{base::error_kind::too_large,
+                               "the body is larger than " + std::to_string(limits_.max_body_bytes) +
+                                   " bytes; send a smaller one"};
+        return;
+    }
+    request_.body += bytes;
+    arm(limits_.idle_timeout);
+}
+
+void inbound_connection::take_request()
+{
+    phase_ = phase::responding;
+    timeout_ = {};
+    hooks_.request(shared_from_this(), std::exchange(request_, {}));
+}
+
+void inbound_connection::reject(base::error const& reason)
+{
+    bool const in_body = refusal_.has_value();
+    phase_ = phase::responding;
+    keep_alive_ = false;
+    respond(status_of(reason, in_body), {{"Content-Type", "text/plain"}}, reason.message + "\n");
+}
+
+void inbound_connection::end_response()
+{
+    gone_ = nullptr;
+    if (!keep_alive_ || hooks_.draining())
+    {
+        linger();
+        return;
+    }
+    phase_ = phase::waiting;
+    arm(limits_.idle_timeout);
+    // The next request may be in the buffer already; it is read after the current callback.
+    bufferevent_trigger(buffer_, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void inbound_connection::linger()
+{
+    phase_ = phase::lingering;
+    arm(linger_time);
+}
+
+void inbound_connection::arm(base::duration delay)
+{
+    timeout_ = timers_.after(delay, [this] { timed_out(); });
+}
+
+void inbound_connection::timed_out()
+{
+    auto const keep = shared_from_this();
+    if (phase_ == phase::receiving)
+    {
+        phase_ = phase::responding;
+        keep_alive_ = false;
+        respond(408, {}, "");
+        return;
+    }
+    close();
+}
+
+http_headers inbound_connection::framed(http_headers headers)
+{
+    if (!keep_alive_ || hooks_.draining())
+    {
+        keep_alive_ = false;
+        headers.push_back({"Connection", "close"});
+    }
+    return headers;
+}
+
+void inbound_connection::send(std::string_view bytes)
+{
+    if (buffer_ != nullptr)
+        bufferevent_write(buffer_, bytes.data(), bytes.size());
+}
+
+} // namespace savorymount::runtime
--- /dev/null
+++ b/libraries/savorymount/runtime/inbound_connection.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <savorymount/base/time.hpp>
+#include <savorymount/runtime/http_message_reader.hpp>
+#include <savorymount/runtime/timer_service.hpp>
+
+#include <event2/bufferevent.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace savorymount::runtime
+{
+
+/// Bounds on what a client may send and how long it may take.
+struct inbound_limits
+{
+    std::size_t max_header_bytes = std::size_t{16} * 1024;
+    std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
+    /// From the first byte of a request to the end of its header.
+    base::duration header_timeout = std::chrono::seconds(3);
+    /// Without a request on a kept connection, and without progress in a body.
+    base::duration idle_timeout = std::chrono::seconds(15);
+
+    auto operator<=>(inbound_limits const&) const = default;
+};
+
+class inbound_connection;
+
+/// What a connection of a client reports and asks.
+struct inbound_hooks
+{
+    std::function<void(std::shared_ptr<inbound_connection>, http_request&&)> request;
+    /// The connection is closed; called once.
+    std::function<void(inbound_connection const&)> closed;
+    std::function<inbound_limits()> limits;
+    /// Whether the process is shutting down and keeps no connection after its next response.
+    std::function<bool()> draining;
+};
+
+/// One connection of a client. It hands over one whole request at a time and takes its response;
+/// calls after the client has gone do nothing.
+class inbound_connection final : public std::enable_shared_from_this<inbound_connection>
+{
+public:
+    inbound_connection(event_loop& loop, timer_service& timers, evutil_socket_t socket,
+                       inbound_hooks hooks);
+    ~inbound_connection();
+    inbound_connection(inbound_connection const&) = delete;
+    inbound_connection& operator=(inbound_connection const&) = delete;
+
+    /// Sends a whole response.
+    void respond(int status, http_headers headers, std::string_view body);
+
+    /// Sends the head of a chunked response.
+    void start(int status, http_headers headers);
+    /// Sends one chunk after `start`.
+    void write(std::string_view bytes);
+    /// Ends a chunked response.
+    void finish();
+    /// Closes the connection without the end of the response.
+    void abort();
+
+    /// Called once if the client leaves before its response is complete.
+    void on_gone(std::function<void()> hook) { gone_ = std::move(hook); }
+
+    /// Bytes of the response that the socket has not accepted yet.
+    std::size_t buffered_bytes() const;
+    /// Calls `hook` once when all bytes have been handed to the socket.
+    void when_drained(std::function<void()> hook) { drained_ = std::move(hook); }
+
+    /// Whether a request awaits its response.
+    bool busy() const { return phase_ == phase::responding; }
+    bool idle() const { return phase_ == phase::waiting; }
+    void close();
+
+private:
+    enum class phase
+    {
+        waiting,
+        receiving,
+        responding,
+        /// The response is sent and the connection ends once the peer has closed its side.
+        lingering,
+        closed
+    };
+
+    static void handle_read(bufferevent*, void* self);
+    static void handle_write(bufferevent*, void* self);
+    static void handle_event(bufferevent*, short what, void* self);
+
+    void read_input();
+    void take_head(http_head const& head);
+    void take_body(std::string_view bytes);
+    void take_request();
+    void reject(base::error const& reason);
+    void end_response();
+    void linger();
+    void arm(base::duration delay);
+    void timed_out();
+    http_headers framed(http_headers headers);
+    void send(std::string_view bytes);
+
+    timer_service& timers_;
+    inbound_hooks hooks_;
+    inbound_limits limits_;
+    bufferevent* buffer_;
+    http_message_reader reader_;
+    phase phase_ = phase::waiting;
+    http_request request_;
+    bool complete_ = false;
+    bool keep_alive_ = true;
+    std::optional<base::error> refusal_;
+    std::function<void()> gone_;
+    std::function<void()> drained_;
+    timer_service::subscription timeout_;
+};
+
+} // namespace savorymount::runtime
--- /dev/null
+++ b/libraries/savorymount/runtime/inbound_server.cpp
@@ -0,0 +1,102 @@
+#include <savorymount/runtime/inbound_server.hpp>
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+namespace savorymount::runtime
+{
+namespace
+{
+
+constexpr int accept_backlog = 512;
+
+} // namespace
+
+inbound_server::inbound_server(event_loop& loop, timer_service& timers, request_hook hook)
+    : loop_(loop), timers_(timers), hook_(std::move(hook))
+{
+}
+
+inbound_server::~inbound_server()
+{
+    if (listener_ != nullptr)
+        evconnlistener_free(listener_);
+    auto const open = std::exchange(connections_, {});
+    for (auto const& it : open)
+        it.second->close();
+}
+
+std::optional<std::uint16_t> inbound_server::listen(network_address const& address,
+                                                    base::error& reason)
+{
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.host.c_str(), &name.sin_addr);
+    listener_ = evconnlistener_new_bind(loop_.base(), handle_accept, this,
+                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, accept_backlog,
+                                        reinterpret_cast<sockaddr*>(&name), sizeof(name));
+    if (listener_ == nullptr)
+    {
+        reason = {base::error_kind::unavailable, "cannot listen on " + to_string(address) + ": " +
+                                                     std::strerror(errno) +
+                                                     "; choose a free address of this instance"};
+        return std::nullopt;
+    }
+    socklen_t size = sizeof(name);
+    getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&name), &size);
+    return ntohs(name.sin_port);
+}
+
+void inbound_server::close_idle()
+{
+    if (listener_ != nullptr)
+        evconnlistener_free(std::exchange(listener_, nullptr));
+    std::vector<std::shared_ptr<inbound_connection>> idle;
+    for (auto const& it : connections_)
+    {
+        if (it.second->idle())
+            idle.push_back(it.second);
+    }
+    for (auto const& it : idle)
+        it->close();
+}
+
+std::size_t inbound_server::busy_connections() const
+{
+    return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                                  [](auto const& it)
+                                                  { return it.second->busy(); }));
+}
+
+void inbound_server::handle_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int,
+                                   void* self)
+{
+    static_cast<inbound_server*>(self)->accept(socket);
+}
+
+void inbound_server::accept(evutil_socket_t socket)
+{
+    inbound_hooks hooks;
+    hooks.request = hook_;
+    hooks.closed = [this](inbound_connection const& it)
+    {
+        connections_.erase(&it);
+    };
+    hooks.limits = [this]
+    {
+        return limits_;
+    };
+    hooks.draining = [this]
+    {
+        return draining_;
+    };
+    auto const it = std::make_shared<inbound_connection>(loop_, timers_, socket, std::move(hooks));
+    connections_.emplace(it.get(), it);
+}
+
+} // namespace savorymount::runtime
--- /dev/null
+++ b/libraries/savorymount/runtime/inbound_server.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <savorymount/base/error.hpp>
+#include <savorymount/runtime/inbound_connection.hpp>
+#include <savorymount/runtime/settings_parser.hpp>
+
+#include <event2/listener.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace savorymount::runtime
+{
+
+/// Accepts the connections of clients. Framing that two parsers could read differently is refused.
+class inbound_server
+{
+public:
+    using request_hook = std::function<void(std::shared_ptr<inbound_connection>, http_request&&)>;
+
+    inbound_server(event_loop& loop, timer_service& timers, request_hook hook);
+    ~inbound_server();
+    inbound_server(inbound_server const&) = delete;
+    inbound_server& operator=(inbound_server const&) = delete;
+
+    /// Returns the port; port 0 lets the kernel choose one.
+    std::optional<std::uint16_t> listen(network_address const& address, base::error& reason);
+
+    /// Applies to connections that are opened from now on.
+    void set_limits(inbound_limits const& limits) { limits_ = limits; }
+
+    /// From now on each connection ends after its next response.
+    void drain() { draining_ = true; }
+    /// Closes the listening socket and the connections that have no request.
+    void close_idle();
+
+    std::size_t busy_connections() const;
+    std::size_t connections() const { return connections_.size(); }
+
+private:
+    static void handle_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self);
+    void accept(evutil_socket_t socket);
+
+    event_loop& loop_;
+    timer_service& timers_;
+    request_hook hook_;
+    inbound_limits limits_;
+    bool draining_ = false;
+    evconnlistener* listener_ = nullptr;
+    std::unordered_map<inbound_connection const*, std::shared_ptr<inbound_connection>> connections_;
+};
+
+} // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -33,6 +33,12 @@
     "The platform's instance list does not answer; the last list is kept."};
 inline constexpr log_event list_available{303, log_level::info, "list_available",
                                           "The platform's instance list answers again."};
+inline constexpr log_event cache_store_unavailable{
+    304, log_level::warning, "cache_store_unavailable",
+    "The store of KV cache does not answer; engines read missing parts themselves."};
+inline constexpr log_event cache_store_available{
+    305, log_level::info, "cache_store_available",
+    "The store of KV cache answers; engines fetch missing parts from it."};
 inline constexpr log_event peer_connected{
     400, log_level::info, "peer_connected",
     "A connection to another instance is open and authenticated."};
@@ -57,15 +63,39 @@
 inline constexpr log_event request_quarantined{
     506, log_level::warning, "request_quarantined",
     "A request that crashed upstreams twice is refused from now on."};
+inline constexpr log_event weights_wanted{507, log_level::info, "weights_wanted",
+                                          "Operators named a weight version of a model."};
+inline constexpr log_event upstream_unlisted{508, log_level::info, "upstream_unlisted",
+                                             "The list no longer names an upstream."};
 inline constexpr log_event lease_acquired{600, log_level::info, "lease_acquired",
                                           "This agent owns a workspace's token bucket."};
 inline constexpr log_event lease_lost{601, log_level::warning, "lease_lost",
                                       "This agent no longer owns a workspace's token bucket."};
+inline constexpr log_event duty_acquired{
+    602, log_level::info, "duty_acquired",
+    "This instance orders weight versions from now on; shows its fencing token."};
+inline constexpr log_event duty_lost{603, log_level::warning, "duty_lost",
+                                     "This instance no longer orders weight versions."};
 inline constexpr log_event stream_resumed{700, log_level::info, "stream_resumed",
                                           "A stream goes on over another connection or upstream."};
 inline constexpr log_event stream_broken{701, log_level::warning, "stream_broken",
                                          "A stream ended early and its caller was told."};
 
+inline constexpr log_event request_answered{
+    710, log_level::info, "request_answered",
+    "A request was answered by an upstream; shows what decided its way."};
+inline constexpr log_event request_refused{711, log_level::warning, "request_refused",
+                                           "A request was refused and did not run; shows why."};
+inline constexpr log_event request_failed{
+    712, log_level::warning, "request_failed",
+    "A request ended without a whole answer and may have run; shows why."};
+inline constexpr log_event request_abandoned{
+    713, log_level::info, "request_abandoned",
+    "The caller left before the answer; the upstream was told to stop."};
+inline constexpr log_event request_repeated{
+    714, log_level::info, "request_repeated",
+    "A request goes to another upstream; shows what went wrong at the first."};
+
 /// Every event above, in the order of their numbers.
 inline constexpr std::array all{started,
                                 stopping,
@@ -79,6 +109,8 @@
                                 log_available,
                                 list_unavailable,
                                 list_available,
+                                cache_store_unavailable,
+                                cache_store_available,
                                 peer_connected,
                                 peer_lost,
                                 peer_rejected,
@@ -89,9 +121,18 @@
                                 order_sent,
                                 order_refused,
                                 request_quarantined,
+                                weights_wanted,
+                                upstream_unlisted,
                                 lease_acquired,
                                 lease_lost,
+                                duty_acquired,
+                                duty_lost,
                                 stream_resumed,
-                                stream_broken};
+                                stream_broken,
+                                request_answered,
+                                request_refused,
+                                request_failed,
+                                request_abandoned,
+                                request_repeated};
 
 } // namespace savorymount::runtime::log_events
--- /dev/null
+++ b/libraries/savorymount/runtime/outbound_connection.cpp
@@ -0,0 +1,218 @@
+#include <savorymount/runtime/connection_socket.hpp>
+#include <savorymount/runtime/outbound_connection.hpp>
+
+#include <event2/buffer.h>
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <netinet/in.h>
+#include <utility>
+
+namespace savorymount::runtime
+{
+namespace
+{
+
+// Bytes read ahead of a paused reader.
+constexpr std::size_t read_ahead_bytes = std::size_t{64} * 1024;
+
+std::optional<base::duration> parse_idle_time(http_headers const& headers)
+{
+    auto const value = find_header(headers, "Keep-Alive");
+    auto const at = value ? value->find("timeout=") : std::string::npos;
+    if (at == std::string::npos)
+        return std::nullopt;
+    std::int64_t seconds = 0;
+    char const* const first = value->data() + at + std::strlen("timeout=");
+    if (std::from_chars(first, value->data() + value->size(), seconds).ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+outbound_connection::outbound_connection(event_loop& loop, timer_service& timers,
+                                         outbound_options options)
+    : timers_(timers), options_(std::move(options)),
+      buffer_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
+      reader_(http_message_kind::response, options_.max_header_bytes,
+              {[this](http_head const& head) { take_head(head); },
+               [this](std::string_view bytes)
+               {
+                   if (!skipping_ && hooks_.body)
+                       hooks_.body(bytes);
+               },
+               [this]
+               {
+                   complete_ = true;
+               }})
+{
+    bufferevent_setcb(buffer_, handle_read, nullptr, handle_event, this);
+    bufferevent_setwatermark(buffer_, EV_READ, 0, read_ahead_bytes);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(options_.address.port);
+    inet_pton(AF_INET, options_.address.host.c_str(), &name.sin_addr);
+    // NOTE: A connect that fails at once is reported through the event callback as well.
+    bufferevent_socket_connect(buffer_, reinterpret_cast<sockaddr*>(&name), sizeof(name));
+    bufferevent_enable(buffer_, EV_READ);
+    connect_timer_ = timers_.after(
+        options_.connect_timeout,
+        [this]
+        {
+            if (!connected_)
+                peer_closed(false, "connecting to " + to_string(options_.address) + " timed out");
+        });
+}
+
+outbound_connection::~outbound_connection()
+{
+    *alive_ = false;
+    bufferevent_free(buffer_);
+}
+
+void outbound_connection::call(std::string head, std::string_view body, call_hooks hooks)
+{
+    hooks_ = std::move(hooks);
+    in_call_ = true;
+    skipping_ = false;
+    if (broken_)
+    {
+        connect_timer_ = timers_.after(base::duration::zero(),
+                                       [this] { peer_closed(false, "connecting failed at once"); });
+        return;
+    }
+    bufferevent_write(buffer_, head.data(), head.size());
+    bufferevent_write(buffer_, body.data(), body.size());
+}
+
+void outbound_connection::pause_reading(bool paused)
+{
+    if (paused)
+        bufferevent_disable(buffer_, EV_READ);
+    else
+        bufferevent_enable(buffer_, EV_READ);
+}
+
+bool outbound_connection::reusable() const
+{
+    return connected_ && !in_call_ && !broken_ && keep_alive_;
+}
+
+void outbound_connection::handle_read(bufferevent*, void* self)
+{
+    static_cast<outbound_connection*>(self)->read_input();
+}
+
+void outbound_connection::handle_event(bufferevent*, short what, void* self)
+{
+    auto& it = *static_cast<outbound_connection*>(self);
+    if ((what & BEV_EVENT_CONNECTED) != 0)
+    {
+        it.connected_ = true;
+        it.connect_timer_ = {};
+        watch_for_silence(bufferevent_getfd(it.buffer_), it.options_.silence);
+        return;
+    }
+    bool const in_good_order = (what & BEV_EVENT_EOF) != 0;
+    auto const reason = in_good_order
+                            ? std::string("the upstream closed the connection")
+                            : std::string(evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+    it.peer_closed(in_good_order, reason);
+}
+
+void outbound_connection::read_input()
+{
+    auto const alive = alive_;
+    auto* const input = bufferevent_get_input(buffer_);
+    while (evbuffer_get_length(input) > 0)
+    {
+        if (!in_call_)
+        {
+            end_idle();
+            return;
+        }
+        auto const n = evbuffer_get_contiguous_space(input);
+        auto const* const bytes = reinterpret_cast<char const*>(evbuffer_pullup(input, n));
+        base::error reason;
+        auto const consumed = reader_.feed({bytes, static_cast<std::size_t>(n)}, reason);
+        if (!*alive)
+            return;
+        if (!consumed)
+        {
+            fail(call_failure::malformed, reason.message);
+            return;
+        }
+        evbuffer_drain(input, *consumed);
+        if (!std::exchange(complete_, false))
+            continue;
+        take_end();
+        if (!*alive)
+            return;
+    }
+}
+
+void outbound_connection::take_head(http_head const& head)
+{
+    skipping_ = hooks_.answers && !hooks_.answers(head);
+    keep_alive_ = head.keep_alive;
+    announced_idle_time_ = parse_idle_time(head.headers);
+    if (!skipping_)
+        hooks_.head(head);
+}
+
+void outbound_connection::take_end()
+{
+    if (std::exchange(skipping_, false))
+        return;
+    // Bytes after the response belong to no request, and a request that is not written completely
+    // leaves the peer waiting for its rest: neither connection may carry another call.
+    bool const output_left = evbuffer_get_length(bufferevent_get_output(buffer_)) > 0;
+    bool const input_left = evbuffer_get_length(bufferevent_get_input(buffer_)) > 0;
+    if (output_left || input_left)
+        broken_ = true;
+    in_call_ = false;
+    idle_since_ = timers_.now();
+    auto const hooks = std::exchange(hooks_, {});
+    hooks.done();
+}
+
+void outbound_connection::fail(call_failure kind, std::string const& reason)
+{
+    broken_ = true;
+    in_call_ = false;
+    bufferevent_disable(buffer_, EV_READ | EV_WRITE);
+    auto const hooks = std::exchange(hooks_, {});
+    hooks.failed(kind, reason);
+}
+
+void outbound_connection::peer_closed(bool in_good_order, std::string const& reason)
+{
+    broken_ = true;
+    connect_timer_ = {};
+    if (!in_call_)
+    {
+        end_idle();
+        return;
+    }
+    auto const alive = alive_;
+    bool const whole = in_good_order && !skipping_ && reader_.finish();
+    if (!*alive)
+        return;
+    if (whole)
+        take_end();
+    else
+        fail(connected_ ? call_failure::lost : call_failure::not_sent, reason);
+}
+
+void outbound_connection::end_idle()
+{
+    broken_ = true;
+    bufferevent_disable(buffer_, EV_READ | EV_WRITE);
+    if (auto const hook = std::exchange(idle_end_, nullptr))
+        hook();
+}
+
+} // namespace savorymount::runtime
--- /dev/null
+++ b/libraries/savorymount/runtime/outbound_pool.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <savorymount/runtime/outbound_connection.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace savorymount::runtime
+{
+
+/// Keeps idle connections by the incarnation of the upstream that they lead to.
+class outbound_pool
+{
+public:
+    outbound_pool(event_loop& loop, timer_service& timers) : loop_(loop), timers_(timers) {}
+
+    /// An idle connection that the upstream surely still keeps, or a new one.
+    std::unique_ptr<outbound_connection> take(std::string const& upstream,
+                                              network_address const& address);
+
+    /// Takes a connection back after a call; one that can't carry another call is closed.
+    void give_back(std::string const& upstream, std::unique_ptr<outbound_connection> connection);
+
+    /// Closes the idle connections to an upstream.
+    void forget(std::string const& upstream) { idle_.erase(upstream); }
+
+    std::uint64_t connections_opened() const { return opened_; }
+
+private:
+    bool fresh(outbound_connection const& connection) const;
+
+    event_loop& loop_;
+    timer_service& timers_;
+    std::unordered_map<std::string, std::vector<std::unique_ptr<outbound_connection>>> idle_;
+    std::uint64_t opened_ = 0;
+};
+
+} // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/settings_parser.cpp
+++ b/libraries/savorymount/runtime/settings_parser.cpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <charconv>
 #include <cstdlib>
+#include <fstream>
 #include <sstream>
 #include <utility>
 
@@ -22,8 +23,50 @@
     return out;
 }
 
+/// The content of the settings file; empty when none is named.
+std::optional<settings_file> read_settings_file(base::error& reason)
+{
+    char const* const path = std::getenv(settings_file_variable);
+    if (path == nullptr)
+        return settings_file{};
+    std::ifstream in(path);
+    if (!in)
+    {
+        reason = {base::error_kind::invalid_input, std::string("the settings file ") + path +
+                                                       " can't be read; correct " +
+                                                       settings_file_variable};
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return parse_settings_file(text.str(), reason);
+}
+
 } // namespace
 
+std::optional<settings_file> parse_settings_file(std::string const& text, base::error& reason)
+{
+    settings_file out;
+    std::istringstream in(text);
+    std::size_t number = 0;
+    for (std::string line; std::getline(in, line);)
+    {
+        ++number;
+        if (line.empty() || line[0] == '#')
+            continue;
+        auto const equals = line.find('=');
+        if (equals == std::string::npos || !line.starts_with("SAVORYMOUNT_"))
+        {
+            reason = {base::error_kind::invalid_input,
+                      "line " + std::to_string(number) +
+                          " of the settings file is no SAVORYMOUNT_NAME=value; correct it"};
+            return std::nullopt;
+        }
+        out[line.substr(0, equals)] = line.substr(equals + 1);
+    }
+    return out;
+}
+
 settings_parser::settings_parser(std::string program)
     : program_(std::move(program)), options_("Settings")
 {
@@ -57,6 +100,9 @@
                   std::string(ec.what()) + "; see " + program_ + " --help"};
         return std::nullopt;
     }
+    auto const file = read_settings_file(reason);
+    if (!file)
+        return std::nullopt;
     parsed_settings out;
     out.help = flags.count("help") > 0;
     out.version = flags.count("version") > 0;
@@ -68,6 +114,8 @@
             out.values[it.name] = {flags[it.name].as<std::string>(), "flag"};
         else if (environment != nullptr)
             out.values[it.name] = {environment, "environment"};
+        else if (auto const line = file->find(environment_name(it.name)); line != file->end())
+            out.values[it.name] = {line->second, "file"};
         else if (it.fallback)
             out.values[it.name] = {*it.fallback, "default"};
         else if (!out.help && !out.version)
@@ -115,6 +163,34 @@
     return std::nullopt;
 }
 
+std::optional<double> parse_decimal(std::string const& name, std::string const& text,
+                                    double minimum, double maximum, base::error& reason)
+{
+    double value = 0;
+    char const* const end = text.data() + text.size();
+    auto const result = std::from_chars(text.data(), end, value);
+    bool const whole = result.ec == std::errc() && result.ptr == end;
+    if (whole && value >= minimum && value <= maximum)
+        return value;
+    std::ostringstream message;
+    message << "setting " << name << " is \"" << text << "\"; give a number from " << minimum
+            << " to " << maximum;
+    reason = {base::error_kind::invalid_input, message.str()};
+    return std::nullopt;
+}
+
+std::optional<bool> parse_truth(std::string const& name, std::string const& text,
+                                base::error& reason)
+{
+    if (text == "true")
+        return true;
+    if (text == "false")
+        return false;
+    reason = {base::error_kind::invalid_input,
+              "setting " + name + " is \"" + text + "\"; give true or false"};
+    return std::nullopt;
+}
+
 std::optional<network_address> parse_address(std::string const& name, std::string const& text,
                                              base::error& reason)
 {
--- a/libraries/savorymount/runtime/settings_parser.hpp
+++ b/libraries/savorymount/runtime/settings_parser.hpp
@@ -12,7 +12,17 @@
 namespace savorymount::runtime
 {
 
-/// One value in force and where it came from: `flag`, `environment` or `default`.
+/// Settings by the names of their environment variables.
+using settings_file = std::map<std::string, std::string>;
+
+/// Reads lines `NAME=value`; empty lines and lines that begin with `#` are skipped. Fails with
+/// `invalid_input` on any other line.
+std::optional<settings_file> parse_settings_file(std::string const& text, base::error& reason);
+
+/// Names the file that settings are read from; read from the environment only.
+inline constexpr char const* settings_file_variable = "SAVORYMOUNT_SETTINGS";
+
+/// One value in force and where it came from: `flag`, `environment`, `file` or `default`.
 struct setting_value
 {
     std::string text;
@@ -21,7 +31,8 @@
     bool operator==(setting_value const&) const = default;
 };
 
-/// The result of parsing a command line together with `SAVORYMOUNT_*` environment variables.
+/// The result of parsing a command line together with `SAVORYMOUNT_*` environment variables and
+/// the settings file, if there is one.
 struct parsed_settings
 {
     std::map<std::string, setting_value> values;
@@ -33,7 +44,8 @@
     std::string const& text(std::string const& name) const { return values.at(name).text; }
 };
 
-/// Declares text settings and reads them from flags, then environment, then defaults.
+/// Declares text settings and reads them from flags, then environment, then the settings file,
+/// then defaults.
 class settings_parser
 {
 public:
@@ -72,6 +84,14 @@
                                          std::int64_t minimum, std::int64_t maximum,
                                          base::error& reason);
 
+/// A decimal number in [minimum, maximum]; `reason` names the setting and the bounds.
+std::optional<double> parse_decimal(std::string const& name, std::string const& text,
+                                    double minimum, double maximum, base::error& reason);
+
+/// `true` or `false`.
+std::optional<bool> parse_truth(std::string const& name, std::string const& text,
+                                base::error& reason);
+
 /// `IP:port` of a peer or service.
 struct network_address
 {
