--- /dev/null
+++ b/libraries/savorymount/configuration/deployment.cpp
@@ -0,0 +1,65 @@
+#include <savorymount/configuration/deployment.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace savorymount::configuration
+{
+
+deployment_index::deployment_index(deployment data) : data_(std::move(data))
+{
+    for (std::size_t i = 0; i < data_.routes.size(); ++i)
+        by_host_[data_.routes[i].host].push_back(i);
+    for (auto& it : by_host_)
+    {
+        std::stable_sort(it.second.begin(), it.second.end(),
+                         [this](std::size_t left, std::size_t right) {
+                             return data_.routes[left].path_prefix.size() >
+                                    data_.routes[right].path_prefix.size();
+                         });
+    }
+    for (std::size_t i = 0; i < data_.workspaces.size(); ++i)
+    {
+        for (auto const& key : data_.workspaces[i].keys)
+            by_key_[key] = i;
+    }
+}
+
+service_route const* deployment_index::find_route(std::string_view host,
+                                                  std::string_view path) const
+{
+    auto const it = by_host_.find(std::string(host));
+    if (it == by_host_.end())
+        return nullptr;
+    path = path.substr(0, path.find('?'));
+    for (auto const index : it->second)
+    {
+        if (path.starts_with(data_.routes[index].path_prefix))
+            return &data_.routes[index];
+    }
+    return nullptr;
+}
+
+workspace_account const* deployment_index::find_workspace(std::string const& key) const
+{
+    auto const it = by_key_.find(key);
+    return it == by_key_.end() ? nullptr : &data_.workspaces[it->second];
+}
+
+service_description const* deployment_index::find_service(std::string const& name) const
+{
+    auto const it = data_.services.find(name);
+    return it == data_.services.end() ? nullptr : &it->second;
+}
+
+cache_store const* deployment_index::find_cache_store() const
+{
+    for (auto const& it : data_.services)
+    {
+        if (it.second.store)
+            return &*it.second.store;
+    }
+    return nullptr;
+}
+
+} // namespace savorymount::configuration
--- /dev/null
+++ b/libraries/savorymount/limits/shared_bucket.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <savorymount/base/time.hpp>
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace savorymount::limits
+{
+
+/// Rate and burst of one workspace over all instances together.
+struct bucket_contract
+{
+    /// Tokens per second; 0 means no limit.
+    double rate = 0;
+    double burst = 0;
+
+    bool operator==(bucket_contract const&) const = default;
+};
+
+/// Whether a request was admitted, and otherwise how long until it would be.
+struct bucket_verdict
+{
+    bool admitted = true;
+    base::duration retry_after{};
+
+    bool operator==(bucket_verdict const&) const = default;
+};
+
+/// One instance's view of a workspace's token bucket.
+///
+/// Each instance keeps the whole bucket and debits what it admits and what the others report that
+/// they admitted. Reports arrive late, so the level may fall below zero; it is then paid back
+/// before anything else is admitted. For an instance whose reports stop, its fair share is debited
+/// instead, and an instance that hears of no other admits only its own share.
+class shared_bucket
+{
+public:
+    /// `initial_part` of the burst is there at once: a restarted instance does not know what was
+    /// admitted before it.
+    shared_bucket(base::time_point now, bucket_contract const& contract, double initial_part);
+
+    /// Applies a changed contract; the level never rises by it.
+    void set_contract(base::time_point now, bucket_contract const& contract);
+
+    /// Number of instances that share the bucket, and how many of them are not heard of.
+    void set_instances(base::time_point now, std::size_t instances, std::size_t silent);
+
+    /// Takes `tokens` if the level allows it.
+    bucket_verdict admit(base::time_point now, double tokens);
+
+    /// Gives back what was taken for a request that did not run.
+    void refund(double tokens);
+
+    /// All tokens taken by this instance since it started, for the reports to the others.
+    double admitted_total() const { return admitted_total_; }
+
+    /// The running total that another process reported. `incarnation` names that process.
+    void report(base::time_point now, std::string const& incarnation, double total);
+
+    double level(base::time_point now);
+
+private:
+    void refill(base::time_point now);
+    double own_rate() const;
+
+    bucket_contract contract_;
+    double level_;
+    base::time_point refilled_at_;
+    std::size_t instances_ = 1;
+    std::size_t silent_ = 0;
+    double admitted_total_ = 0;
+    std::unordered_map<std::string, double> reported_;
+};
+
+} // namespace savorymount::limits
--- /dev/null
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <savorymount/base/time.hpp>
+#include <savorymount/routing/upstream_table.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace savorymount::membership
+{
+
+/// An engine that loads new weights.
+struct weight_load
+{
+    std::string upstream;
+    std::string model;
+    std::uint64_t version = 0;
+    base::duration remaining{};
+
+    bool operator==(weight_load const&) const = default;
+};
+
+/// An upstream was lost while it ran a request.
+struct crash_notice
+{
+    std::string request_digest;
+    std::string upstream;
+
+    bool operator==(crash_notice const&) const = default;
+};
+
+/// What one instance tells the others at short intervals.
+struct peer_report
+{
+    std::string instance;
+    std::string incarnation;
+    std::uint64_t sequence = 0;
+    /// Tokens admitted since the process started, by workspace.
+    std::map<std::string, double> admitted;
+    std::map<std::string, routing::upstream_use> use;
+    std::vector<weight_load> loads;
+    std::vector<crash_notice> crashes;
+
+    bool operator==(peer_report const&) const = default;
+};
+
+} // namespace savorymount::membership
--- /dev/null
+++ b/libraries/savorymount/orders/duty_lease.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <savorymount/base/time.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace savorymount::orders
+{
+
+/// The newest record of a duty in the platform's log.
+struct lease_record
+{
+    std::string holder;
+    std::string incarnation;
+    /// Grows with each new holder; orders carry it.
+    std::uint64_t fence = 0;
+    /// Whether the holder gave the duty up in good order.
+    bool released = false;
+
+    bool operator==(lease_record const&) const = default;
+};
+
+/// A lease record with its place in the log.
+struct logged_lease
+{
+    lease_record record;
+    std::uint64_t offset = 0;
+
+    bool operator==(logged_lease const&) const = default;
+};
+
+/// A record to append on the condition that the log still ends at `expected_end`.
+struct lease_append
+{
+    lease_record record;
+    std::uint64_t expected_end = 0;
+
+    bool operator==(lease_append const&) const = default;
+};
+
+struct duty_lease_options
+{
+    std::string instance;
+    std::string incarnation;
+    base::duration lease = std::chrono::milliseconds(3000);
+    base::duration renewal = std::chrono::milliseconds(1000);
+    /// How long before its end a holder stops, and how long after it a successor starts.
+    base::duration margin = std::chrono::milliseconds(250);
+};
+
+/// Decides who holds a duty, by conditional appends to one partition of the platform's log.
+///
+/// A holder counts its time from before it sent the append that the log accepted; the others count
+/// from when they saw the record. So a successor starts after the old holder has stopped, whatever
+/// happened to the messages between them. All times come from a clock that goes on while the
+/// instance is suspended.
+class duty_lease
+{
+public:
+    explicit duty_lease(duty_lease_options options) : options_(std::move(options)) {}
+
+    /// The log was read up to `end`. `newest` is the newest record of the duty, if there is one;
+    /// other records may follow it.
+    void observed(base::time_point now, std::optional<logged_lease> const& newest,
+                  std::uint64_t end);
+
+    /// What to append now, if anything. The caller reports how it ended.
+    std::optional<lease_append> next(base::time_point now);
+
+    /// The log accepted the append; the partition ends at `end`.
+    void accepted(base::time_point now, std::uint64_t end);
+    /// The log refused the append, since others appended first. Nothing may be ordered until it
+    /// was read again.
+    void refused();
+    /// It is unknown whether the log took the append. Reading the log tells.
+    void unanswered();
+
+    /// The fencing token, if this process holds the duty at `now`.
+    std::optional<std::uint64_t> fence(base::time_point now) const;
+
+    /// A record that gives the duty up, if this process holds it.
+    std::optional<lease_append> release(base::time_point now);
+
+    std::optional<lease_record> const& newest() const { return newest_; }
+
+private:
+    bool own(lease_record const& record) const;
+
+    duty_lease_options options_;
+    std::optional<lease_record> newest_;
+    std::optional<std::uint64_t> newest_offset_;
+    std::optional<std::uint64_t> end_;
+    /// When the newest record was first seen.
+    base::time_point seen_at_{};
+    /// The append that has no answer yet, and when it was sent.
+    std::optional<lease_append> pending_;
+    base::time_point pending_since_{};
+    /// When the earliest append was sent whose end is unknown.
+    std::optional<base::time_point> unanswered_since_;
+    /// The holder's own time, counted from before the accepted append was sent.
+    std::optional<base::time_point> held_since_;
+    std::uint64_t held_fence_ = 0;
+};
+
+} // namespace savorymount::orders
--- /dev/null
+++ b/libraries/savorymount/orders/weight_rollout.cpp
@@ -0,0 +1,141 @@
+#include <savorymount/orders/weight_rollout.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace savorymount::orders
+{
+
+rollout_step weight_rollout::next(base::time_point now, std::uint64_t fence,
+                                  wanted_weights const& wanted,
+                                  std::vector<rollout_engine> const& engines)
+{
+    rollout_step out;
+    std::size_t loading = 0;
+    for (auto& [id, progress] : engines_)
+    {
+        if (progress.loading_until && now >= *progress.loading_until)
+            progress.loading_until.reset();
+        loading += progress.loading_until || progress.order_pending ? 1 : 0;
+    }
+    for (auto const& it : outdated(now, wanted, engines))
+    {
+        auto& progress = engines_[it.engine->record.id];
+        if (!progress.accepted)
+        {
+            if (!std::exchange(progress.report_pending, true))
+                out.reports.push_back(it.engine->record.id);
+            continue;
+        }
+        if (loading >= options_.loading_at_once)
+            continue;
+        ++loading;
+        progress.order_pending = true;
+        out.orders.push_back({it.engine->record.id, it.engine->record.address, it.model, it.version,
+                              fence, *progress.accepted});
+    }
+    return out;
+}
+
+std::vector<weight_rollout::target>
+weight_rollout::outdated(base::time_point now, wanted_weights const& wanted,
+                         std::vector<rollout_engine> const& engines)
+{
+    std::vector<target> out;
+    for (auto const& engine : engines)
+    {
+        auto& progress = engines_[engine.record.id];
+        // An engine that started again under its id has forgotten its orders.
+        if (progress.started_unix_ms != engine.record.started_unix_ms)
+        {
+            progress = {};
+            progress.started_unix_ms = engine.record.started_unix_ms;
+        }
+        bool const occupied = progress.order_pending || progress.report_pending ||
+                              progress.loading_until || now < progress.retry_at;
+        if (occupied || engine.record.draining || engine.unreachable)
+            continue;
+        for (auto const& [model, version] : engine.record.weights)
+        {
+            auto const known = std::max(version, progress.weights[model]);
+            auto const newest = wanted.of(model).version;
+            if (known < newest)
+                out.push_back({&engine, model, newest});
+        }
+    }
+    // One engine of each data centre in turn, so that none loses all its engines at once.
+    std::stable_sort(out.begin(), out.end(),
+                     [](target const& left, target const& right)
+                     { return left.engine->running < right.engine->running; });
+    std::map<std::string, std::size_t> taken;
+    std::vector<std::pair<std::size_t, target>> ranked;
+    ranked.reserve(out.size());
+    for (auto const& it : out)
+        ranked.emplace_back(taken[it.engine->record.data_centre]++, it);
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [](auto const& left, auto const& right) { return left.first < right.first; });
+    out.clear();
+    for (auto& it : ranked)
+        out.push_back(std::move(it.second));
+    return out;
+}
+
+void weight_rollout::reported(base::time_point now, std::string const& upstream,
+                              order_report const& report)
+{
+    auto& progress = engines_[upstream];
+    progress.report_pending = false;
+    if (report.busy)
+    {
+        progress.retry_at = now + options_.retry_after;
+        return;
+    }
+    progress.accepted = report.accepted;
+    for (auto const& [model, version] : report.weights)
+        progress.weights[model] = std::max(progress.weights[model], version);
+}
+
+void weight_rollout::report_failed(base::time_point now, std::string const& upstream)
+{
+    auto& progress = engines_[upstream];
+    progress.report_pending = false;
+    progress.retry_at = now + options_.retry_after;
+}
+
+void weight_rollout::answered(base::time_point now, weight_order const& order,
+                              order_outcome outcome)
+{
+    auto& progress = engines_[order.upstream];
+    progress.order_pending = false;
+    switch (outcome)
+    {
+    case order_outcome::accepted:
+        progress.accepted = order.accepted_before + 1;
+        progress.loading_until = now + options_.load_time;
+        progress.weights[order.model] = order.version;
+        return;
+    case order_outcome::already_done:
+        progress.weights[order.model] = order.version;
+        return;
+    case order_outcome::conflict:
+    case order_outcome::unanswered:
+        // The count has to be asked for again before the next order.
+        progress.accepted.reset();
+        progress.retry_at = now + options_.retry_after;
+        return;
+    case order_outcome::fenced:
+    case order_outcome::impossible:
+        progress.accepted.reset();
+        progress.retry_at = now + 4 * options_.retry_after;
+        return;
+    }
+}
+
+std::optional<base::time_point> weight_rollout::loading_until(std::string const& upstream) const
+{
+    auto const it = engines_.find(upstream);
+    return it == engines_.end() ? std::nullopt : it->second.loading_until;
+}
+
+} // namespace savorymount::orders
--- /dev/null
+++ b/libraries/savorymount/orders/weight_rollout.hpp
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <savorymount/base/time.hpp>
+#include <savorymount/membership/upstream_record.hpp>
+#include <savorymount/orders/wanted_weights.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace savorymount::orders
+{
+
+/// An order to one engine to change to a weight version.
+struct weight_order
+{
+    std::string upstream;
+    std::string address;
+    std::string model;
+    std::uint64_t version = 0;
+    std::uint64_t fence = 0;
+    /// Number of orders that the engine must have accepted so far, so that an order that is
+    /// carried out late changes nothing.
+    std::uint64_t accepted_before = 0;
+
+    bool operator==(weight_order const&) const = default;
+};
+
+/// How an engine answered an order.
+enum class order_outcome
+{
+    /// The engine begins to load.
+    accepted,
+    /// The engine has that version already.
+    already_done,
+    /// Another order is in progress, or the number of accepted orders differs.
+    conflict,
+    /// The engine has seen a newer fencing token.
+    fenced,
+    /// Another engine has the address, or the order is not possible.
+    impossible,
+    /// No answer: the order may be carried out later.
+    unanswered
+};
+
+/// What an engine says of the orders that it got.
+struct order_report
+{
+    bool busy = false;
+    std::uint64_t accepted = 0;
+    std::map<std::string, std::uint64_t> weights;
+
+    bool operator==(order_report const&) const = default;
+};
+
+/// An engine as the rollout sees it.
+struct rollout_engine
+{
+    membership::upstream_record record;
+    /// Requests that run or wait there.
+    double running = 0;
+    /// Whether it can't be reached at present.
+    bool unreachable = false;
+
+    bool operator==(rollout_engine const&) const = default;
+};
+
+/// What to do next for the rollout.
+struct rollout_step
+{
+    /// Engines whose order count has to be asked for.
+    std::vector<std::string> reports;
+    std::vector<weight_order> orders;
+
+    bool operator==(rollout_step const&) const = default;
+};
+
+struct weight_rollout_options
+{
+    /// Engines that load at once without slowing each other down.
+    std::size_t loading_at_once = 3;
+    /// Time of one load.
+    base::duration load_time = std::chrono::milliseconds(600);
+    base::duration retry_after = std::chrono::milliseconds(250);
+
+    auto operator<=>(weight_rollout_options const&) const = default;
+};
+
+/// Brings the engines to the newest weight versions, some at a time.
+///
+/// It goes straight to the newest version of a model, takes the engines with the fewest requests
+/// first and spreads each batch over the data centres. It answers loads in which versions follow
+/// each other within seconds while engines are added, restarted or unreachable.
+class weight_rollout
+{
+public:
+    explicit weight_rollout(weight_rollout_options const& options) : options_(options) {}
+
+    void set_loading_at_once(std::size_t n) { options_.loading_at_once = n; }
+
+    /// The next step of the holder of `fence`.
+    rollout_step next(base::time_point now, std::uint64_t fence, wanted_weights const& wanted,
+                      std::vector<rollout_engine> const& engines);
+
+    void reported(base::time_point now, std::string const& upstream, order_report const& report);
+    void report_failed(base::time_point now, std::string const& upstream);
+    void answered(base::time_point now, weight_order const& order, order_outcome outcome);
+
+    /// Forgets all progress, after the duty passed to another instance.
+    void reset() { engines_.clear(); }
+
+    /// Until when the engine loads; empty when it does not.
+    std::optional<base::time_point> loading_until(std::string const& upstream) const;
+
+private:
+    struct engine_progress
+    {
+        std::int64_t started_unix_ms = 0;
+        /// Number of orders the engine accepted, once known.
+        std::optional<std::uint64_t> accepted;
+        bool report_pending = false;
+        bool order_pending = false;
+        base::time_point retry_at{};
+        std::optional<base::time_point> loading_until;
+        std::map<std::string, std::uint64_t> weights;
+    };
+
+    struct target
+    {
+        rollout_engine const* engine;
+        std::string model;
+        std::uint64_t version;
+    };
+
+    std::vector<target> outdated(base::time_point now, wanted_weights const& wanted,
+                                 std::vector<rollout_engine> const& engines);
+
+    weight_rollout_options options_;
+    std::map<std::string, engine_progress> engines_;
+};
+
+} // namespace savorymount::orders
--- /dev/null
+++ b/libraries/savorymount/routing/engine_placement.cpp
@@ -0,0 +1,199 @@
+#include <savorymount/base/digest.hpp>
+#include <savorymount/routing/engine_placement.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace savorymount::routing
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// All costs are milliseconds of expected wait, or worth as much.
+constexpr double prefill_tokens_per_ms = 30;
+constexpr double fetch_ms = 3;
+constexpr double fetch_ms_per_token = 0.006;
+// A batch grows by this for each request in it.
+constexpr double batch_ms_per_request = 1.0;
+constexpr double queued_request_ms = 15;
+// Bytes between data centres are dear, and answers travel longer.
+constexpr double other_data_centre_ms = 45;
+constexpr double full_memory_ms = 400;
+constexpr double usable_memory = 0.85;
+// A request that begins on older weights is worth less once they have been older for this long.
+constexpr base::duration old_weights_tolerated = 900ms;
+constexpr double old_weights_ms = 500;
+// Covers the time in which the version was named but not heard of here.
+constexpr base::duration version_margin = 1500ms;
+
+base::duration from_ms(double ms)
+{
+    return base::duration(static_cast<std::int64_t>(ms * 1000));
+}
+
+/// How a prompt splits at one engine.
+struct prompt_split
+{
+    /// Tokens fetched from the store or another engine.
+    double fetched = 0;
+    /// Tokens that the engine has to read.
+    double read = 0;
+    /// Tokens of shared parts among them that are nowhere yet.
+    double unread_shared = 0;
+    std::string source_address;
+};
+
+struct placement_input
+{
+    base::time_point now;
+    engine_pool const& pool;
+    engine_request const& request;
+    upstream_table const& table;
+    part_locations const& locations;
+};
+
+std::size_t stored_prefix(placement_input const& in, std::string const& salt, std::size_t from)
+{
+    auto const& parts = in.request.prompt.parts;
+    std::size_t n = from;
+    while (n < parts.size() && in.locations.in_store(salt, parts[n].id))
+        ++n;
+    return n;
+}
+
+double tokens_between(std::vector<prompt_part> const& parts, std::size_t first, std::size_t last)
+{
+    double out = 0;
+    for (std::size_t i = first; i < last; ++i)
+        out += parts[i].tokens;
+    return out;
+}
+
+prompt_split split_prompt(placement_input const& in, engine_choice const& choice)
+{
+    auto const& parts = in.request.prompt.parts;
+    prompt_split out;
+    auto const held = in.locations.held_by(in.now, choice.digests, choice.upstream);
+    auto known = held;
+    if (!in.pool.store_address.empty())
+        known = stored_prefix(in, choice.salt, held);
+    if (known > held)
+        out.source_address = in.pool.store_address;
+    else if (auto const holder = in.locations.holder(in.now, choice.digests, held + 1))
+    {
+        // NOTE: Only the first missing part is looked up; the engine fetches what follows it too.
+        auto const* const engine = in.table.find(*holder);
+        if (engine != nullptr && *holder != choice.upstream && in.now >= engine->avoid_until)
+        {
+            known = held + 1;
+            out.source_address = engine->record.address;
+        }
+    }
+    out.fetched = tokens_between(parts, held, known);
+    out.read = tokens_between(parts, known, parts.size());
+    if (!parts.empty())
+        out.unread_shared =
+            tokens_between(parts, std::min(known, parts.size() - 1), parts.size() - 1);
+    return out;
+}
+
+/// The engine where unread shared parts should be read first, the same one for all instances.
+std::string home_of(std::vector<upstream_state*> const& engines, prompt_description const& prompt)
+{
+    std::string const& first_part =
+        prompt.parts.size() > 1 ? prompt.parts[prompt.parts.size() - 2].id : prompt.parts[0].id;
+    std::string best;
+    std::uint64_t best_score = 0;
+    for (auto const* it : engines)
+    {
+        auto const score = base::chain_digest(base::chain_digest(0, first_part), it->record.id);
+        if (best.empty() || score > best_score)
+        {
+            best = it->record.id;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+double load_cost(placement_input const& in, upstream_state const& engine, double needed_tokens)
+{
+    auto const running = engine.running(in.now);
+    auto const slots = static_cast<double>(engine.record.slots);
+    double cost = running * batch_ms_per_request;
+    cost += std::max(0.0, running - slots) * queued_request_ms;
+    cost += engine.own_prefill_tokens / prefill_tokens_per_ms;
+    if (in.pool.cache_tokens > 0)
+    {
+        auto const usable = in.pool.cache_tokens * usable_memory;
+        auto const over = engine.tokens_in_use() + needed_tokens - usable;
+        cost += over > 0 ? full_memory_ms * (1 + over / usable) : 0;
+    }
+    return cost;
+}
+
+} // namespace
+
+std::string cache_salt(std::string const& model, std::uint64_t version, std::string const& wall)
+{
+    return model + "." + std::to_string(version) + (wall.empty() ? "" : "." + wall);
+}
+
+std::optional<engine_choice> choose_engine(base::time_point now, engine_pool const& pool,
+                                           engine_request const& request, upstream_table& table,
+                                           part_locations const& locations,
+                                           orders::wanted_weights const& wanted)
+{
+    placement_input const in{now, pool, request, table, locations};
+    auto const& prompt = request.prompt;
+    auto const newest = wanted.of(prompt.model);
+    auto const age = now - newest.known_since;
+    auto engines = table.candidates(now, pool.service);
+    std::erase_if(engines,
+                  [&](upstream_state const* it)
+                  {
+                      auto const version = it->version_of(prompt.model);
+                      bool const too_old =
+                          version < newest.version && age > pool.version_bound - version_margin;
+                      return version == 0 || too_old || now < it->loading_until ||
+                             request.tried.contains(it->record.id);
+                  });
+    if (engines.empty() || prompt.parts.empty())
+        return std::nullopt;
+    auto const home = home_of(engines, prompt);
+    std::optional<engine_choice> best;
+    double best_cost = 0;
+    for (auto const* engine : engines)
+    {
+        engine_choice choice;
+        choice.upstream = engine->record.id;
+        choice.version = engine->version_of(prompt.model);
+        choice.salt = cache_salt(prompt.model, choice.version, request.wall);
+        choice.digests = part_digests(choice.salt, prompt.parts);
+        auto const split = split_prompt(in, choice);
+        choice.source_address = split.source_address;
+        choice.keep_in_store = !pool.store_address.empty() && split.unread_shared > 0;
+        choice.size = {split.read, prompt.charged_tokens()};
+        auto const wait = load_cost(in, *engine, prompt.charged_tokens()) +
+                          split.read / prefill_tokens_per_ms +
+                          (split.fetched > 0 ? fetch_ms + split.fetched * fetch_ms_per_token : 0);
+        choice.expected_wait = from_ms(wait);
+        double cost = wait;
+        if (engine->record.id != home)
+            cost += split.unread_shared / prefill_tokens_per_ms;
+        if (engine->record.data_centre != pool.own_data_centre)
+            cost += other_data_centre_ms;
+        if (choice.version < newest.version && age > old_weights_tolerated)
+            cost += old_weights_ms;
+        if (!best || cost < best_cost)
+        {
+            best = std::move(choice);
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace savorymount::routing
--- /dev/null
+++ b/libraries/savorymount/routing/part_locations.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <savorymount/base/time.hpp>
+#include <savorymount/routing/prompt_parts.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace savorymount::routing
+{
+
+/// Digests of the parts of a prompt under one cache salt; each covers all parts before it.
+std::vector<std::uint64_t> part_digests(std::string const& salt,
+                                        std::vector<prompt_part> const& parts);
+
+/// Where the parts of prompts were read or kept, as far as this instance knows.
+class part_locations
+{
+public:
+    /// An engine read a part or was sent one to read.
+    void read_by(base::time_point now, std::uint64_t digest, std::string const& engine);
+
+    /// Number of leading digests that the engine probably holds.
+    std::size_t held_by(base::time_point now, std::vector<std::uint64_t> const& digests,
+                        std::string const& engine) const;
+
+    /// An engine that probably holds at least the first `count` digests.
+    std::optional<std::string> holder(base::time_point now,
+                                      std::vector<std::uint64_t> const& digests,
+                                      std::size_t count) const;
+
+    /// An engine dropped all it held.
+    void forget_engine(std::string const& engine) { epochs_[engine] += 1; }
+
+    /// The cache store keeps or dropped a part, named by salt and part id.
+    void stored(std::string const& salt, std::string const& part);
+    void dropped(std::string const& salt, std::string const& part);
+    /// The cache store restarted empty.
+    void store_emptied() { stored_.clear(); }
+
+    bool in_store(std::string const& salt, std::string const& part) const;
+    std::size_t stored_parts() const { return stored_.size(); }
+
+private:
+    struct sighting
+    {
+        std::string engine;
+        std::uint64_t epoch = 0;
+        base::time_point at{};
+    };
+
+    std::uint64_t epoch_of(std::string const& engine) const;
+    bool valid(base::time_point now, sighting const& it) const;
+    bool holds(base::time_point now, std::uint64_t digest, std::string const& engine) const;
+
+    std::unordered_map<std::uint64_t, std::vector<sighting>> sightings_;
+    /// Digests in the order of their first sightings; the oldest is dropped first.
+    std::deque<std::uint64_t> order_;
+    std::unordered_map<std::string, std::uint64_t> epochs_;
+    std::unordered_set<std::string> stored_;
+};
+
+} // namespace savorymount::routing
--- /dev/null
+++ b/libraries/savorymount/routing/upstream_table.cpp
@@ -0,0 +1,258 @@
+#include <savorymount/routing/upstream_table.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace savorymount::routing
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// A report describes the load until about the next answer; later the own counts say more.
+constexpr base::duration load_lifetime = 400ms;
+constexpr base::duration shortest_avoidance = 300ms;
+constexpr base::duration longest_avoidance = 2400ms;
+constexpr base::duration stalled_after = 700ms;
+
+} // namespace
+
+double upstream_state::running(base::time_point now) const
+{
+    double told = own.requests;
+    for (auto const& it : peers)
+        told += it.second.requests;
+    if (now - load_at > load_lifetime)
+        return told;
+    return std::max(told, static_cast<double>(load.running + load.waiting));
+}
+
+double upstream_state::tokens_in_use() const
+{
+    double out = own.tokens;
+    for (auto const& it : peers)
+        out += it.second.tokens;
+    return out;
+}
+
+std::uint64_t upstream_state::version_of(std::string const& model) const
+{
+    auto const it = record.weights.find(model);
+    return it == record.weights.end() ? 0 : it->second;
+}
+
+void upstream_table::listed(base::time_point now, membership::upstream_record record)
+{
+    auto& state = states_[record.id];
+    auto const listed_weights = record.weights;
+    bool const restarted =
+        !state.record.id.empty() && state.record.started_unix_ms != record.started_unix_ms;
+    if (state.record.id.empty() || restarted)
+    {
+        state = {};
+        state.progress_at = now;
+    }
+    else
+    {
+        // The list lags behind the answers: a version never goes down in one incarnation.
+        for (auto const& it : state.record.weights)
+        {
+            auto& version = record.weights[it.first];
+            version = std::max(version, it.second);
+        }
+        record.draining = record.draining || state.record.draining;
+    }
+    state.lapsed_at.reset();
+    state.record = std::move(record);
+    state.listed_weights = listed_weights;
+}
+
+void upstream_table::unlisted(base::time_point now, std::string const& id, bool list_was_away)
+{
+    auto* const state = find(id);
+    if (state == nullptr)
+        return;
+    if (list_was_away && !state->record.draining)
+        state->lapsed_at = now;
+    else
+        states_.erase(id);
+}
+
+void upstream_table::expire(base::time_point now)
+{
+    std::erase_if(states_, [now](auto const& it)
+                  { return it.second.lapsed_at && now - *it.second.lapsed_at > lapse_grace; });
+}
+
+upstream_state* upstream_table::find(std::string const& id)
+{
+    auto const it = states_.find(id);
+    return it == states_.end() ? nullptr : &it->second;
+}
+
+upstream_state const* upstream_table::find(std::string const& id) const
+{
+    auto const it = states_.find(id);
+    return it == states_.end() ? nullptr : &it->second;
+}
+
+std::vector<upstream_state*> upstream_table::candidates(base::time_point now,
+                                                        std::string const& service)
+{
+    std::vector<upstream_state*> out;
+    std::vector<upstream_state*> avoided;
+    for (auto& [id, state] : states_)
+    {
+        if (state.record.service != service || state.record.draining)
+            continue;
+        bool const avoid = now < state.avoid_until || looks_stalled(now, state);
+        (avoid ? avoided : out).push_back(&state);
+    }
+    // NOTE: Evidence may be wrong for all of them at once; then trying is better than refusing.
+    return out.empty() ? avoided : out;
+}
+
+std::vector<upstream_state const*> upstream_table::members(std::string const& service) const
+{
+    std::vector<upstream_state const*> out;
+    for (auto const& [id, state] : states_)
+    {
+        if (state.record.service == service)
+            out.push_back(&state);
+    }
+    return out;
+}
+
+void upstream_table::dispatched(base::time_point now, std::string const& id,
+                                request_size const& size)
+{
+    auto* const state = find(id);
+    if (state == nullptr)
+        return;
+    ++state->own.requests;
+    state->own.tokens += size.memory_tokens;
+    state->own_prefill_tokens += size.prefill_tokens;
+    if (state->unanswered++ == 0)
+        state->unanswered_since = now;
+}
+
+void upstream_table::answered(base::time_point now, std::string const& id, request_size const& size)
+{
+    auto* const state = find(id);
+    if (state == nullptr)
+        return;
+    state->own_prefill_tokens = std::max(0.0, state->own_prefill_tokens - size.prefill_tokens);
+    if (state->unanswered > 0)
+        --state->unanswered;
+    state->unanswered_since = now;
+    state->failures = 0;
+    state->avoid_until = {};
+    progressed(now, id);
+}
+
+void upstream_table::progressed(base::time_point now, std::string const& id)
+{
+    if (auto* const state = find(id))
+        state->progress_at = now;
+}
+
+void upstream_table::finished(std::string const& id, bool was_answered, request_size const& size)
+{
+    auto* const state = find(id);
+    if (state == nullptr)
+        return;
+    if (state->own.requests > 0)
+        --state->own.requests;
+    state->own.tokens = std::max(0.0, state->own.tokens - size.memory_tokens);
+    if (was_answered)
+        return;
+    state->own_prefill_tokens = std::max(0.0, state->own_prefill_tokens - size.prefill_tokens);
+    if (state->unanswered > 0)
+        --state->unanswered;
+}
+
+void upstream_table::failed(base::time_point now, std::string const& id)
+{
+    auto* const state = find(id);
+    // Connections that break together are one failure.
+    if (state == nullptr || now < state->avoid_until)
+        return;
+    auto const factor = 1U << std::min<std::uint32_t>(state->failures++, 3);
+    state->avoid_until = now + std::min(shortest_avoidance * factor, longest_avoidance);
+}
+
+void upstream_table::rejected(base::time_point now, std::string const& id, base::duration pause)
+{
+    if (auto* const state = find(id))
+        state->avoid_until = std::max(state->avoid_until, now + pause);
+}
+
+void upstream_table::load_reported(base::time_point now, std::string const& id,
+                                   reported_load const& load)
+{
+    auto* const state = find(id);
+    if (state == nullptr)
+        return;
+    state->load = load;
+    state->load_at = now;
+}
+
+void upstream_table::weights_seen(std::string const& id, std::string const& model,
+                                  std::uint64_t version)
+{
+    auto* const state = find(id);
+    if (state == nullptr)
+        return;
+    auto& known = state->record.weights[model];
+    known = std::max(known, version);
+}
+
+void upstream_table::weights_denied(std::string const& id, std::string const& model,
+                                    std::uint64_t version)
+{
+    auto* const state = find(id);
+    if (state == nullptr || state->version_of(model) != version)
+        return;
+    auto const listed = state->listed_weights.find(model);
+    bool const other = listed != state->listed_weights.end() && listed->second != version;
+    state->record.weights[model] = other ? listed->second : 0;
+}
+
+void upstream_table::loading(std::string const& id, base::time_point until)
+{
+    if (auto* const state = find(id))
+        state->loading_until = until;
+}
+
+void upstream_table::peer_load(std::string const& peer,
+                               std::map<std::string, upstream_use> const& use)
+{
+    for (auto& [id, state] : states_)
+    {
+        auto const it = use.find(id);
+        if (it == use.end())
+            state.peers.erase(peer);
+        else
+            state.peers[peer] = it->second;
+    }
+}
+
+std::map<std::string, upstream_use> upstream_table::own_use() const
+{
+    std::map<std::string, upstream_use> out;
+    for (auto const& [id, state] : states_)
+    {
+        if (state.own.requests > 0)
+            out[id] = state.own;
+    }
+    return out;
+}
+
+bool looks_stalled(base::time_point now, upstream_state const& state)
+{
+    return state.unanswered > 0 && now - state.unanswered_since > stalled_after &&
+           now - state.progress_at > stalled_after;
+}
+
+} // namespace savorymount::routing
--- /dev/null
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -0,0 +1,43 @@
+@0xc3b1f0a9d4e27715;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("savorymount::wire");
+
+# What a gateway instance tells the others in one datagram. Totals are cumulative, so a lost
+# datagram is made up for by the next one.
+struct PeerReport {
+  instance @0 :Text;
+  incarnation @1 :Text;
+  sequence @2 :UInt64;
+  # Tokens that this process admitted since its start, by workspace.
+  admitted @3 :List(AdmittedTokens);
+  # What its requests take up at the upstreams now.
+  use @4 :List(UpstreamUse);
+  # Engines that load new weights by order of this instance.
+  loads @5 :List(WeightLoad);
+  # Requests during which an upstream was lost, of the last seconds.
+  crashes @6 :List(CrashNotice);
+}
+
+struct AdmittedTokens {
+  workspace @0 :Text;
+  tokens @1 :Float64;
+}
+
+struct UpstreamUse {
+  upstream @0 :Text;
+  requests @1 :UInt32;
+  tokens @2 :Float64;
+}
+
+struct WeightLoad {
+  upstream @0 :Text;
+  model @1 :Text;
+  version @2 :UInt64;
+  remainingMicroseconds @3 :UInt32;
+}
+
+struct CrashNotice {
+  digest @0 :Text;
+  upstream @1 :Text;
+}
