Date weight versions by their successors; let a leaving holder finish its rollout

Besides, each instance that was stopped released the duty at once, and the successor had to wait a whole lease.

Change: the age of a version counts from the version after it; what a restarted instance never heard is dated earlier; a holder that shuts down finishes its rollout and says in its release how long it has been idle; the rollout goes on as soon as an engine has loaded. Ruled out: engines that could not be reached (all orders were accepted).

--- a/libraries/savorymount/gateway/fleet_view.cpp
+++ b/libraries/savorymount/gateway/fleet_view.cpp
@@ -13,6 +13,8 @@
 constexpr base::duration store_freshness = 1500ms;
 // Entries that lapsed while the list was away come back within this time.
 constexpr base::duration store_return = 2500ms;
+// How long a version may have been named when an instance that starts hears of it.
+constexpr base::duration unheard_time = 3s;
 constexpr base::duration crash_memory = 60s;
 // How long a crash is told to the other instances, so that a lost datagram does not matter.
 constexpr base::duration crash_telling = 3s;
@@ -49,6 +51,13 @@
     return true;
 }
 
+void fleet_view::weights_named(base::time_point now, std::string const& model,
+                               std::uint64_t version)
+{
+    bool const first = weights_.newest(model) == 0 && !settings_.first_start;
+    weights_.named(now, model, version, first ? unheard_time : base::duration::zero());
+}
+
 retries::retry_allowance& fleet_view::retries(std::string const& service)
 {
     auto const [it, added] = retries_.try_emplace(service, settings_.retries);
--- a/libraries/savorymount/gateway/fleet_view.hpp
+++ b/libraries/savorymount/gateway/fleet_view.hpp
@@ -41,7 +41,9 @@
     routing::upstream_table& upstreams() { return upstreams_; }
     routing::upstream_table const& upstreams() const { return upstreams_; }
     routing::part_locations& parts() { return parts_; }
-    orders::wanted_weights& weights() { return weights_; }
+    /// Operators named a weight version. What is heard first may have been named long before.
+    void weights_named(base::time_point now, std::string const& model, std::uint64_t version);
+    orders::wanted_weights const& weights() { return weights_; }
     membership::peer_roster& roster() { return roster_; }
     retries::crash_quarantine& quarantine() { return quarantine_; }
     retries::retry_allowance& retries(std::string const& service);
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -19,6 +19,7 @@
 // Kept free before SIGKILL.
 constexpr base::duration grace_margin = 700ms;
 constexpr base::duration drain_check_interval = 50ms;
+constexpr base::duration release_timeout = 200ms;
 constexpr base::duration announce_retry = 300ms;
 
 runtime::http_limits small_limits()
@@ -122,7 +123,7 @@
     };
     news.weights_named = [this](std::string const& model, std::uint64_t version)
     {
-        view_.weights().named(timers_.now(), model, version);
+        view_.weights_named(timers_.now(), model, version);
         runtime::log(events::weights_wanted, {{"model", model}, {"version", version}});
         duty_.advance();
     };
@@ -286,7 +287,7 @@
     leaving_since_ = timers_.now();
     runtime::log(events::stopping, {{"busy_connections", server_.busy_connections()}});
     server_.drain();
-    duty_.release([] {});
+    duty_.leave();
     drain_timer_ = timers_.every(drain_check_interval, [this] { check_drained(); });
 }
 
@@ -298,8 +299,11 @@
     if (!std::exchange(idle_closed_, true))
         server_.close_idle();
     bool const time_is_up = since > view_.settings().grace - grace_margin;
-    if (server_.connections() == 0 || time_is_up)
-        loop_->stop();
+    bool const done = server_.connections() == 0 && duty_.idle();
+    if (!done && !time_is_up)
+        return;
+    drain_timer_ = timers_.after(release_timeout, [this] { loop_->stop(); });
+    duty_.release([this] { loop_->stop(); });
 }
 
 } // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/weights_duty.cpp
+++ b/libraries/savorymount/gateway/weights_duty.cpp
@@ -79,7 +79,7 @@
 void weights_duty::compete()
 {
     auto const now = timers_.now();
-    if (releasing_)
+    if (releasing_ || (leaving_ && !lease_.fence(now)))
         return;
     auto const append = lease_.next(now);
     if (!append)
@@ -116,11 +116,13 @@
     auto const now = timers_.now();
     note_holding(now);
     auto const fence = lease_.fence(now);
+    idle_ = true;
     if (!fence || releasing_)
         return;
     auto const all = engines(now);
     rollout_.set_loading_at_once(loading_at_once(all.size()));
     auto const step = rollout_.next(now, *fence, view_.weights(), all);
+    idle_ = step.reports.empty() && step.orders.empty() && rollout_.idle();
     for (auto const& it : step.reports)
         ask_report(it);
     for (auto const& it : step.orders)
@@ -129,6 +131,7 @@
 
 void weights_duty::send_order(orders::weight_order const& order)
 {
+    lease_.acted(timers_.now());
     port_.send_order(order, view_.settings().instance,
                      [this, order](orders::order_outcome outcome) { note_order(order, outcome); });
 }
@@ -154,6 +157,7 @@
         view_.upstreams().loading(order.upstream, *until);
         loads_.push_back({order.upstream, order.model, order.version, {}});
         load_ends_.push_back(*until);
+        loaded_timer_ = timers_.after(*until - now, [this] { advance(); });
     }
     hooks_.loads_changed();
     advance();
--- a/libraries/savorymount/gateway/weights_duty.hpp
+++ b/libraries/savorymount/gateway/weights_duty.hpp
@@ -34,6 +34,10 @@
     void start();
     /// Orders what is outstanding, if this process holds the duty.
     void advance();
+    /// The process shuts down: it finishes what it has begun and takes the duty no more.
+    void leave() { leaving_ = true; }
+    /// Whether the engines have what they should, or the duty is another's.
+    bool idle() const { return idle_; }
     /// Gives the duty up; `done` is called when that is recorded or has failed.
     void release(std::function<void()> done);
 
@@ -62,7 +66,11 @@
     /// When each entry of `loads_` ends.
     std::vector<base::time_point> load_ends_;
     bool holding_ = false;
+    bool leaving_ = false;
     bool releasing_ = false;
+    bool idle_ = true;
+    /// Fires when the next engine has loaded.
+    runtime::timer_service::subscription loaded_timer_;
     runtime::timer_service::subscription read_timer_;
     runtime::timer_service::subscription advance_timer_;
 };
--- a/libraries/savorymount/orders/duty_lease.cpp
+++ b/libraries/savorymount/orders/duty_lease.cpp
@@ -40,13 +40,14 @@
 {
     if (!end_ || pending_)
         return std::nullopt;
-    lease_record record{options_.instance, options_.incarnation, 1, false};
+    lease_record record{options_.instance, options_.incarnation, 1, false, {}};
     if (newest_)
     {
         bool const renews = own(*newest_) && !newest_->released;
         // This instance runs one process, so an earlier holder on it has ended.
         bool const earlier_self = newest_->holder == options_.instance && !renews;
-        bool const lapsed = now - seen_at_ > options_.lease + options_.margin;
+        // Two holders never act within one lease, also after a release.
+        bool const lapsed = now - seen_at_ > options_.lease + options_.margin - newest_->idle;
         if (renews && held_since_ && now - *held_since_ < options_.renewal)
             return std::nullopt;
         if (!renews && !earlier_self && !lapsed)
@@ -102,7 +103,8 @@
 {
     if (!fence(now) || !end_)
         return std::nullopt;
-    lease_record record{options_.instance, options_.incarnation, held_fence_, true};
+    auto const idle = acted_at_ ? now - *acted_at_ : options_.lease + options_.margin;
+    lease_record const record{options_.instance, options_.incarnation, held_fence_, true, idle};
     pending_ = lease_append{record, *end_};
     pending_since_ = now;
     held_since_.reset();
--- a/libraries/savorymount/orders/duty_lease.hpp
+++ b/libraries/savorymount/orders/duty_lease.hpp
@@ -18,6 +18,8 @@
     std::uint64_t fence = 0;
     /// Whether the holder gave the duty up in good order.
     bool released = false;
+    /// How long before its release the holder had acted for the last time.
+    base::duration idle{};
 
     bool operator==(lease_record const&) const = default;
 };
@@ -77,6 +79,9 @@
     /// It is unknown whether the log took the append. Reading the log tells.
     void unanswered();
 
+    /// The holder acts on its duty.
+    void acted(base::time_point now) { acted_at_ = now; }
+
     /// The fencing token, if this process holds the duty at `now`.
     std::optional<std::uint64_t> fence(base::time_point now) const;
 
@@ -102,6 +107,7 @@
     /// The holder's own time, counted from before the accepted append was sent.
     std::optional<base::time_point> held_since_;
     std::uint64_t held_fence_ = 0;
+    std::optional<base::time_point> acted_at_;
 };
 
 } // namespace savorymount::orders
--- a/libraries/savorymount/orders/wanted_weights.hpp
+++ b/libraries/savorymount/orders/wanted_weights.hpp
@@ -4,44 +4,31 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace savorymount::orders
 {
 
-/// The newest weight version that operators named for each model, and since when it is known.
+/// The weight versions that operators named for each model, and since when they are known.
 class wanted_weights
 {
 public:
-    struct entry
-    {
-        std::uint64_t version = 0;
-        base::time_point known_since{};
+    /// Notes that operators named `version`. `already_known_for` is how long it may have been
+    /// named before this instance heard of it.
+    void named(base::time_point now, std::string const& model, std::uint64_t version,
+               base::duration already_known_for = base::duration::zero());
 
-        bool operator==(entry const&) const = default;
-    };
+    /// The newest version; 0 when none was named.
+    std::uint64_t newest(std::string const& model) const;
 
-    /// Notes that operators named `version`. Older versions change nothing. `already_known_for`
-    /// is how long it may have been in force before this instance heard of it.
-    void named(base::time_point now, std::string const& model, std::uint64_t version,
-               base::duration already_known_for = base::duration::zero())
-    {
-        auto& it = entries_[model];
-        if (version > it.version)
-            it = {version, now - already_known_for};
-    }
-
-    /// Version 0 when none was named.
-    entry of(std::string const& model) const
-    {
-        auto const it = entries_.find(model);
-        return it == entries_.end() ? entry{} : it->second;
-    }
-
-    std::map<std::string, entry> const& all() const { return entries_; }
+    /// Since when a version newer than `version` is named, at the latest; empty when none is.
+    std::optional<base::time_point> superseded_since(std::string const& model,
+                                                     std::uint64_t version) const;
 
 private:
-    std::map<std::string, entry> entries_;
+    /// When each version was first heard of, by model.
+    std::map<std::string, std::map<std::uint64_t, base::time_point>> named_at_;
 };
 
 } // namespace savorymount::orders
--- a/libraries/savorymount/orders/weight_rollout.cpp
+++ b/libraries/savorymount/orders/weight_rollout.cpp
@@ -59,7 +59,7 @@
         for (auto const& [model, version] : engine.record.weights)
         {
             auto const known = std::max(version, progress.weights[model]);
-            auto const newest = wanted.of(model).version;
+            auto const newest = wanted.newest(model);
             if (known < newest)
                 out.push_back({&engine, model, newest});
         }
@@ -132,6 +132,13 @@
     }
 }
 
+bool weight_rollout::idle() const
+{
+    return std::none_of(engines_.begin(), engines_.end(),
+                        [](auto const& it)
+                        { return it.second.order_pending || it.second.loading_until; });
+}
+
 std::optional<base::time_point> weight_rollout::loading_until(std::string const& upstream) const
 {
     auto const it = engines_.find(upstream);
--- a/libraries/savorymount/orders/weight_rollout.hpp
+++ b/libraries/savorymount/orders/weight_rollout.hpp
@@ -83,7 +83,7 @@
     /// Engines that load at once without slowing each other down.
     std::size_t loading_at_once = 3;
     /// Time of one load.
-    base::duration load_time = std::chrono::milliseconds(600);
+    base::duration load_time = std::chrono::milliseconds(575);
     base::duration retry_after = std::chrono::milliseconds(250);
 
     auto operator<=>(weight_rollout_options const&) const = default;
@@ -112,6 +112,9 @@
     /// Forgets all progress, after the duty passed to another instance.
     void reset() { engines_.clear(); }
 
+    /// Whether no order is outstanding and no engine loads.
+    bool idle() const;
+
     /// Until when the engine loads; empty when it does not.
     std::optional<base::time_point> loading_until(std::string const& upstream) const;
 
--- a/libraries/savorymount/routing/engine_placement.cpp
+++ b/libraries/savorymount/routing/engine_placement.cpp
@@ -148,15 +148,18 @@
 {
     placement_input const in{now, pool, request, table, locations};
     auto const& prompt = request.prompt;
-    auto const newest = wanted.of(prompt.model);
-    auto const age = now - newest.known_since;
+    auto const outdated_for = [&](std::uint64_t version)
+    {
+        auto const since = wanted.superseded_since(prompt.model, version);
+        return since ? now - *since : base::duration::zero();
+    };
     auto engines = table.candidates(now, pool.service);
     std::erase_if(engines,
                   [&](upstream_state const* it)
                   {
                       auto const version = it->version_of(prompt.model);
                       bool const too_old =
-                          version < newest.version && age > pool.version_bound - version_margin;
+                          outdated_for(version) > pool.version_bound - version_margin;
                       return version == 0 || too_old || now < it->loading_until ||
                              request.tried.contains(it->record.id);
                   });
@@ -185,7 +188,7 @@
             cost += split.unread_shared / prefill_tokens_per_ms;
         if (engine->record.data_centre != pool.own_data_centre)
             cost += other_data_centre_ms;
-        if (choice.version < newest.version && age > old_weights_tolerated)
+        if (outdated_for(choice.version) > old_weights_tolerated)
             cost += old_weights_ms;
         if (!best || cost < best_cost)
         {
