Keep shared parts at one home engine and name the cache store even for held parts

Each 1,000 tokens read again cost about as much as a quarter of a request; bytes between data centres cost far less than assumed.

Change: every engine that is not the home of the last shared part pays for the copy, more if the part would be read again; the other data centre costs 8 ms instead of 45; the store is named as source whenever it has the first part.

--- a/libraries/savorymount/routing/engine_placement.cpp
+++ b/libraries/savorymount/routing/engine_placement.cpp
@@ -19,7 +19,11 @@
 constexpr double batch_ms_per_request = 1.0;
 constexpr double queued_request_ms = 15;
 // Bytes between data centres are dear, and answers travel longer.
-constexpr double other_data_centre_ms = 45;
+constexpr double other_data_centre_ms = 8;
+// A shared part that is read once more takes an engine's time from other requests.
+constexpr double read_again_ms_per_token = 0.1;
+// A copy of a shared part on one more engine takes the place of other parts there.
+constexpr double copy_ms_per_token = 0.015;
 constexpr double full_memory_ms = 400;
 constexpr double usable_memory = 0.85;
 // A request that begins on older weights is worth less once they have been older for this long.
@@ -54,10 +58,11 @@
     part_locations const& locations;
 };
 
-std::size_t stored_prefix(placement_input const& in, std::string const& salt, std::size_t from)
+/// Number of leading parts that the cache store keeps.
+std::size_t stored_prefix(placement_input const& in, std::string const& salt)
 {
     auto const& parts = in.request.prompt.parts;
-    std::size_t n = from;
+    std::size_t n = 0;
     while (n < parts.size() && in.locations.in_store(salt, parts[n].id))
         ++n;
     return n;
@@ -76,10 +81,12 @@
     auto const& parts = in.request.prompt.parts;
     prompt_split out;
     auto const held = in.locations.held_by(in.now, choice.digests, choice.upstream);
-    auto known = held;
-    if (!in.pool.store_address.empty())
-        known = stored_prefix(in, choice.salt, held);
-    if (known > held)
+    auto const stored =
+        in.pool.store_address.empty() ? std::size_t{0} : stored_prefix(in, choice.salt);
+    auto known = std::max(held, stored);
+    // The engine fetches only what it lacks: naming the store also covers parts that it dropped
+    // unnoticed.
+    if (stored > 0)
         out.source_address = in.pool.store_address;
     else if (auto const holder = in.locations.holder(in.now, choice.digests, held + 1))
     {
@@ -100,15 +107,17 @@
 }
 
 /// The engine where unread shared parts should be read first, the same one for all instances.
-std::string home_of(std::vector<upstream_state*> const& engines, prompt_description const& prompt)
+std::string home_of(std::vector<upstream_state*> const& engines, engine_request const& request)
 {
-    std::string const& first_part =
-        prompt.parts.size() > 1 ? prompt.parts[prompt.parts.size() - 2].id : prompt.parts[0].id;
+    auto const& parts = request.prompt.parts;
+    auto const last_shared = parts.size() > 1 ? parts.size() - 2 : 0;
+    auto const name =
+        base::chain_digest(base::chain_digest(0, request.wall), parts[last_shared].id);
     std::string best;
     std::uint64_t best_score = 0;
     for (auto const* it : engines)
     {
-        auto const score = base::chain_digest(base::chain_digest(0, first_part), it->record.id);
+        auto const score = base::chain_digest(name, it->record.id);
         if (best.empty() || score > best_score)
         {
             best = it->record.id;
@@ -165,7 +174,7 @@
                   });
     if (engines.empty() || prompt.parts.empty())
         return std::nullopt;
-    auto const home = home_of(engines, prompt);
+    auto const home = home_of(engines, request);
     std::optional<engine_choice> best;
     double best_cost = 0;
     for (auto const* engine : engines)
@@ -185,7 +194,8 @@
         choice.expected_wait = from_ms(wait);
         double cost = wait;
         if (engine->record.id != home)
-            cost += split.unread_shared / prefill_tokens_per_ms;
+            cost += split.unread_shared * read_again_ms_per_token +
+                    split.fetched * copy_ms_per_token;
         if (engine->record.data_centre != pool.own_data_centre)
             cost += other_data_centre_ms;
         if (outdated_for(choice.version) > old_weights_tolerated)
