Tell the other instances where shared parts were read; fetch from engines first

Change: reports to the other instances name the shared parts that engines were sent to read; the engine with the longest held prefix goes before the store as a source; one send to the store a part in 2.5 s.

--- a/libraries/savorymount/gateway/fleet_view.cpp
+++ b/libraries/savorymount/gateway/fleet_view.cpp
@@ -96,6 +96,18 @@
     own_crashes_.push_back({now, {digest, upstream}});
 }
 
+void fleet_view::parts_sent(base::time_point now, std::vector<std::uint64_t> const& digests,
+                            std::string const& engine)
+{
+    for (std::size_t i = 0; i < digests.size(); ++i)
+    {
+        bool const unknown = parts_.read_by(now, digests[i], engine);
+        bool const shared = i + 1 < digests.size();
+        if (unknown && shared)
+            untold_reads_[engine].push_back(digests[i]);
+    }
+}
+
 void fleet_view::take_report(base::time_point now, membership::peer_report const& report)
 {
     if (!roster_.heard(now, report))
@@ -111,6 +123,11 @@
         upstreams_.weights_seen(it.upstream, it.model, it.version);
         upstreams_.loading(it.upstream, now + it.remaining);
     }
+    for (auto const& [engine, digests] : report.reads)
+    {
+        for (auto const digest : digests)
+            parts_.read_by(now, digest, engine);
+    }
     for (auto const& it : report.crashes)
         quarantine_.crashed(now, it.request_digest, it.upstream);
 }
@@ -128,6 +145,7 @@
         own_crashes_.pop_front();
     for (auto const& it : own_crashes_)
         out.crashes.push_back(it.second);
+    out.reads = std::exchange(untold_reads_, {});
     return out;
 }
 
--- a/libraries/savorymount/gateway/fleet_view.hpp
+++ b/libraries/savorymount/gateway/fleet_view.hpp
@@ -66,6 +66,10 @@
     void upstream_crashed(base::time_point now, std::string const& digest,
                           std::string const& upstream);
 
+    /// An engine was sent these parts of a prompt to read; the last one belongs to one request.
+    void parts_sent(base::time_point now, std::vector<std::uint64_t> const& digests,
+                    std::string const& engine);
+
     /// Applies what another instance tells.
     void take_report(base::time_point now, membership::peer_report const& report);
 
@@ -92,6 +96,8 @@
     std::optional<base::time_point> store_failed_at_;
     bool cache_store_answers_ = false;
     std::deque<std::pair<base::time_point, membership::crash_notice>> own_crashes_;
+    /// Parts that the other instances have not been told of.
+    std::map<std::string, std::vector<std::uint64_t>> untold_reads_;
 };
 
 } // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/peer_exchange.cpp
+++ b/libraries/savorymount/gateway/peer_exchange.cpp
@@ -11,7 +11,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr base::duration report_interval = 200ms;
+constexpr base::duration report_interval = 100ms;
 
 } // namespace
 
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -73,6 +73,20 @@
     }
 }
 
+void write_reads(wire::PeerReport::Builder out, membership::peer_report const& report)
+{
+    auto list = out.initReads(static_cast<unsigned>(report.reads.size()));
+    unsigned i = 0;
+    for (auto const& [upstream, digests] : report.reads)
+    {
+        auto it = list[i++];
+        it.setUpstream(upstream);
+        auto values = it.initDigests(static_cast<unsigned>(digests.size()));
+        for (unsigned n = 0; n < digests.size(); ++n)
+            values.set(n, digests[n]);
+    }
+}
+
 membership::peer_report read_report(wire::PeerReport::Reader in)
 {
     membership::peer_report out;
@@ -88,6 +102,12 @@
                              base::duration(it.getRemainingMicroseconds())});
     for (auto const it : in.getCrashes())
         out.crashes.push_back({it.getDigest().cStr(), it.getUpstream().cStr()});
+    for (auto const it : in.getReads())
+    {
+        auto& digests = out.reads[it.getUpstream().cStr()];
+        for (auto const digest : it.getDigests())
+            digests.push_back(digest);
+    }
     return out;
 }
 
@@ -104,6 +124,7 @@
     write_use(root, report);
     write_loads(root, report);
     write_crashes(root, report);
+    write_reads(root, report);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     auto const bytes = out.getArray();
--- a/libraries/savorymount/gateway/placement.cpp
+++ b/libraries/savorymount/gateway/placement.cpp
@@ -51,10 +51,12 @@
     auto out = start_placement(view, now, admitted, choice->upstream);
     out.size = choice->size;
     out.expected_wait = choice->expected_wait;
+    auto const& digests = choice->digests;
+    bool const keep = choice->keep_in_store && digests.size() > 1 &&
+                      view.parts().send_to_store(now, digests[digests.size() - 2]);
     out.call.engine = engine_directions{choice->version, choice->salt, choice->source_address,
-                                        choice->keep_in_store ? pool.store_address : ""};
-    for (auto const digest : choice->digests)
-        view.parts().read_by(now, digest, choice->upstream);
+                                        keep ? pool.store_address : ""};
+    view.parts_sent(now, digests, choice->upstream);
     return out;
 }
 
--- a/libraries/savorymount/membership/peer_report.hpp
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -42,6 +42,8 @@
     std::map<std::string, routing::upstream_use> use;
     std::vector<weight_load> loads;
     std::vector<crash_notice> crashes;
+    /// Digests of shared prompt parts that engines were sent to read, by engine.
+    std::map<std::string, std::vector<std::uint64_t>> reads;
 
     bool operator==(peer_report const&) const = default;
 };
--- a/libraries/savorymount/routing/engine_placement.cpp
+++ b/libraries/savorymount/routing/engine_placement.cpp
@@ -83,21 +83,17 @@
     auto const held = in.locations.held_by(in.now, choice.digests, choice.upstream);
     auto const stored =
         in.pool.store_address.empty() ? std::size_t{0} : stored_prefix(in, choice.salt);
-    auto known = std::max(held, stored);
-    // The engine fetches only what it lacks: naming the store also covers parts that it dropped
-    // unnoticed.
-    if (stored > 0)
+    auto const holder = in.locations.longest_holder(in.now, choice.digests, choice.upstream);
+    auto const* const engine = holder ? in.table.find(holder->engine) : nullptr;
+    bool const engine_answers = engine != nullptr && in.now >= engine->avoid_until;
+    auto const elsewhere = engine_answers ? holder->parts : std::size_t{0};
+    auto const known = std::max({held, stored, elsewhere});
+    // An engine's link is faster than the store's, which all engines share. The engine fetches
+    // only what it lacks: naming a source also covers parts that it dropped unnoticed.
+    if (elsewhere > 0 && elsewhere >= stored)
+        out.source_address = engine->record.address;
+    else if (stored > 0)
         out.source_address = in.pool.store_address;
-    else if (auto const holder = in.locations.holder(in.now, choice.digests, held + 1))
-    {
-        // NOTE: Only the first missing part is looked up; the engine fetches what follows it too.
-        auto const* const engine = in.table.find(*holder);
-        if (engine != nullptr && *holder != choice.upstream && in.now >= engine->avoid_until)
-        {
-            known = held + 1;
-            out.source_address = engine->record.address;
-        }
-    }
     out.fetched = tokens_between(parts, held, known);
     out.read = tokens_between(parts, known, parts.size());
     if (!parts.empty())
@@ -194,8 +190,8 @@
         choice.expected_wait = from_ms(wait);
         double cost = wait;
         if (engine->record.id != home)
-            cost += split.unread_shared * read_again_ms_per_token +
-                    split.fetched * copy_ms_per_token;
+            cost +=
+                split.unread_shared * read_again_ms_per_token + split.fetched * copy_ms_per_token;
         if (engine->record.data_centre != pool.own_data_centre)
             cost += other_data_centre_ms;
         if (outdated_for(choice.version) > old_weights_tolerated)
--- a/libraries/savorymount/routing/part_locations.cpp
+++ b/libraries/savorymount/routing/part_locations.cpp
@@ -12,6 +12,10 @@
 
 // Engines drop the least recently used parts; what was not used for this long is probably gone.
 constexpr base::duration sighting_lifetime = 12s;
+// A part that the store does not tell of after this long was not taken.
+constexpr base::duration store_retry = 2500ms;
+// Part of the lifetime after which a sighting is told again.
+constexpr base::duration telling_interval = 4s;
 constexpr std::size_t most_digests = 20'000;
 constexpr std::size_t most_stored_parts = 200'000;
 
@@ -35,12 +39,16 @@
     return out;
 }
 
-void part_locations::read_by(base::time_point now, std::uint64_t digest, std::string const& engine)
+bool part_locations::read_by(base::time_point now, std::uint64_t digest, std::string const& engine)
 {
     auto const [it, added] = sightings_.try_emplace(digest);
     if (added)
         order_.push_back(digest);
     auto& all = it->second;
+    bool known = false;
+    for (auto const& old : all)
+        known =
+            known || (old.engine == engine && valid(now, old) && now - old.at < telling_interval);
     std::erase_if(all,
                   [&](sighting const& old) { return old.engine == engine || !valid(now, old); });
     all.push_back({engine, epoch_of(engine), now});
@@ -49,6 +57,7 @@
         sightings_.erase(order_.front());
         order_.pop_front();
     }
+    return !known;
 }
 
 std::size_t part_locations::held_by(base::time_point now, std::vector<std::uint64_t> const& digests,
@@ -60,21 +69,23 @@
     return n;
 }
 
-std::optional<std::string> part_locations::holder(base::time_point now,
-                                                  std::vector<std::uint64_t> const& digests,
-                                                  std::size_t count) const
+std::optional<part_holder> part_locations::longest_holder(base::time_point now,
+                                                          std::vector<std::uint64_t> const& digests,
+                                                          std::string const& except) const
 {
-    if (count == 0 || count > digests.size())
-        return std::nullopt;
-    auto const it = sightings_.find(digests[count - 1]);
-    if (it == sightings_.end())
-        return std::nullopt;
-    for (auto const& candidate : it->second)
+    std::optional<part_holder> best;
+    auto const first = digests.empty() ? sightings_.end() : sightings_.find(digests[0]);
+    if (first == sightings_.end())
+        return best;
+    for (auto const& it : first->second)
     {
-        if (held_by(now, digests, candidate.engine) >= count)
-            return candidate.engine;
+        if (it.engine == except)
+            continue;
+        auto const held = held_by(now, digests, it.engine);
+        if (held > 0 && (!best || held >= best->parts))
+            best = part_holder{it.engine, held};
     }
-    return std::nullopt;
+    return best;
 }
 
 void part_locations::stored(std::string const& salt, std::string const& part)
@@ -89,6 +100,17 @@
     stored_.erase(store_key(salt, part));
 }
 
+bool part_locations::send_to_store(base::time_point now, std::uint64_t digest)
+{
+    if (sent_to_store_.size() >= most_digests)
+        sent_to_store_.clear();
+    auto const [it, added] = sent_to_store_.try_emplace(digest, now);
+    if (!added && now - it->second < store_retry)
+        return false;
+    it->second = now;
+    return true;
+}
+
 bool part_locations::in_store(std::string const& salt, std::string const& part) const
 {
     return stored_.contains(store_key(salt, part));
--- a/libraries/savorymount/wire/peer_report.capnp
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -17,6 +17,13 @@
   loads @5 :List(WeightLoad);
   # Requests during which an upstream was lost, of the last seconds.
   crashes @6 :List(CrashNotice);
+  # Shared parts of prompts that engines were sent to read since the last report.
+  reads @7 :List(EngineReads);
+}
+
+struct EngineReads {
+  upstream @0 :Text;
+  digests @1 :List(UInt64);
 }
 
 struct AdmittedTokens {
--- a/libraries/savorymount/wire/peer_report.capnp.h
+++ b/libraries/savorymount/wire/peer_report.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(9af7a34d82ae9c48);
+CAPNP_DECLARE_SCHEMA(b6c272478f1866fc);
 CAPNP_DECLARE_SCHEMA(c2360e543272b3d4);
 CAPNP_DECLARE_SCHEMA(aea40766791c1e11);
 CAPNP_DECLARE_SCHEMA(c8b7f15862a941c6);
@@ -36,7 +37,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 1, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 1, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EngineReads {
+  EngineReads() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b6c272478f1866fc, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -142,6 +158,9 @@
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::savorymount::wire::CrashNotice,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
+  inline bool hasReads() const;
+  inline  ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>::Reader getReads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -215,6 +234,13 @@
   inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::savorymount::wire::CrashNotice,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::CrashNotice,  ::capnp::Kind::STRUCT>> disownCrashes();
 
+  inline bool hasReads();
+  inline  ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>::Builder getReads();
+  inline void setReads( ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>::Builder initReads(unsigned int size);
+  inline void adoptReads(::capnp::Orphan< ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>> disownReads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -241,6 +267,98 @@
 };
 #endif  // !CAPNP_LITE
 
+class EngineReads::Reader {
+public:
+  typedef EngineReads Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline bool hasDigests() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getDigests() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EngineReads::Builder {
+public:
+  typedef EngineReads Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline bool hasDigests();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getDigests();
+  inline void setDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDigests(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initDigests(unsigned int size);
+  inline void adoptDigests(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownDigests();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EngineReads::Pipeline {
+public:
+  typedef EngineReads Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class AdmittedTokens::Reader {
 public:
   typedef AdmittedTokens Reads;
@@ -830,6 +948,112 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool PeerReport::Reader::hasReads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasReads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getReads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getReads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setReads( ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initReads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptReads(
+    ::capnp::Orphan< ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownReads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool EngineReads::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EngineReads::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EngineReads::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EngineReads::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EngineReads::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EngineReads::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EngineReads::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EngineReads::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EngineReads::Reader::hasDigests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EngineReads::Builder::hasDigests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader EngineReads::Reader::getDigests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder EngineReads::Builder::getDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EngineReads::Builder::setDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void EngineReads::Builder::setDigests(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder EngineReads::Builder::initDigests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void EngineReads::Builder::adoptDigests(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> EngineReads::Builder::disownDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool AdmittedTokens::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
