--- a/libraries/savorymount/limits/shared_bucket.cpp
+++ b/libraries/savorymount/limits/shared_bucket.cpp
@@ -11,12 +11,6 @@
 // The others may give up an isolated instance and share its part, so it uses less of it.
 constexpr double isolated_part = 0.5;
 
-// Part of the burst that lets any request in, however large: the debt is paid back before the next
-// one, and large requests get their turn. Many instances that see the same level at once would
-// exceed the rate together, so the part grows with their number.
-constexpr double least_entrance_part = 0.1;
-constexpr double instances_for_full_entrance = 40;
-
 double seconds(base::duration time)
 {
     return std::chrono::duration<double>(time).count();
@@ -49,7 +43,8 @@
     if (contract_.rate <= 0)
         return {};
     refill(now);
-    double const needed = std::min(tokens, contract_.burst * entrance_part());
+    // A request larger than what the bucket ever holds passes when the bucket is full.
+    double const needed = std::min(tokens, contract_.burst);
     if (level_ < needed)
     {
         double const wait = (needed - level_) / std::max(own_rate(), 1.0);
@@ -89,12 +84,6 @@
     refilled_at_ = now;
 }
 
-double shared_bucket::entrance_part() const
-{
-    return std::clamp(static_cast<double>(instances_) / instances_for_full_entrance,
-                      least_entrance_part, 1.0);
-}
-
 double shared_bucket::own_rate() const
 {
     auto const heard = static_cast<double>(instances_ - silent_);
--- a/libraries/savorymount/limits/shared_bucket.hpp
+++ b/libraries/savorymount/limits/shared_bucket.hpp
@@ -33,8 +33,7 @@
 /// Each instance keeps the whole bucket and debits what it admits and what the others report that
 /// they admitted. Reports arrive late, so the level may fall below zero; it is then paid back
 /// before anything else is admitted. For an instance whose reports stop, its fair share is debited
-/// instead, and an instance that hears of no other admits only its own share. A request may take
-/// the level below zero, so that large requests are not refused for longer than small ones.
+/// instead, and an instance that hears of no other admits only its own share.
 class shared_bucket
 {
 public:
@@ -65,7 +64,6 @@
 private:
     void refill(base::time_point now);
     double own_rate() const;
-    double entrance_part() const;
 
     bucket_contract contract_;
     double level_;
