Empty the next engines while a batch loads; read the store less often

A quote runs for two to three seconds, so waiting for it alone would take the rollout past its bound.

Change: the next batch gets no new requests for up to 1.5 s while one loads; engines whose version is superseded for 4 s go first and are not emptied.

--- a/libraries/savorymount/gateway/fleet_view.cpp
+++ b/libraries/savorymount/gateway/fleet_view.cpp
@@ -10,7 +10,7 @@
 using namespace std::chrono_literals;
 
 // A healthy store answers at least this often.
-constexpr base::duration store_freshness = 1500ms;
+constexpr base::duration store_freshness = 1800ms;
 // Entries that lapsed while the list was away come back within this time.
 constexpr base::duration store_return = 2500ms;
 // How long a version may have been named when an instance that starts hears of it.
@@ -120,6 +120,11 @@
     upstreams_.peer_load(report.instance, report.use);
     for (auto const& it : report.loads)
     {
+        if (it.emptying)
+        {
+            upstreams_.emptying(it.upstream, now + it.remaining);
+            continue;
+        }
         upstreams_.weights_seen(it.upstream, it.model, it.version);
         upstreams_.loading(it.upstream, now + it.remaining);
     }
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -58,6 +58,7 @@
         it.setModel(load.model);
         it.setVersion(load.version);
         it.setRemainingMicroseconds(clamp_microseconds(load.remaining));
+        it.setEmptying(load.emptying);
     }
 }
 
@@ -99,7 +100,7 @@
         out.use[it.getUpstream().cStr()] = {it.getRequests(), it.getTokens()};
     for (auto const it : in.getLoads())
         out.loads.push_back({it.getUpstream().cStr(), it.getModel().cStr(), it.getVersion(),
-                             base::duration(it.getRemainingMicroseconds())});
+                             base::duration(it.getRemainingMicroseconds()), it.getEmptying()});
     for (auto const it : in.getCrashes())
         out.crashes.push_back({it.getDigest().cStr(), it.getUpstream().cStr()});
     for (auto const it : in.getReads())
--- a/libraries/savorymount/gateway/weights_duty.cpp
+++ b/libraries/savorymount/gateway/weights_duty.cpp
@@ -12,8 +12,10 @@
 using namespace std::chrono_literals;
 namespace events = runtime::log_events;
 
-constexpr base::duration read_interval = 700ms;
+constexpr base::duration read_interval = 1000ms;
 constexpr std::uint64_t read_jitter_ms = 200;
+// How long an engine is avoided after the last word that it is being emptied.
+constexpr base::duration emptying_notice = 400ms;
 constexpr base::duration advance_interval = 50ms;
 // A deployment lets about this share of its engines load at once without slowing them down.
 constexpr std::size_t engines_per_load = 6;
@@ -122,6 +124,7 @@
     auto const all = engines(now);
     rollout_.set_loading_at_once(loading_at_once(all.size()));
     auto const step = rollout_.next(now, *fence, view_.weights(), all);
+    note_emptying(now, step.emptying);
     idle_ = step.reports.empty() && step.orders.empty() && rollout_.idle();
     for (auto const& it : step.reports)
         ask_report(it);
@@ -129,6 +132,16 @@
         send_order(it);
 }
 
+void weights_duty::note_emptying(base::time_point now, std::vector<std::string> const& upstreams)
+{
+    bool const changed = upstreams != emptying_;
+    emptying_ = upstreams;
+    for (auto const& it : emptying_)
+        view_.upstreams().emptying(it, now + emptying_notice);
+    if (changed)
+        hooks_.loads_changed();
+}
+
 void weights_duty::send_order(orders::weight_order const& order)
 {
     lease_.acted(timers_.now());
@@ -155,7 +168,7 @@
     if (auto const until = rollout_.loading_until(order.upstream))
     {
         view_.upstreams().loading(order.upstream, *until);
-        loads_.push_back({order.upstream, order.model, order.version, {}});
+        loads_.push_back({order.upstream, order.model, order.version, {}, false});
         load_ends_.push_back(*until);
         loaded_timer_ = timers_.after(*until - now, [this] { advance(); });
     }
@@ -175,7 +188,11 @@
                       [this, upstream](std::optional<orders::order_report> report)
                       {
                           if (report)
+                          {
                               rollout_.reported(timers_.now(), upstream, *report);
+                              for (auto const& [model, version] : report->weights)
+                                  view_.upstreams().weights_seen(upstream, model, version);
+                          }
                           else
                               rollout_.report_failed(timers_.now(), upstream);
                           advance();
@@ -208,6 +225,8 @@
         load.remaining = std::max(load_ends_[i] - now, base::duration::zero());
         out.push_back(std::move(load));
     }
+    for (auto const& it : emptying_)
+        out.push_back({it, "", 0, emptying_notice, true});
     return out;
 }
 
--- a/libraries/savorymount/gateway/weights_duty.hpp
+++ b/libraries/savorymount/gateway/weights_duty.hpp
@@ -48,6 +48,7 @@
     void read_duties();
     void take_duties(duty_page const& page);
     void compete();
+    void note_emptying(base::time_point now, std::vector<std::string> const& upstreams);
     void send_order(orders::weight_order const& order);
     void ask_report(std::string const& upstream);
     void note_order(orders::weight_order const& order, orders::order_outcome outcome);
@@ -65,6 +66,8 @@
     std::vector<membership::weight_load> loads_;
     /// When each entry of `loads_` ends.
     std::vector<base::time_point> load_ends_;
+    /// Engines that get no new requests until they are ordered to load.
+    std::vector<std::string> emptying_;
     bool holding_ = false;
     bool leaving_ = false;
     bool releasing_ = false;
--- a/libraries/savorymount/membership/peer_report.hpp
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -11,13 +11,15 @@
 namespace savorymount::membership
 {
 
-/// An engine that loads new weights.
+/// An engine that loads new weights, or soon will.
 struct weight_load
 {
     std::string upstream;
     std::string model;
     std::uint64_t version = 0;
     base::duration remaining{};
+    /// It does not load yet, but gets no new requests.
+    bool emptying = false;
 
     bool operator==(weight_load const&) const = default;
 };
--- a/libraries/savorymount/orders/weight_rollout.cpp
+++ b/libraries/savorymount/orders/weight_rollout.cpp
@@ -1,7 +1,6 @@
 #include <savorymount/orders/weight_rollout.hpp>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace savorymount::orders
@@ -12,32 +11,67 @@
                                   std::vector<rollout_engine> const& engines)
 {
     rollout_step out;
-    std::size_t loading = 0;
-    for (auto& [id, progress] : engines_)
-    {
-        if (progress.loading_until && now >= *progress.loading_until)
-            progress.loading_until.reset();
-        loading += progress.loading_until || progress.order_pending ? 1 : 0;
-    }
+    auto loading = count_loading(now);
+    // Half of the engines go on serving.
+    auto const most_out = std::max<std::size_t>(engines.size() / 2, 1);
+    auto const most_emptying =
+        std::min(options_.emptying_batches * options_.loading_at_once, most_out);
+    std::size_t emptying = 0;
     for (auto const& it : outdated(now, wanted, engines))
     {
-        auto& progress = engines_[it.engine->record.id];
+        auto const& id = it.engine->record.id;
+        auto& progress = engines_[id];
         if (!progress.accepted)
         {
             if (!std::exchange(progress.report_pending, true))
-                out.reports.push_back(it.engine->record.id);
+                out.reports.push_back(id);
             continue;
         }
-        if (loading >= options_.loading_at_once)
+        if (!progress.emptying_since && loading + emptying >= most_emptying)
+            continue;
+        if (!progress.emptying_since)
+            progress.emptying_since = now;
+        ++emptying;
+        out.emptying.push_back(id);
+        if (loading >= options_.loading_at_once || !is_empty(now, it))
             continue;
         ++loading;
+        --emptying;
         progress.order_pending = true;
-        out.orders.push_back({it.engine->record.id, it.engine->record.address, it.model, it.version,
-                              fence, *progress.accepted});
+        out.orders.push_back(
+            {id, it.engine->record.address, it.model, it.version, fence, *progress.accepted});
     }
     return out;
 }
 
+std::size_t weight_rollout::count_loading(base::time_point now)
+{
+    std::size_t out = 0;
+    for (auto& [id, progress] : engines_)
+    {
+        if (progress.loading_until && now >= *progress.loading_until)
+            progress.loading_until.reset();
+        out += progress.loading_until || progress.order_pending ? 1 : 0;
+    }
+    return out;
+}
+
+bool weight_rollout::is_empty(base::time_point now, target const& it) const
+{
+    constexpr double nothing_runs = 0.5;
+    auto const& progress = engines_.at(it.engine->record.id);
+    return it.urgent || it.engine->running < nothing_runs ||
+           now - *progress.emptying_since >= options_.emptying_limit;
+}
+
+std::tuple<bool, bool, std::size_t>
+weight_rollout::rank_of(std::pair<std::size_t, target> const& it) const
+{
+    auto const progress = engines_.find(it.second.engine->record.id);
+    bool const emptying = progress != engines_.end() && progress->second.emptying_since;
+    return {!it.second.urgent, !emptying, it.first};
+}
+
 std::vector<weight_rollout::target>
 weight_rollout::outdated(base::time_point now, wanted_weights const& wanted,
                          std::vector<rollout_engine> const& engines)
@@ -58,10 +92,11 @@
             continue;
         for (auto const& [model, version] : engine.record.weights)
         {
-            auto const known = std::max(version, progress.weights[model]);
             auto const newest = wanted.newest(model);
-            if (known < newest)
-                out.push_back({&engine, model, newest});
+            if (version >= newest)
+                continue;
+            auto const since = wanted.superseded_since(model, version);
+            out.push_back({&engine, model, newest, since && now - *since > options_.urgent_after});
         }
     }
     // One engine of each data centre in turn, so that none loses all its engines at once.
@@ -73,8 +108,10 @@
     ranked.reserve(out.size());
     for (auto const& it : out)
         ranked.emplace_back(taken[it.engine->record.data_centre]++, it);
+    // Engines that must not wait go first, then those that are being emptied.
     std::stable_sort(ranked.begin(), ranked.end(),
-                     [](auto const& left, auto const& right) { return left.first < right.first; });
+                     [this](auto const& left, auto const& right)
+                     { return rank_of(left) < rank_of(right); });
     out.clear();
     for (auto& it : ranked)
         out.push_back(std::move(it.second));
@@ -92,8 +129,6 @@
         return;
     }
     progress.accepted = report.accepted;
-    for (auto const& [model, version] : report.weights)
-        progress.weights[model] = std::max(progress.weights[model], version);
 }
 
 void weight_rollout::report_failed(base::time_point now, std::string const& upstream)
@@ -113,10 +148,10 @@
     case order_outcome::accepted:
         progress.accepted = order.accepted_before + 1;
         progress.loading_until = now + options_.load_time;
-        progress.weights[order.model] = order.version;
+        progress.emptying_since.reset();
         return;
     case order_outcome::already_done:
-        progress.weights[order.model] = order.version;
+        progress.emptying_since.reset();
         return;
     case order_outcome::conflict:
     case order_outcome::unanswered:
--- a/libraries/savorymount/orders/weight_rollout.hpp
+++ b/libraries/savorymount/orders/weight_rollout.hpp
@@ -9,6 +9,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace savorymount::orders
@@ -74,6 +76,8 @@
     /// Engines whose order count has to be asked for.
     std::vector<std::string> reports;
     std::vector<weight_order> orders;
+    /// Engines that get no new requests, since they are ordered to load soon.
+    std::vector<std::string> emptying;
 
     bool operator==(rollout_step const&) const = default;
 };
@@ -85,6 +89,13 @@
     /// Time of one load.
     base::duration load_time = std::chrono::milliseconds(575);
     base::duration retry_after = std::chrono::milliseconds(250);
+    /// Engines that load or get no new requests at once, in batches.
+    std::size_t emptying_batches = 2;
+    /// Longest time that an engine is left to finish its requests before it loads.
+    base::duration emptying_limit = std::chrono::milliseconds(1500);
+
+    /// An engine whose version is superseded for this long goes first and is not emptied.
+    base::duration urgent_after = std::chrono::milliseconds(4000);
 
     auto operator<=>(weight_rollout_options const&) const = default;
 };
@@ -92,8 +103,10 @@
 /// Brings the engines to the newest weight versions, some at a time.
 ///
 /// It goes straight to the newest version of a model, takes the engines with the fewest requests
-/// first and spreads each batch over the data centres. It answers loads in which versions follow
-/// each other within seconds while engines are added, restarted or unreachable.
+/// first and spreads each batch over the data centres. While one batch loads, the next one gets no
+/// new requests, so that few streams pause during a load or go on under other weights. It answers
+/// loads in which versions follow each other within seconds while engines are added, restarted or
+/// unreachable.
 class weight_rollout
 {
 public:
@@ -128,7 +141,7 @@
         bool order_pending = false;
         base::time_point retry_at{};
         std::optional<base::time_point> loading_until;
-        std::map<std::string, std::uint64_t> weights;
+        std::optional<base::time_point> emptying_since;
     };
 
     struct target
@@ -136,8 +149,14 @@
         rollout_engine const* engine;
         std::string model;
         std::uint64_t version;
+        /// Its present version is superseded for so long that it must not wait.
+        bool urgent;
     };
 
+    std::size_t count_loading(base::time_point now);
+    /// Engines with a lower rank go first; `it` has the place within its data centre.
+    std::tuple<bool, bool, std::size_t> rank_of(std::pair<std::size_t, target> const& it) const;
+    bool is_empty(base::time_point now, target const& it) const;
     std::vector<target> outdated(base::time_point now, wanted_weights const& wanted,
                                  std::vector<rollout_engine> const& engines);
 
--- a/libraries/savorymount/routing/engine_placement.cpp
+++ b/libraries/savorymount/routing/engine_placement.cpp
@@ -29,6 +29,8 @@
 // A request that begins on older weights is worth less once they have been older for this long.
 constexpr base::duration old_weights_tolerated = 900ms;
 constexpr double old_weights_ms = 500;
+// An engine that is being emptied takes requests only when the others are overloaded.
+constexpr double emptying_ms = 600;
 // Covers the time in which the version was named but not heard of here.
 constexpr base::duration version_margin = 1500ms;
 
@@ -196,6 +198,8 @@
             cost += other_data_centre_ms;
         if (outdated_for(choice.version) > old_weights_tolerated)
             cost += old_weights_ms;
+        if (now < engine->emptying_until)
+            cost += emptying_ms;
         if (!best || cost < best_cost)
         {
             best = std::move(choice);
--- a/libraries/savorymount/routing/upstream_table.cpp
+++ b/libraries/savorymount/routing/upstream_table.cpp
@@ -225,6 +225,12 @@
         state->loading_until = until;
 }
 
+void upstream_table::emptying(std::string const& id, base::time_point until)
+{
+    if (auto* const state = find(id))
+        state->emptying_until = until;
+}
+
 void upstream_table::peer_load(std::string const& peer,
                                std::map<std::string, upstream_use> const& use)
 {
--- a/libraries/savorymount/routing/upstream_table.hpp
+++ b/libraries/savorymount/routing/upstream_table.hpp
@@ -64,6 +64,8 @@
 
     /// New weights are being loaded until then.
     base::time_point loading_until{};
+    /// It should finish its requests and get no new ones until then.
+    base::time_point emptying_until{};
 
     /// Requests of all instances that run or wait here.
     double running(base::time_point now) const;
@@ -125,6 +127,7 @@
     /// The upstream refused `version` as not its own: the list's word goes until more is known.
     void weights_denied(std::string const& id, std::string const& model, std::uint64_t version);
     void loading(std::string const& id, base::time_point until);
+    void emptying(std::string const& id, base::time_point until);
     void peer_load(std::string const& peer, std::map<std::string, upstream_use> const& use);
     /// This instance's use of each upstream, for the other instances.
     std::map<std::string, upstream_use> own_use() const;
--- a/libraries/savorymount/wire/peer_report.capnp
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -42,6 +42,8 @@
   model @1 :Text;
   version @2 :UInt64;
   remainingMicroseconds @3 :UInt32;
+  # The engine does not load yet, but gets no new requests.
+  emptying @4 :Bool;
 }
 
 struct CrashNotice {
--- a/libraries/savorymount/wire/peer_report.capnp.h
+++ b/libraries/savorymount/wire/peer_report.capnp.h
@@ -563,6 +563,8 @@
 
   inline  ::uint32_t getRemainingMicroseconds() const;
 
+  inline bool getEmptying() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -611,6 +613,9 @@
   inline  ::uint32_t getRemainingMicroseconds();
   inline void setRemainingMicroseconds( ::uint32_t value);
 
+  inline bool getEmptying();
+  inline void setEmptying(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1260,6 +1265,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WeightLoad::Reader::getEmptying() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool WeightLoad::Builder::getEmptying() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void WeightLoad::Builder::setEmptying(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CrashNotice::Reader::hasDigest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
