Empty engines only while the others have room

Change: no emptying above a mean of five requests an engine; at most a third of the reachable engines is out.

--- a/libraries/savorymount/orders/weight_rollout.cpp
+++ b/libraries/savorymount/orders/weight_rollout.cpp
@@ -12,10 +12,8 @@
 {
     rollout_step out;
     auto loading = count_loading(now);
-    // Half of the engines go on serving.
-    auto const most_out = std::max<std::size_t>(engines.size() / 2, 1);
-    auto const most_emptying =
-        std::min(options_.emptying_batches * options_.loading_at_once, most_out);
+    auto const most_out = most_engines_out(engines);
+    bool const wait_until_empty = most_out > options_.loading_at_once;
     std::size_t emptying = 0;
     for (auto const& it : outdated(now, wanted, engines))
     {
@@ -27,13 +25,14 @@
                 out.reports.push_back(id);
             continue;
         }
-        if (!progress.emptying_since && loading + emptying >= most_emptying)
+        if (!progress.emptying_since && loading + emptying >= most_out)
             continue;
         if (!progress.emptying_since)
             progress.emptying_since = now;
         ++emptying;
         out.emptying.push_back(id);
-        if (loading >= options_.loading_at_once || !is_empty(now, it))
+        bool const ready = !wait_until_empty || is_empty(now, it);
+        if (loading >= options_.loading_at_once || !ready)
             continue;
         ++loading;
         --emptying;
@@ -44,6 +43,24 @@
     return out;
 }
 
+std::size_t weight_rollout::most_engines_out(std::vector<rollout_engine> const& engines) const
+{
+    std::size_t reachable = 0;
+    double running = 0;
+    for (auto const& it : engines)
+    {
+        reachable += it.unreachable ? 0 : 1;
+        running += it.unreachable ? 0 : it.running;
+    }
+    // The other engines take over the requests; when they are busy it costs more than it saves.
+    bool const busy = running > options_.running_when_busy * static_cast<double>(reachable);
+    if (busy)
+        return options_.loading_at_once;
+    auto const third = std::max<std::size_t>(reachable / 3, 1);
+    return std::max(std::min(options_.emptying_batches * options_.loading_at_once, third),
+                    options_.loading_at_once);
+}
+
 std::size_t weight_rollout::count_loading(base::time_point now)
 {
     std::size_t out = 0;
--- a/libraries/savorymount/orders/weight_rollout.hpp
+++ b/libraries/savorymount/orders/weight_rollout.hpp
@@ -94,6 +94,8 @@
     /// Longest time that an engine is left to finish its requests before it loads.
     base::duration emptying_limit = std::chrono::milliseconds(1500);
 
+    /// Mean number of requests at an engine from which on none is emptied before its load.
+    double running_when_busy = 5;
     /// An engine whose version is superseded for this long goes first and is not emptied.
     base::duration urgent_after = std::chrono::milliseconds(4000);
 
@@ -153,6 +155,7 @@
         bool urgent;
     };
 
+    std::size_t most_engines_out(std::vector<rollout_engine> const& engines) const;
     std::size_t count_loading(base::time_point now);
     /// Engines with a lower rank go first; `it` has the place within its data centre.
     std::tuple<bool, bool, std::size_t> rank_of(std::pair<std::size_t, target> const& it) const;
