--- a/libraries/savorymount/runtime/http_message_reader.cpp
+++ b/libraries/savorymount/runtime/http_message_reader.cpp
@@ -1,5 +1,6 @@
 #include <savorymount/runtime/http_message_reader.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace savorymount::runtime
@@ -19,6 +20,19 @@
     return value && equal_header_names(*value, "100-continue");
 }
 
+/// Whether the name is a token. The parser lets spaces pass, which others read as a name's end.
+bool is_token(std::string_view name)
+{
+    constexpr std::string_view separators = " \t\"(),/:;<=>?@[\\]{}";
+    return !name.empty() && name.find_first_of(separators) == std::string_view::npos;
+}
+
+bool are_names_tokens(http_headers const& headers)
+{
+    return std::all_of(headers.begin(), headers.end(),
+                       [](auto const& it) { return is_token(it.name); });
+}
+
 } // namespace
 
 http_message_reader::http_message_reader(http_message_kind kind, std::size_t max_header_bytes,
@@ -122,6 +136,8 @@
 int http_message_reader::on_headers_complete(::http_parser* parser)
 {
     auto& reader = self(parser);
+    if (!are_names_tokens(reader.head_.headers))
+        return parsing_fails;
     reader.head_complete_ = true;
     reader.head_.keep_alive = http_should_keep_alive(parser) != 0;
     if (parser->type == HTTP_REQUEST)
--- /dev/null
+++ b/tests/platform/decoder_test.cpp
@@ -0,0 +1,152 @@
+#include "platform/base64.hpp"
+#include "platform/configuration_decoder.hpp"
+#include "platform/store_client.hpp"
+#include "platform/upstream_decoder.hpp"
+
+#include <gtest/gtest.h>
+
+namespace savorymount::platform
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr char const* configuration_text = R"({"version":7,
+"routes":[{"name":"r-m82","host":"jepu9.example","pathPrefix":"/lepu270/","kind":"streaming",
+ "timeoutMs":6000,"targetLatencyMs":800,"priority":1,
+ "trafficSplit":[{"service":"huvo11a","weight":90},{"service":"kafi81c","weight":10}],
+ "maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapAimMs":400},
+ {"name":"r-open","host":"jepu9.example","pathPrefix":"/","kind":"mystery","timeoutMs":800,
+ "service":"kafi81c","public":true}],
+"services":[{"name":"huvo11a","healthPath":"/health","maxConns":290,
+ "engine":{"slots":48,"kvTokens":94101,"models":[{"name":"daka"}]}},
+ {"name":"kafi81c","healthPath":"/health","maxConns":96},
+ {"name":"wuno96b","kvStoreAddr":"172.20.0.2:8604","zone":"nz-north-b"}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+ "idleTimeoutMs":15000},
+"tenants":[{"name":"sese880","apiKeys":["wu3f","9anu"],"priority":1,"unit":"token",
+ "plainTokens":200,"isolated":true,"ratePerS":143423,"burst":143423}],
+"unknown":{"field":1}})";
+
+// Guards against routes, limits or contracts that are read wrongly, and against fields that newer
+// platforms add.
+TEST(configuration_decoder, reads_a_whole_configuration)
+{
+    base::error reason;
+    auto const it = decode_configuration(configuration_text, reason);
+    ASSERT_TRUE(it) << reason.message;
+    EXPECT_EQ(it->version, 7U);
+    ASSERT_EQ(it->routes.size(), 2U);
+    auto const& route = it->routes[0];
+    EXPECT_EQ(route.kind, configuration::repeat_rule::streaming);
+    EXPECT_EQ(route.timeout, 6s);
+    EXPECT_EQ(route.shares.size(), 2U);
+    EXPECT_EQ(route.max_attempts, 2U);
+    EXPECT_TRUE(route.prompts && route.resumable && !route.open);
+    EXPECT_EQ(it->routes[1].kind, configuration::repeat_rule::unsafe);
+    EXPECT_TRUE(it->services.at("huvo11a").model_engine);
+    EXPECT_EQ(it->services.at("wuno96b").store->address, "172.20.0.2:8604");
+    EXPECT_EQ(it->limits.idle_timeout, 15s);
+    ASSERT_EQ(it->workspaces.size(), 1U);
+    EXPECT_TRUE(it->workspaces[0].isolated);
+    EXPECT_EQ(it->workspaces[0].rate, 143423U);
+}
+
+// Guards against a configuration that is taken in part.
+TEST(configuration_decoder, refuses_what_it_cannot_read)
+{
+    base::error reason;
+    for (char const* text :
+         {"", "[]", "{", R"({"version":1})", R"({"version":"1","routes":[],"services":[]})",
+          R"({"version":1,"routes":[{"host":"a"}],"services":[]})"})
+    {
+        EXPECT_FALSE(decode_configuration(text, reason)) << text;
+        EXPECT_EQ(reason.kind, base::error_kind::invalid_input);
+    }
+}
+
+// Guards against a route of another host, and against a short prefix that hides a longer one.
+TEST(deployment_index, finds_the_longest_prefix_and_the_holder_of_a_key)
+{
+    base::error reason;
+    configuration::deployment_index const index(*decode_configuration(configuration_text, reason));
+    EXPECT_EQ(index.find_route("jepu9.example", "/lepu270/2f")->name, "r-m82");
+    EXPECT_EQ(index.find_route("jepu9.example", "/lepu270")->name, "r-open");
+    EXPECT_EQ(index.find_route("jepu9.example", "/?/lepu270/")->name, "r-open");
+    EXPECT_EQ(index.find_route("other.example", "/lepu270/2f"), nullptr);
+    EXPECT_EQ(index.find_workspace("9anu")->name, "sese880");
+    EXPECT_EQ(index.find_workspace("9anv"), nullptr);
+    EXPECT_EQ(index.find_cache_store()->data_centre, "nz-north-b");
+}
+
+constexpr char const* upstream_text =
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"nz-north-a","version":"v1",
+"slots":48,"state":"ready","coldLeftMs":0,"stage":"both","born":1780000000000,
+"models":[{"name":"daka","version":3,"adapters":[]}],"sequence":4})";
+
+// Guards against an upstream that is known under wrong weights or a wrong address.
+TEST(upstream_decoder, reads_an_entry)
+{
+    base::error reason;
+    auto const it = decode_upstream("i-7f3a", upstream_text, reason);
+    ASSERT_TRUE(it);
+    EXPECT_EQ(it->id, "i-7f3a");
+    EXPECT_EQ(it->address, "10.128.0.9:8080");
+    EXPECT_EQ(it->slots, 48U);
+    EXPECT_EQ(it->weights.at("daka"), 3U);
+    EXPECT_EQ(it->started_unix_ms, 1780000000000);
+    EXPECT_FALSE(it->draining);
+}
+
+// Guards against an entry of another writer that names an upstream to use.
+TEST(upstream_decoder, refuses_entries_that_are_not_the_platforms)
+{
+    base::error reason;
+    std::string const good = upstream_text;
+    for (auto const& [from, to] :
+         std::vector<std::pair<std::string, std::string>>{{"\"ready\"", "\"sleeping\""},
+                                                          {"\"slots\":48", "\"slots\":\"48\""},
+                                                          {"\"slots\":48", "\"slots\":-1"},
+                                                          {"10.128.0.9:8080", "somewhere:80"},
+                                                          {"\"service\":\"huvo11a\",", ""},
+                                                          {"{\"service\"", "\xff{\"service\""}})
+    {
+        auto text = good;
+        text.replace(text.find(from), from.size(), to);
+        EXPECT_FALSE(decode_upstream("i-1", text, reason)) << to;
+        EXPECT_NE(reason.message.find("i-1"), std::string::npos);
+    }
+}
+
+// Guards against records that are cut in the wrong place.
+TEST(store_records, are_read_with_their_offsets)
+{
+    std::string body(16, '\0');
+    body[7] = 9;
+    body += serialize_record("config", "text");
+    body += serialize_record("gone", "");
+    base::error reason;
+    auto const page = parse_records(body, 7, reason);
+    ASSERT_TRUE(page);
+    EXPECT_EQ(page->end, 9U);
+    EXPECT_EQ(page->next, 9U);
+    std::vector<keyed_record> const expected{{"config", "text", 7}, {"gone", std::nullopt, 8}};
+    EXPECT_EQ(page->records, expected);
+    EXPECT_FALSE(parse_records(body.substr(0, 10), 7, reason));
+    body.back() = 'x';
+    body[16 + 3] = 100;
+    EXPECT_FALSE(parse_records(body, 7, reason));
+}
+
+TEST(base64, is_decoded_with_its_padding)
+{
+    EXPECT_EQ(decode_base64("aGVsbG8="), "hello");
+    EXPECT_EQ(decode_base64("aGk="), "hi");
+    EXPECT_EQ(decode_base64(""), "");
+    EXPECT_FALSE(decode_base64("abc"));
+    EXPECT_FALSE(decode_base64("a(c="));
+}
+
+} // namespace
+} // namespace savorymount::platform
--- /dev/null
+++ b/tests/platform/request_codec_test.cpp
@@ -0,0 +1,132 @@
+#include "platform/request_codec.hpp"
+
+#include <gtest/gtest.h>
+
+namespace savorymount::platform
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+runtime::http_head caller_head()
+{
+    runtime::http_head out;
+    out.method = "POST";
+    out.target = "/lepu270/2f?x=1";
+    out.headers = {{"Host", "jepu9.example"},
+                   {"X-Request-Id", "9c41d07be2a35f68"},
+                   {"X-Model", "daka"},
+                   {"X-Token-Count", "1460,80"},
+                   {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+                   {"X-Deadline-Ms", "6000"},
+                   {"Authorization", "Bearer wu3f"},
+                   {"Last-Event-Id", "12"},
+                   {"Connection", "keep-alive, X-Private"},
+                   {"X-Private", "1"},
+                   {"X-Length-Hint", "70"}};
+    return out;
+}
+
+bool contains(std::string const& text, std::string const& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+// Guards against prompts that lose their parts, which cost cache and isolation.
+TEST(request_codec, reads_what_a_caller_says_of_its_prompt)
+{
+    base::error reason;
+    auto const request = decode_request(caller_head(), reason);
+    ASSERT_TRUE(request);
+    EXPECT_EQ(request->id, "9c41d07be2a35f68");
+    EXPECT_EQ(request->key, "wu3f");
+    EXPECT_EQ(request->time_left, 6s);
+    EXPECT_EQ(request->last_event, 12U);
+    ASSERT_TRUE(request->prompt);
+    routing::prompt_description const expected{
+        "daka", {{"5c1e07a2", 800}, {"91bd3f06", 410}, {"e4402b7d", 250}}, 1460, 80};
+    EXPECT_EQ(*request->prompt, expected);
+}
+
+// Guards against a key that reaches an upstream, and against fields of the caller's that only the
+// system may set.
+TEST(request_codec, drops_the_key_and_the_fields_that_the_system_sets)
+{
+    auto head = caller_head();
+    for (char const* name : {"X-Tenant", "X-Cache-Salt", "X-Hold", "X-Pin-Ms", "X-Prefix-Backup",
+                             "Kv-From", "X-Prefix-Source", "X-Prefix-Target", "X-Request-Priority",
+                             "X-Expect-Instance", "X-Expect-Version"})
+        head.headers.push_back({name, "forged"});
+    base::error reason;
+    auto const request = decode_request(head, reason);
+    ASSERT_TRUE(request);
+    gateway::upstream_call sent;
+    sent.upstream = "i-7f3a";
+    sent.workspace = "sese880";
+    sent.time_left = 5500ms;
+    sent.body_bytes = 3;
+    auto const text = encode_call(*request, sent);
+    EXPECT_FALSE(contains(text, "forged"));
+    EXPECT_FALSE(contains(text, "wu3f"));
+    EXPECT_FALSE(contains(text, "X-Private"));
+    EXPECT_FALSE(contains(text, "Last-Event-Id"));
+    EXPECT_TRUE(contains(text, "POST /lepu270/2f?x=1 HTTP/1.1\r\n"));
+    EXPECT_TRUE(contains(text, "\r\nX-Tenant: sese880\r\n"));
+    EXPECT_TRUE(contains(text, "\r\nX-Deadline-Ms: 5500\r\n"));
+    EXPECT_TRUE(contains(text, "\r\nX-Expect-Instance: i-7f3a\r\n"));
+    EXPECT_TRUE(contains(text, "\r\nContent-Length: 3\r\n"));
+    EXPECT_TRUE(contains(text, "\r\nX-Length-Hint: 70\r\n"));
+    EXPECT_TRUE(contains(text, "\r\nX-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n"));
+}
+
+// Guards against an engine that is not told which weights and which cache it may use.
+TEST(request_codec, tells_an_engine_its_version_salt_and_sources)
+{
+    base::error reason;
+    auto const request = decode_request(caller_head(), reason);
+    gateway::upstream_call call;
+    call.priority = 1;
+    call.resume_after = 14;
+    call.engine = gateway::engine_directions{3, "daka.3", "10.0.0.1:80", "10.0.0.2:90"};
+    auto const text = encode_call(*request, call);
+    for (char const* line :
+         {"X-Expect-Version: 3", "X-Cache-Salt: daka.3", "X-Prefix-Source: 10.0.0.1:80",
+          "X-Prefix-Target: 10.0.0.2:90", "X-Request-Priority: 1", "Last-Event-Id: 14"})
+        EXPECT_TRUE(contains(text, std::string("\r\n") + line + "\r\n")) << line;
+}
+
+// Guards against a request without an id, which no upstream would run.
+TEST(request_codec, refuses_a_request_without_an_id)
+{
+    auto head = caller_head();
+    head.headers.erase(head.headers.begin() + 1);
+    base::error reason;
+    EXPECT_FALSE(decode_request(head, reason));
+    EXPECT_EQ(reason.kind, base::error_kind::invalid_input);
+}
+
+// Guards against a refusal of an upstream that is taken for an answer, and against one without a
+// signature.
+TEST(request_codec, reads_what_an_answer_says)
+{
+    runtime::http_head head;
+    head.status = 503;
+    head.headers = {{"X-Request-Id", "1"}, {"X-Not-Executed", "1"}, {"X-Server-Load", "3,0,8"}};
+    auto const rejected = read_answer(head);
+    EXPECT_TRUE(rejected.not_executed);
+    EXPECT_FALSE(rejected.stamped);
+    EXPECT_EQ(rejected.load, (routing::reported_load{3, 0, 8}));
+    head.status = 421;
+    head.headers = {{"X-Instance-Id", "i-02"}};
+    EXPECT_TRUE(read_answer(head).misdirected);
+    EXPECT_TRUE(read_answer(head).not_executed);
+    head.status = 200;
+    head.headers = {{"X-Response-Stamp", "3e1b"}, {"X-Weight-Versions", "4"}};
+    auto const answer = read_answer(head);
+    EXPECT_TRUE(answer.stamped);
+    EXPECT_EQ(answer.version, 4U);
+}
+
+} // namespace
+} // namespace savorymount::platform
