Test the gateway end to end against a stand-in of the users' platform

Found by the test of new weights, which failed first: an instance that had not heard of a rollout sent prompts with the old version to both engines and refused them. Reports carry the sender's address now, so that a new instance is told at once, and an engine that denies an older version is taken to have the newest one.

--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -93,18 +93,26 @@
 bool gateway::start(base::error& reason)
 {
     auto const& settings = view_.settings();
-    if (!server_.listen(settings.http_listen, reason) ||
-        !ready_server_.listen(settings.ready_listen, reason) ||
-        !metrics_server_.listen(settings.metrics_listen, reason) || !peers_.start(reason))
+    auto const http_port = server_.listen(settings.http_listen, reason);
+    auto const ready_port =
+        http_port ? ready_server_.listen(settings.ready_listen, reason) : std::nullopt;
+    auto const metrics_port =
+        ready_port ? metrics_server_.listen(settings.metrics_listen, reason) : std::nullopt;
+    auto const peers = metrics_port ? peers_.start(reason) : std::nullopt;
+    if (!peers)
         return false;
+    peer_address_ = *peers;
     loop_->on_termination([this] { leave(); });
     follow_platform();
     announce();
     duty_.start();
-    runtime::log(events::started, {{"instance", settings.instance},
-                                   {"incarnation", settings.incarnation},
-                                   {"data_centre", settings.data_centre},
-                                   {"http", to_string(settings.http_listen)}});
+    runtime::log(events::started,
+                 {{"instance", settings.instance},
+                  {"incarnation", settings.incarnation},
+                  {"data_centre", settings.data_centre},
+                  {"http", runtime::to_string({settings.http_listen.host, *http_port})},
+                  {"ready", runtime::to_string({settings.ready_listen.host, *ready_port})},
+                  {"metrics", runtime::to_string({settings.metrics_listen.host, *metrics_port})}});
     return true;
 }
 
@@ -171,13 +179,13 @@
 void gateway::announce()
 {
     auto const& settings = view_.settings();
-    port_.announce({settings.instance, settings.incarnation, settings.data_centre,
-                    to_string(settings.peer_listen)},
-                   [this](append_outcome outcome)
-                   {
-                       if (outcome != append_outcome::accepted)
-                           announce_timer_ = timers_.after(announce_retry, [this] { announce(); });
-                   });
+    port_.announce(
+        {settings.instance, settings.incarnation, settings.data_centre, to_string(peer_address_)},
+        [this](append_outcome outcome)
+        {
+            if (outcome != append_outcome::accepted)
+                announce_timer_ = timers_.after(announce_retry, [this] { announce(); });
+        });
 }
 
 void gateway::adopt(configuration::deployment data)
--- a/libraries/savorymount/gateway/gateway.hpp
+++ b/libraries/savorymount/gateway/gateway.hpp
@@ -65,6 +65,7 @@
     runtime::http_server metrics_server_;
     peer_exchange peers_;
     weights_duty duty_;
+    runtime::network_address peer_address_;
     std::string cache_store_address_;
     bool store_available_ = false;
     bool upstreams_known_ = false;
--- a/libraries/savorymount/gateway/peer_exchange.cpp
+++ b/libraries/savorymount/gateway/peer_exchange.cpp
@@ -22,17 +22,20 @@
 {
 }
 
-bool peer_exchange::start(base::error& reason)
+std::optional<runtime::network_address> peer_exchange::start(base::error& reason)
 {
-    if (!socket_.bind(view_.settings().peer_listen, reason))
-        return false;
+    auto const& wanted = view_.settings().peer_listen;
+    auto const port = socket_.bind(wanted, reason);
+    if (!port)
+        return std::nullopt;
     timer_ = timers_.every(report_interval,
                            [this]
                            {
                                view_.tick(timers_.now());
                                tell();
                            });
-    return true;
+    address_ = {wanted.host, *port};
+    return address_;
 }
 
 void peer_exchange::take_members(std::vector<member_record> const& members)
@@ -46,12 +49,12 @@
 {
     auto const now = timers_.now();
     auto report = view_.make_report(now, ++sequence_);
+    report.address = to_string(address_);
     report.loads = loads_(now);
     auto const bytes = encode_peer_report(report);
     base::error ignored;
     for (auto const& [instance, peer] : view_.roster().peers())
     {
-        // A peer that was only heard has no address until the store names it.
         auto const address = runtime::parse_address("peer", peer.address, ignored);
         if (address)
             socket_.send(*address, bytes);
--- a/libraries/savorymount/gateway/peer_exchange.hpp
+++ b/libraries/savorymount/gateway/peer_exchange.hpp
@@ -22,7 +22,8 @@
     peer_exchange(runtime::event_loop& loop, runtime::timer_service& timers, fleet_view& view,
                   loads_source loads);
 
-    bool start(base::error& reason);
+    /// Opens the socket and returns its address.
+    std::optional<runtime::network_address> start(base::error& reason);
 
     /// Instances that the platform's store names.
     void take_members(std::vector<member_record> const& members);
@@ -37,6 +38,7 @@
     fleet_view& view_;
     loads_source loads_;
     runtime::datagram_socket socket_;
+    runtime::network_address address_;
     std::uint64_t sequence_ = 0;
     runtime::timer_service::subscription timer_;
 };
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -93,6 +93,7 @@
     membership::peer_report out;
     out.instance = in.getInstance().cStr();
     out.incarnation = in.getIncarnation().cStr();
+    out.address = in.getAddress().cStr();
     out.sequence = in.getSequence();
     for (auto const it : in.getAdmitted())
         out.admitted[it.getWorkspace().cStr()] = it.getTokens();
@@ -120,6 +121,7 @@
     auto root = message.initRoot<wire::PeerReport>();
     root.setInstance(report.instance);
     root.setIncarnation(report.incarnation);
+    root.setAddress(report.address);
     root.setSequence(report.sequence);
     write_admitted(root, report);
     write_use(root, report);
--- a/libraries/savorymount/gateway/request_flow.cpp
+++ b/libraries/savorymount/gateway/request_flow.cpp
@@ -306,8 +306,7 @@
         if (other || !placed.call.engine)
             pause = misdirected_pause;
         else
-            upstreams.weights_denied(placed.upstream.id, request_.prompt->model,
-                                     placed.call.engine->expected_version);
+            weights_denied();
     }
     upstreams.rejected(now, placed.upstream.id, pause);
     ++sent_;
@@ -315,6 +314,20 @@
                     "the upstream rejected the request with " + std::to_string(send_->head.status));
 }
 
+void request_flow::weights_denied()
+{
+    auto& upstreams = services_.view.upstreams();
+    auto const& id = send_->placed.upstream.id;
+    auto const& model = request_.prompt->model;
+    auto const denied = send_->placed.call.engine->expected_version;
+    auto const newest = services_.view.weights().newest(model);
+    // An engine that no longer has an older version has probably got the newest one meanwhile.
+    if (denied < newest)
+        upstreams.weights_seen(id, model, newest);
+    else
+        upstreams.weights_denied(id, model, denied);
+}
+
 void request_flow::watch_for_stall()
 {
     if (!is_repeatable(admitted_->route->kind, admitted_->route->resumable))
--- a/libraries/savorymount/gateway/request_flow.hpp
+++ b/libraries/savorymount/gateway/request_flow.hpp
@@ -71,6 +71,8 @@
     void take_end();
     void take_failure(runtime::call_failure kind, std::string const& reason);
     void take_rejection();
+    /// The engine has other weights than the request expected.
+    void weights_denied();
     void watch_for_stall();
     void stalled();
     /// Sends the request elsewhere if that is allowed, and gives up otherwise.
--- a/libraries/savorymount/membership/peer_report.hpp
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -38,6 +38,8 @@
 {
     std::string instance;
     std::string incarnation;
+    /// Where the sender takes reports, as `IP:port`.
+    std::string address;
     std::uint64_t sequence = 0;
     /// Tokens admitted since the process started, by workspace.
     std::map<std::string, double> admitted;
--- a/libraries/savorymount/membership/peer_roster.cpp
+++ b/libraries/savorymount/membership/peer_roster.cpp
@@ -27,6 +27,7 @@
         return false;
     forgotten_.erase(report.instance);
     it.incarnation = report.incarnation;
+    it.address = report.address;
     it.sequence = report.sequence;
     it.heard_at = now;
     it.heard = true;
--- a/libraries/savorymount/membership/peer_roster.hpp
+++ b/libraries/savorymount/membership/peer_roster.hpp
@@ -24,7 +24,7 @@
 public:
     struct peer
     {
-        /// `IP:port`; empty until the store names it.
+        /// `IP:port`, from the store or from its reports.
         std::string address;
         std::string incarnation;
         std::uint64_t sequence = 0;
--- a/libraries/savorymount/runtime/datagram_socket.cpp
+++ b/libraries/savorymount/runtime/datagram_socket.cpp
@@ -40,20 +40,23 @@
         close(socket_);
 }
 
-bool datagram_socket::bind(network_address const& address, base::error& reason)
+std::optional<std::uint16_t> datagram_socket::bind(network_address const& address,
+                                                   base::error& reason)
 {
     socket_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    auto const name = socket_name(address);
+    auto name = socket_name(address);
     if (socket_ < 0 || ::bind(socket_, reinterpret_cast<sockaddr const*>(&name), sizeof(name)) != 0)
     {
         reason = {base::error_kind::unavailable,
                   "cannot bind the datagram socket to " + to_string(address) + ": " +
                       std::strerror(errno) + "; choose a free address of this instance"};
-        return false;
+        return std::nullopt;
     }
     event_ = event_new(loop_.base(), socket_, EV_READ | EV_PERSIST, handle_read, this);
     event_add(event_, nullptr);
-    return true;
+    socklen_t size = sizeof(name);
+    getsockname(socket_, reinterpret_cast<sockaddr*>(&name), &size);
+    return ntohs(name.sin_port);
 }
 
 void datagram_socket::send(network_address const& to, std::string_view bytes) const
--- a/libraries/savorymount/runtime/datagram_socket.hpp
+++ b/libraries/savorymount/runtime/datagram_socket.hpp
@@ -6,7 +6,9 @@
 
 #include <event2/event.h>
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
 
 namespace savorymount::runtime
@@ -23,7 +25,8 @@
     datagram_socket(datagram_socket const&) = delete;
     datagram_socket& operator=(datagram_socket const&) = delete;
 
-    bool bind(network_address const& address, base::error& reason);
+    /// Returns the port; port 0 lets the kernel choose one.
+    std::optional<std::uint16_t> bind(network_address const& address, base::error& reason);
 
     /// Sends without waiting; a datagram that the socket does not take is dropped.
     void send(network_address const& to, std::string_view bytes) const;
--- a/libraries/savorymount/wire/peer_report.capnp
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -19,6 +19,8 @@
   crashes @6 :List(CrashNotice);
   # Shared parts of prompts that engines were sent to read since the last report.
   reads @7 :List(EngineReads);
+  # Where the sender takes reports, as IP:port.
+  address @8 :Text;
 }
 
 struct EngineReads {
--- a/libraries/savorymount/wire/peer_report.capnp.h
+++ b/libraries/savorymount/wire/peer_report.capnp.h
@@ -37,7 +37,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 1, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 1, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -161,6 +161,9 @@
   inline bool hasReads() const;
   inline  ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>::Reader getReads() const;
 
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -241,6 +244,13 @@
   inline void adoptReads(::capnp::Orphan< ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::EngineReads,  ::capnp::Kind::STRUCT>> disownReads();
 
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -987,6 +997,40 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool PeerReport::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerReport::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerReport::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerReport::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PeerReport::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool EngineReads::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/tests/libraries/gateway/peer_report_codec_test.cpp
@@ -0,0 +1,50 @@
+#include <savorymount/gateway/peer_report_codec.hpp>
+
+#include <gtest/gtest.h>
+
+namespace savorymount::gateway
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+membership::peer_report sample()
+{
+    membership::peer_report out;
+    out.instance = "gateway-1";
+    out.incarnation = "9f";
+    out.address = "10.0.0.1:7600";
+    out.sequence = 12;
+    out.admitted = {{"club", 812.5}};
+    out.use = {{"engine-1", {3, 900}}};
+    out.loads = {{"engine-2", "crew", 4, 250ms, false}, {"engine-3", "", 0, 400ms, true}};
+    out.crashes = {{"0f", "engine-4"}};
+    out.reads = {{"engine-1", {1, 0xffffffffffffffffU}}};
+    return out;
+}
+
+TEST(peer_report_codec, keeps_every_field)
+{
+    auto const decoded = decode_peer_report(encode_peer_report(sample()));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(*decoded, sample());
+}
+
+// Guards against a datagram of another program that stops the process or is believed.
+TEST(peer_report_codec, refuses_damaged_bytes_without_failing)
+{
+    auto const whole = encode_peer_report(sample());
+    EXPECT_FALSE(decode_peer_report(""));
+    EXPECT_FALSE(decode_peer_report("hello"));
+    for (std::size_t i = 0; i < whole.size(); ++i)
+    {
+        EXPECT_FALSE(decode_peer_report(std::string_view(whole).substr(0, i))) << i;
+        auto damaged = whole;
+        damaged[i] = static_cast<char>(damaged[i] ^ 0x41);
+        (void)decode_peer_report(damaged);
+    }
+}
+
+} // namespace
+} // namespace savorymount::gateway
--- /dev/null
+++ b/tests/stand_ins/users_platform/keyed_topics.cpp
@@ -0,0 +1,122 @@
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <string_view>
+#include <tests/stand_ins/users_platform/keyed_topics.hpp>
+
+namespace savorymount::stand_ins
+{
+namespace
+{
+
+std::string encode_base64(std::string const& bytes)
+{
+    std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    auto const n = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                                   reinterpret_cast<unsigned char const*>(bytes.data()),
+                                   static_cast<int>(bytes.size()));
+    out.resize(static_cast<std::size_t>(n));
+    return out;
+}
+
+std::string big_endian(std::uint64_t value, int bytes)
+{
+    std::string out;
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8)
+        out += static_cast<char>(value >> shift & 0xff);
+    return out;
+}
+
+} // namespace
+
+bool keyed_topics::handle(exchange_ptr const& exchange)
+{
+    auto const target = parse_target(exchange->target());
+    if (target.path == "/-/log-newest")
+        newest(exchange, target);
+    else if (target.path == "/-/log-read")
+        read(exchange, target);
+    else if (target.path == "/-/log-append")
+        append(exchange, target);
+    else
+        return false;
+    return true;
+}
+
+void keyed_topics::put(std::string const& topic, std::string const& key, std::string const& value)
+{
+    topics_[topic].push_back({key, value});
+    wake_readers(topic);
+}
+
+void keyed_topics::newest(exchange_ptr const& exchange, request_target const& target)
+{
+    auto const& all = topics_[target.query.at("topic")];
+    std::map<std::string, std::size_t> last;
+    for (std::size_t i = 0; i < all.size(); ++i)
+        last[all[i].key] = i;
+    json items = json::array();
+    for (auto const& [key, offset] : last)
+    {
+        if (!all[offset].value.empty())
+            items.push_back(
+                {{"key", key}, {"value", encode_base64(all[offset].value)}, {"offset", offset}});
+    }
+    respond(exchange, 200, {{"items", items}, {"more", false}, {"end", all.size()}});
+}
+
+void keyed_topics::read(exchange_ptr const& exchange, request_target const& target)
+{
+    auto const& topic = target.query.at("topic");
+    auto const from = static_cast<std::size_t>(target.number("from", 0));
+    if (from < topics_[topic].size() || target.number("waitMs", 0) == 0)
+        answer_read(exchange, topic, from);
+    else
+        waiting_.push_back({exchange, topic, from});
+}
+
+void keyed_topics::append(exchange_ptr const& exchange, request_target const& target)
+{
+    auto const& topic = target.query.at("topic");
+    auto& all = topics_[topic];
+    if (target.query.contains("at") && target.number("at", 0) != all.size())
+    {
+        respond(exchange, 412, {{"end", all.size()}});
+        return;
+    }
+    // One record: four bytes of length, one of the key's length, key and value.
+    constexpr std::size_t key_length_at = 4;
+    std::string_view const body = exchange->body();
+    auto const key_length = static_cast<unsigned char>(body.at(key_length_at));
+    all.push_back({std::string(body.substr(key_length_at + 1, key_length)),
+                   std::string(body.substr(key_length_at + 1 + key_length))});
+    respond(exchange, 200, {{"offset", all.size() - 1}, {"end", all.size()}});
+    wake_readers(topic);
+}
+
+void keyed_topics::answer_read(exchange_ptr const& exchange, std::string const& topic,
+                               std::size_t from)
+{
+    auto const& all = topics_[topic];
+    std::string body = big_endian(all.size(), 8) + big_endian(0, 8);
+    for (std::size_t i = from; i < all.size(); ++i)
+    {
+        auto const& it = all[i];
+        body += big_endian(1 + it.key.size() + it.value.size(), 4);
+        body += static_cast<char>(it.key.size());
+        body += it.key + it.value;
+    }
+    exchange->respond(200, {}, body);
+}
+
+void keyed_topics::wake_readers(std::string const& topic)
+{
+    auto const first = std::stable_partition(waiting_.begin(), waiting_.end(),
+                                             [&](auto const& it) { return it.topic != topic; });
+    std::vector<waiting_read> const ready(first, waiting_.end());
+    waiting_.erase(first, waiting_.end());
+    for (auto const& it : ready)
+        answer_read(it.exchange, it.topic, it.from);
+}
+
+} // namespace savorymount::stand_ins
--- /dev/null
+++ b/tests/stand_ins/users_platform/keyed_topics.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <tests/stand_ins/stand_in.hpp>
+#include <vector>
+
+namespace savorymount::stand_ins
+{
+
+/// The keyed topics of the users' metadata store, one partition each, kept in memory.
+class keyed_topics
+{
+public:
+    /// Serves the calls that begin with `/-/log-`. False for any other path.
+    bool handle(exchange_ptr const& exchange);
+
+    /// Appends a record; an empty value drops the key.
+    void put(std::string const& topic, std::string const& key, std::string const& value);
+
+private:
+    struct record
+    {
+        std::string key;
+        std::string value;
+    };
+
+    struct waiting_read
+    {
+        exchange_ptr exchange;
+        std::string topic;
+        std::size_t from;
+    };
+
+    void newest(exchange_ptr const& exchange, request_target const& target);
+    void read(exchange_ptr const& exchange, request_target const& target);
+    void append(exchange_ptr const& exchange, request_target const& target);
+    void answer_read(exchange_ptr const& exchange, std::string const& topic, std::size_t from);
+    void wake_readers(std::string const& topic);
+
+    std::map<std::string, std::vector<record>> topics_;
+    std::vector<waiting_read> waiting_;
+};
+
+} // namespace savorymount::stand_ins
--- /dev/null
+++ b/tests/stand_ins/users_platform/main.cpp
@@ -0,0 +1,137 @@
+#include <tests/stand_ins/users_platform/fake_upstream.hpp>
+#include <tests/stand_ins/users_platform/keyed_topics.hpp>
+#include <vector>
+
+namespace savorymount::stand_ins
+{
+namespace
+{
+
+constexpr char const* operator_topic = "keyed.op";
+constexpr char const* upstream_topic = "keyed.servers";
+
+/// The store with its upstreams: some model engines and one plain service.
+class users_platform
+{
+public:
+    users_platform(runtime::event_loop& loop, std::int64_t engines)
+    {
+        for (std::int64_t i = 0; i < engines; ++i)
+            upstreams_.push_back(
+                std::make_unique<fake_upstream>(loop, "engine-" + std::to_string(i), true));
+        upstreams_.push_back(std::make_unique<fake_upstream>(loop, "desk-0", false));
+        configure(1, {"key-a", "key-b"});
+        topics_.put(operator_topic, "version/crew", R"({"model":"crew","version":1})");
+        for (auto const& it : upstreams_)
+            list(*it, "ready");
+    }
+
+    void handle(exchange_ptr const& exchange)
+    {
+        if (topics_.handle(exchange))
+            return;
+        auto const path = parse_target(exchange->target()).path;
+        if (path == "/control")
+            control(exchange);
+        else if (path == "/state")
+            respond(exchange, 200, state());
+        else
+            respond_error(exchange, 404, "no such call");
+    }
+
+private:
+    void configure(std::uint64_t version, std::vector<std::string> const& keys)
+    {
+        json const streams{
+            {"name", "prompts"},   {"host", "chat.example"}, {"pathPrefix", "/p/"},
+            {"kind", "streaming"}, {"timeoutMs", 20000},     {"targetLatencyMs", 800},
+            {"priority", 1},       {"service", "pool"},      {"maxAttempts", 2},
+            {"public", false},     {"sticky", true},         {"resumable", true}};
+        json const bookings{{"name", "bookings"}, {"host", "chat.example"}, {"pathPrefix", "/b/"},
+                            {"kind", "unsafe"},   {"timeoutMs", 20000},     {"service", "desk"},
+                            {"maxAttempts", 1},   {"public", false}};
+        json const tenant{{"name", "club"},   {"apiKeys", keys}, {"unit", "token"},
+                          {"plainTokens", 1}, {"ratePerS", 0},   {"burst", 0},
+                          {"isolated", true}};
+        json const whole{{"version", version},
+                         {"routes", {streams, bookings}},
+                         {"services",
+                          {{{"name", "pool"}, {"engine", {{"slots", 8}, {"kvTokens", 90000}}}},
+                           {{"name", "desk"}}}},
+                         {"tenants", json::array({tenant})}};
+        topics_.put(operator_topic, "config", whole.dump());
+    }
+
+    void list(fake_upstream const& it, std::string const& upstream_state)
+    {
+        json models = json::array();
+        if (it.model_engine())
+            models.push_back({{"name", "crew"}, {"version", it.version()}});
+        json const entry{{"service", it.model_engine() ? "pool" : "desk"},
+                         {"address", "127.0.0.1:" + std::to_string(it.port())},
+                         {"zone", "liege"},
+                         {"slots", 8},
+                         {"state", upstream_state},
+                         {"models", models},
+                         {"sequence", 1},
+                         {"born", 1}};
+        topics_.put(upstream_topic, it.id(), entry.dump());
+    }
+
+    void control(exchange_ptr const& exchange)
+    {
+        auto const body = parse_object(exchange);
+        if (!body)
+            return;
+        if (body->contains("configuration"))
+            configure(body->at("configuration").get<std::uint64_t>(),
+                      body->at("keys").get<std::vector<std::string>>());
+        if (body->contains("weights"))
+            topics_.put(operator_topic, "version/crew",
+                        json{{"model", "crew"}, {"version", body->at("weights")}}.dump());
+        if (body->contains("unreadable"))
+            topics_.put(upstream_topic, "ghost", body->at("unreadable").get<std::string>());
+        for (auto const& it : upstreams_)
+        {
+            if (body->value("break_off", "") == it->id())
+                it->break_off_after(3);
+            if (body->value("drain", "") == it->id())
+                list(*it, "draining");
+            if (body->value("remove", "") == it->id())
+                topics_.put(upstream_topic, it->id(), "");
+        }
+        respond(exchange, 200, {{"ok", true}});
+    }
+
+    json state() const
+    {
+        json out = json::object();
+        for (auto const& it : upstreams_)
+            out[it->id()] = {
+                {"version", it->version()}, {"executions", it->executions()}, {"seen", it->seen()}};
+        return out;
+    }
+
+    keyed_topics topics_;
+    std::vector<std::unique_ptr<fake_upstream>> upstreams_;
+};
+
+} // namespace
+} // namespace savorymount::stand_ins
+
+int main(int argc, char** argv)
+{
+    using namespace savorymount;
+    runtime::settings_parser parser("savorymount-users-platform-stand-in");
+    parser.add("engines", "2", "number of model engines");
+    return stand_ins::run(argc, argv, parser,
+                          [](runtime::event_loop& loop, runtime::parsed_settings const& settings)
+                          {
+                              auto const it = std::make_shared<stand_ins::users_platform>(
+                                  loop, stand_ins::number(settings, "engines"));
+                              return [it](stand_ins::exchange_ptr const& exchange)
+                              {
+                                  it->handle(exchange);
+                              };
+                          });
+}
--- /dev/null
+++ b/tests/system/gateway_test.cpp
@@ -0,0 +1,232 @@
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <set>
+#include <tests/system/support/process.hpp>
+#include <tests/system/support/test_client.hpp>
+
+namespace savorymount::tests
+{
+namespace
+{
+
+using nlohmann::json;
+
+std::uint16_t port_of(std::string const& address)
+{
+    return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+}
+
+/// The stand-in of the users' platform and some gateways, all as processes of their own.
+class platform_deployment
+{
+public:
+    explicit platform_deployment(std::size_t gateways)
+        : platform_("savorymount-users-platform-stand-in", {"--port", "0"}),
+          store_{"127.0.0.1", port_of(":" + platform_.wait_for_field("listening", "port"))}
+    {
+        for (std::size_t i = 0; i < gateways; ++i)
+            start_gateway(i);
+    }
+
+    void start_gateway(std::size_t index)
+    {
+        auto const name = "gateway-" + std::to_string(index);
+        process started("savorymount-gateway",
+                        {"--instance", name, "--data-centre", "liege", "--http-listen",
+                         "127.0.0.1:0", "--ready-listen", "127.0.0.1:0", "--metrics-listen",
+                         "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--store-address",
+                         to_string(store_), "--first-start", "true", "--grace-s", "8"});
+        http_.push_back({"127.0.0.1", port_of(started.wait_for_field("name=started", "http"))});
+        ready_.push_back({"127.0.0.1", port_of(started.wait_for_field("name=started", "ready"))});
+        gateways_.push_back(std::move(started));
+        wait_until([this, index]
+                   { return client.request(ready_[index], "GET", "/").status == 200; });
+    }
+
+    /// Asks again and again until `holds`; a hang ends with the test's own limit.
+    template <typename Condition>
+    void wait_until(Condition holds)
+    {
+        while (!holds())
+            usleep(20'000);
+    }
+
+    void control(json const& body)
+    {
+        ASSERT_EQ(client.request(store_, "POST", "/control", {}, body.dump()).status, 200);
+    }
+
+    json state() { return client.request(store_, "GET", "/state").json(); }
+
+    runtime::http_headers headers(std::string const& id, std::string const& key) const
+    {
+        return {{"Host", "chat.example"},          {"X-Request-Id", id},
+                {"X-Deadline-Ms", "15000"},        {"X-Model", "crew"},
+                {"X-Token-Count", "300,8"},        {"X-Prompt-Prefix", "aa:200,bb:100"},
+                {"Authorization", "Bearer " + key}};
+    }
+
+    std::shared_ptr<caller_answer> prompt(std::size_t gateway, std::string const& id,
+                                          std::string const& key = "key-a")
+    {
+        return client.start(http_[gateway], "POST", "/p/chat", headers(id, key), "text of " + id);
+    }
+
+    caller_answer book(std::size_t gateway, std::string const& id, std::string const& key = "key-a")
+    {
+        return client.request(http_[gateway], "POST", "/b/slot", headers(id, key), "{}");
+    }
+
+    runtime::network_address const& ready(std::size_t index) const { return ready_[index]; }
+    process& gateway(std::size_t index) { return gateways_[index]; }
+
+    test_client client;
+
+private:
+    process platform_;
+    runtime::network_address store_;
+    std::vector<process> gateways_;
+    std::vector<runtime::network_address> http_;
+    std::vector<runtime::network_address> ready_;
+};
+
+std::string whole_stream()
+{
+    std::string out;
+    for (int i = 1; i <= 8; ++i)
+        out += "id: " + std::to_string(i) + "\ndata: token " + std::to_string(i) + "\n\n";
+    return out;
+}
+
+// Guards against a path that breaks between gateway, store and upstreams.
+TEST(gateway, serves_streams_and_bookings_on_the_users_platform)
+{
+    platform_deployment system(2);
+    auto const first = system.prompt(0, "request-1");
+    auto const second = system.prompt(1, "request-2");
+    system.client.wait({first, second});
+    for (auto const& it : {first, second})
+    {
+        EXPECT_EQ(it->status, 200) << it->body;
+        EXPECT_TRUE(it->whole);
+        EXPECT_EQ(it->body, whole_stream());
+        EXPECT_TRUE(it->header("X-Response-Stamp").starts_with("stamp-of-engine-"));
+    }
+    auto const booking = system.book(1, "request-3");
+    EXPECT_EQ(booking.status, 200);
+    EXPECT_EQ(booking.body, "booked {}");
+    auto const state = system.state();
+    EXPECT_EQ(state["desk-0"]["executions"]["request-3"], 1);
+    for (auto const& [id, upstream] : state.items())
+    {
+        for (auto const& it : upstream["seen"])
+        {
+            EXPECT_EQ(it["workspace"], "club");
+            EXPECT_EQ(it["key"], "");
+        }
+    }
+}
+
+// Guards against a stream that a broken engine cuts, and against events that come twice.
+TEST(gateway, resumes_a_stream_on_another_engine)
+{
+    platform_deployment system(1);
+    system.control({{"break_off", "engine-0"}});
+    system.control({{"break_off", "engine-1"}});
+    auto const answer = system.prompt(0, "request-1");
+    system.client.wait({answer});
+    // Both engines break off once; the second send has used up the attempts of the route.
+    EXPECT_FALSE(answer->whole);
+    auto const again = system.prompt(0, "request-2");
+    system.client.wait({again});
+    EXPECT_EQ(again->body, whole_stream());
+    system.control({{"break_off", "engine-0"}});
+    for (int i = 3; i < 7; ++i)
+    {
+        auto const it = system.prompt(0, "request-" + std::to_string(i));
+        system.client.wait({it});
+        EXPECT_TRUE(it->whole);
+        EXPECT_EQ(it->body, whole_stream());
+    }
+}
+
+// Guards against keys that go on working, unknown routes that run, and a configuration that does
+// not reach every instance.
+TEST(gateway, applies_a_withdrawn_key_on_every_instance)
+{
+    platform_deployment system(2);
+    EXPECT_EQ(system.book(0, "request-1", "key-b").status, 200);
+    EXPECT_EQ(system.book(0, "request-2", "key-c").status, 401);
+    system.control({{"configuration", 2}, {"keys", {"key-a"}}});
+    int n = 10;
+    for (std::size_t i = 0; i < 2; ++i)
+        system.wait_until(
+            [&]
+            { return system.book(i, "request-" + std::to_string(++n), "key-b").status == 401; });
+    EXPECT_EQ(system.book(1, "request-3").status, 200);
+}
+
+// Guards against engines that keep their old weights, and against prompts that run on weights that
+// are not the ones their cache was made with.
+TEST(gateway, rolls_new_weights_out_to_every_engine)
+{
+    platform_deployment system(2);
+    system.control({{"weights", 2}});
+    system.wait_until(
+        [&]
+        {
+            auto const state = system.state();
+            return state["engine-0"]["version"] == 2 && state["engine-1"]["version"] == 2;
+        });
+    auto const answer = system.prompt(1, "request-1");
+    system.client.wait({answer});
+    EXPECT_EQ(answer->header("X-Weight-Versions"), "2") << answer->status << answer->body;
+    std::set<std::string> salts;
+    auto const state = system.state();
+    for (char const* it : {"engine-0", "engine-1"})
+    {
+        for (auto const& seen : state[it]["seen"])
+            salts.insert(seen["salt"].get<std::string>());
+    }
+    EXPECT_EQ(salts, std::set<std::string>{"crew.2.club"}) << state.dump();
+}
+
+// Guards against work for an upstream that leaves, and against an entry that can't be read.
+TEST(gateway, sends_nothing_to_an_upstream_that_leaves)
+{
+    platform_deployment system(1);
+    system.control({{"drain", "engine-0"}, {"unreadable", "{\"service\":7"}});
+    int n = 0;
+    system.wait_until(
+        [&]
+        {
+            // Once the instance knows, each prompt runs on the other engine.
+            auto const before = system.state()["engine-0"]["executions"].size();
+            for (int i = 0; i < 4; ++i)
+                system.client.wait({system.prompt(0, "request-" + std::to_string(++n))});
+            return system.state()["engine-0"]["executions"].size() == before;
+        });
+    system.control({{"remove", "engine-0"}});
+    auto const answer = system.prompt(0, "last");
+    system.client.wait({answer});
+    EXPECT_EQ(answer->body, whole_stream());
+}
+
+// Guards against a shutdown that cuts a stream or stays in rotation.
+TEST(gateway, finishes_its_streams_after_sigterm)
+{
+    platform_deployment system(1);
+    auto const answer = system.prompt(0, "request-1");
+    system.client.run_until([&] { return !answer->body.empty(); });
+    system.gateway(0).send_signal(SIGTERM);
+    system.client.wait({answer});
+    EXPECT_TRUE(answer->whole);
+    EXPECT_EQ(answer->body, whole_stream());
+    system.wait_until([&]
+                      { return system.client.request(system.ready(0), "GET", "/").status != 200; });
+    EXPECT_EQ(system.gateway(0).wait(), 0);
+}
+
+} // namespace
+} // namespace savorymount::tests
