--- a/libraries/savorymount/gateway/fleet_view.cpp
+++ b/libraries/savorymount/gateway/fleet_view.cpp
@@ -22,9 +22,10 @@
 // Instances that share the slack of the retries at least, until all of them are known.
 constexpr std::size_t least_instances = 4;
 
-limits::bucket_contract contract_of(configuration::workspace_account const& account)
+limits::bucket_contract contract_of(configuration::workspace_account const& account,
+                                    base::duration window)
 {
-    return {static_cast<double>(account.rate), static_cast<double>(account.burst)};
+    return {static_cast<double>(account.rate), static_cast<double>(account.burst), window};
 }
 
 } // namespace
@@ -41,7 +42,7 @@
         return false;
     for (auto const& it : data.workspaces)
     {
-        auto const contract = contract_of(it);
+        auto const contract = contract_of(it, settings_.quota_window);
         auto const part = settings_.first_start ? 1.0 : burst_after_restart;
         auto const [bucket, added] = buckets_.try_emplace(it.name, now, contract, part);
         if (!added)
--- a/libraries/savorymount/gateway/gateway_settings.cpp
+++ b/libraries/savorymount/gateway/gateway_settings.cpp
@@ -88,6 +88,8 @@
         .add("retry-ratio", "0.2", "repeats per request, over all instances")
         .add("retry-slack", "50", "repeats per window whatever the load, over all instances")
         .add("retry-window-s", "10", "window of the two settings above, seconds")
+        .add("quota-window-s", "0",
+             "seconds over which a workspace's rate and burst are counted; 0 means every interval")
         .add("loading-at-once", "0", "engines that load weights at once; 0 derives it")
         .add("log-lines", "200", "log lines per second");
 }
@@ -117,6 +119,8 @@
     out.retries.slack = in.decimal("retry-slack", 0, 1'000'000);
     out.retries.window = std::chrono::milliseconds(
         static_cast<std::int64_t>(std::llround(in.decimal("retry-window-s", 1, 3600) * 1000)));
+    out.quota_window = std::chrono::milliseconds(
+        static_cast<std::int64_t>(std::llround(in.decimal("quota-window-s", 0, 3600) * 1000)));
     out.loading_at_once = static_cast<std::size_t>(in.number("loading-at-once", 0, 10'000));
     out.log_lines_per_second = static_cast<std::size_t>(in.number("log-lines", 1, 100'000));
     if (!in.good())
--- a/libraries/savorymount/gateway/gateway_settings.hpp
+++ b/libraries/savorymount/gateway/gateway_settings.hpp
@@ -33,6 +33,8 @@
     /// Longest time that requests may begin on older weights.
     base::duration version_bound{};
     retries::retry_bounds retries;
+    /// Interval over which a workspace's rate and burst are counted; 0 means every interval.
+    base::duration quota_window{};
     /// Engines that load weights at once; 0 derives it from the number of engines.
     std::size_t loading_at_once = 0;
     /// Log lines per second; failures have half of them reserved.
--- a/libraries/savorymount/gateway/request_flow.cpp
+++ b/libraries/savorymount/gateway/request_flow.cpp
@@ -410,7 +410,8 @@
     outcome_.tokens = it.tokens;
     outcome_.bucket_level = it.level;
     if (admitted_ && admitted_->tokens > 0)
-        services_.view.bucket(admitted_->workspace->name)->refund(admitted_->tokens);
+        services_.view.bucket(admitted_->workspace->name)
+            ->refund(services_.timers.now(), admitted_->tokens);
     client_->respond(status, std::move(headers), it.reason.message + "\n");
     end(request_end::refused, status, it.reason.message);
 }
--- a/libraries/savorymount/limits/shared_bucket.cpp
+++ b/libraries/savorymount/limits/shared_bucket.cpp
@@ -21,14 +21,20 @@
 
 shared_bucket::shared_bucket(base::time_point now, bucket_contract const& contract,
                              double initial_part)
-    : contract_(contract), level_(contract.burst * initial_part), created_at_(now),
-      refilled_at_(now)
+    : contract_(contract), window_(contract.window), level_(contract.burst * initial_part),
+      created_at_(now), refilled_at_(now)
 {
+    // What was used before is unknown: assume the rate, as the bucket does.
+    if (initial_part < 1)
+        window_.assume_rate(now, contract.rate);
 }
 
 void shared_bucket::set_contract(base::time_point now, bucket_contract const& contract)
 {
     refill(now);
+    // What was used under a higher limit must not use up the lower one.
+    if (contract.rate < contract_.rate && contract_.rate > 0)
+        window_.scale(contract.rate / contract_.rate);
     contract_ = contract;
     level_ = std::min(level_, contract_.burst);
 }
@@ -45,20 +51,48 @@
     if (contract_.rate <= 0)
         return {};
     refill(now);
+    bool const windowed = contract_.window > base::duration::zero();
+    auto verdict = windowed ? check_window(now, tokens) : bucket_verdict{};
+    if (verdict.admitted && (!windowed || silent_ > 0))
+        verdict = check_bucket(tokens);
+    if (!verdict.admitted)
+        return verdict;
+    take(now, tokens);
+    admitted_total_ += tokens;
+    return {};
+}
+
+bucket_verdict shared_bucket::check_window(base::time_point now, double tokens)
+{
+    // A request larger than the whole limit passes when nothing else is used.
+    auto const room = window_limit() - std::min(tokens, window_limit());
+    if (window_.used(now) <= room)
+        return {};
+    return {false, window_.time_until(now, room)};
+}
+
+bucket_verdict shared_bucket::check_bucket(double tokens) const
+{
     // A request larger than what the bucket ever holds passes when the bucket is full.
     double const needed = std::min(tokens, contract_.burst);
-    if (level_ < needed)
-    {
-        double const wait = (needed - level_) / std::max(own_rate(), 1.0);
-        return {false, base::duration(static_cast<std::int64_t>(std::ceil(wait * 1e6)))};
-    }
+    if (level_ >= needed)
+        return {};
+    double const wait = (needed - level_) / std::max(own_rate(), 1.0);
+    return {false, base::duration(static_cast<std::int64_t>(std::ceil(wait * 1e6)))};
+}
+
+void shared_bucket::take(base::time_point now, double tokens)
+{
+    window_.add(now, tokens);
     level_ -= tokens;
-    admitted_total_ += tokens;
-    return {};
+    // The window may admit more than the bucket; the bucket must be usable when it binds again.
+    if (contract_.window > base::duration::zero())
+        level_ = std::max(level_, 0.0);
 }
 
-void shared_bucket::refund(double tokens)
+void shared_bucket::refund(base::time_point now, double tokens)
 {
+    window_.add(now, -tokens);
     level_ = std::min(level_ + tokens, contract_.burst);
     admitted_total_ -= tokens;
 }
@@ -70,7 +104,7 @@
     auto const [known, first] = reported_.try_emplace(incarnation, 0.0);
     if (first && started < created_at_)
         known->second = total;
-    level_ -= total - known->second;
+    take(now, total - known->second);
     level_ = std::min(level_, contract_.burst);
     known->second = total;
 }
@@ -78,9 +112,16 @@
 double shared_bucket::level(base::time_point now)
 {
     refill(now);
+    if (contract_.window > base::duration::zero())
+        return window_limit() - window_.used(now);
     return level_;
 }
 
+double shared_bucket::window_limit() const
+{
+    return contract_.rate * seconds(contract_.window) + contract_.burst;
+}
+
 void shared_bucket::refill(base::time_point now)
 {
     if (now <= refilled_at_)
--- a/libraries/savorymount/limits/shared_bucket.hpp
+++ b/libraries/savorymount/limits/shared_bucket.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <savorymount/base/time.hpp>
+#include <savorymount/limits/usage_window.hpp>
 
 #include <cstdint>
 #include <string>
@@ -15,6 +16,9 @@
     /// Tokens per second; 0 means no limit.
     double rate = 0;
     double burst = 0;
+    /// Length of the interval over which rate and burst are counted. 0 means every interval, which
+    /// makes the limit a token bucket.
+    base::duration window{};
 
     bool operator==(bucket_contract const&) const = default;
 };
@@ -34,6 +38,9 @@
 /// they admitted. Reports arrive late, so the level may fall below zero; it is then paid back
 /// before anything else is admitted. For an instance whose reports stop, half of its fair share is
 /// left, and an instance that hears of no other admits only that much.
+///
+/// With a window the workspace may use its rate and burst anywhere within each interval of that
+/// length. While an instance is silent the bucket binds as well.
 class shared_bucket
 {
 public:
@@ -51,7 +58,7 @@
     bucket_verdict admit(base::time_point now, double tokens);
 
     /// Gives back what was taken for a request that did not run.
-    void refund(double tokens);
+    void refund(base::time_point now, double tokens);
 
     /// All tokens taken by this instance since it started, for the reports to the others.
     double admitted_total() const { return admitted_total_; }
@@ -61,13 +68,19 @@
     void report(base::time_point now, std::string const& incarnation, base::time_point started,
                 double total);
 
+    /// Tokens that may be used now; negative when too much was used.
     double level(base::time_point now);
 
 private:
     void refill(base::time_point now);
     double own_rate() const;
+    double window_limit() const;
+    bucket_verdict check_window(base::time_point now, double tokens);
+    bucket_verdict check_bucket(double tokens) const;
+    void take(base::time_point now, double tokens);
 
     bucket_contract contract_;
+    usage_window window_;
     double level_;
     base::time_point created_at_;
     base::time_point refilled_at_;
