--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -102,6 +102,8 @@
     if (!peers)
         return false;
     peer_address_ = *peers;
+    runtime::configure_log("savorymount-gateway",
+                           static_cast<double>(settings.log_lines_per_second));
     loop_->on_termination([this] { leave(); });
     follow_platform();
     announce();
--- a/libraries/savorymount/runtime/log_event.cpp
+++ b/libraries/savorymount/runtime/log_event.cpp
@@ -1,7 +1,12 @@
+#include <savorymount/runtime/log_budget.hpp>
 #include <savorymount/runtime/log_event.hpp>
+#include <savorymount/runtime/log_events.hpp>
 
 #include <easylogging++.h>
 
+#include <chrono>
+#include <unistd.h>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace savorymount::runtime
@@ -26,21 +31,19 @@
     line += '"';
 }
 
-} // namespace
+log_budget& budget()
+{
+    static log_budget all(0);
+    return all;
+}
 
-void configure_log(std::string_view program)
+base::time_point log_time()
 {
-    el::Configurations settings;
-    settings.setToDefault();
-    settings.setGlobally(el::ConfigurationType::Format,
-                         "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} program=" + std::string(program) +
-                             " level=%levshort %msg");
-    settings.setGlobally(el::ConfigurationType::ToFile, "false");
-    settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-    el::Loggers::reconfigureLogger("default", settings);
+    return base::time_point(std::chrono::duration_cast<base::duration>(
+        std::chrono::steady_clock::now().time_since_epoch()));
 }
 
-void log(log_event const& event, std::vector<log_field> const& fields)
+void write_line(log_event const& event, std::vector<log_field> const& fields)
 {
     std::string line = "event=" + std::to_string(event.number) + " name=" + std::string(event.name);
     for (auto const& it : fields)
@@ -64,4 +67,34 @@
     }
 }
 
+} // namespace
+
+void configure_log(std::string_view program, double lines_per_second)
+{
+    budget() = log_budget(lines_per_second);
+    el::Configurations settings;
+    settings.setToDefault();
+    settings.setGlobally(el::ConfigurationType::Format,
+                         "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} program=" + std::string(program) +
+                             " level=%levshort %msg");
+    settings.setGlobally(el::ConfigurationType::ToFile, "false");
+    settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    el::Loggers::reconfigureLogger("default", settings);
+}
+
+void log(log_event const& event, std::vector<log_field> const& fields)
+{
+    auto const now = log_time();
+    if (!budget().admit(now, event.level != log_level::info))
+        return;
+    if (!takes_a_line(STDOUT_FILENO))
+    {
+        budget().not_taken();
+        return;
+    }
+    if (auto const dropped = budget().take_dropped(now))
+        write_line(log_events::log_lines_dropped, {{"lines", dropped}});
+    write_line(event, fields);
+}
+
 } // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/log_event.hpp
+++ b/libraries/savorymount/runtime/log_event.hpp
@@ -40,10 +40,13 @@
     }
 };
 
-/// Sends log lines to standard error, one line each; no log file is written.
-void configure_log(std::string_view program);
+/// Sends log lines to standard output, one line each; no log file is written. At most
+/// `lines_per_second` are written, zero means no bound.
+void configure_log(std::string_view program, double lines_per_second = 0);
 
 /// Writes `event=<number> name=<name>` and the fields. Values with spaces or quotes are quoted.
+/// Never waits: a line above the budget, or one that the reader does not take, is dropped and
+/// counted.
 void log(log_event const& event, std::vector<log_field> const& fields = {});
 
 } // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -14,6 +14,9 @@
 inline constexpr log_event stopped{102, log_level::info, "stopped", "The process ends."};
 inline constexpr log_event settings_rejected{103, log_level::error, "settings_rejected",
                                              "A setting is wrong; the process does not start."};
+inline constexpr log_event log_lines_dropped{
+    104, log_level::warning, "log_lines_dropped",
+    "Lines were dropped since the last one of these: above the budget, or not read."};
 inline constexpr log_event configuration_adopted{200, log_level::info, "configuration_adopted",
                                                  "A newer configuration version is in force here."};
 inline constexpr log_event configuration_rejected{
@@ -101,6 +104,7 @@
                                 stopping,
                                 stopped,
                                 settings_rejected,
+                                log_lines_dropped,
                                 configuration_adopted,
                                 configuration_rejected,
                                 snapshot_appended,
