Send fewer bytes between many instances; divide the rest of a limit

Change: the interval grows with the number of instances, orders are told in partial reports. So what is left is divided while others can't have heard.

The new test of the bucket failed first.

--- a/libraries/savorymount/gateway/fleet_view.cpp
+++ b/libraries/savorymount/gateway/fleet_view.cpp
@@ -109,16 +109,27 @@
     }
 }
 
-void fleet_view::take_report(base::time_point now, membership::peer_report const& report)
+void fleet_view::take_use(base::time_point now, membership::peer_report const& report)
 {
-    if (!roster_.heard(now, report))
-        return;
     for (auto const& [workspace, total] : report.admitted)
     {
         if (auto* const it = bucket(workspace))
             it->report(now, report.incarnation, now - report.uptime, total);
     }
     upstreams_.peer_load(report.instance, report.use);
+    for (auto const& [engine, digests] : report.reads)
+    {
+        for (auto const digest : digests)
+            parts_.read_by(now, digest, engine);
+    }
+}
+
+void fleet_view::take_report(base::time_point now, membership::peer_report const& report)
+{
+    if (!roster_.heard(now, report))
+        return;
+    if (!report.partial)
+        take_use(now, report);
     for (auto const& it : report.loads)
     {
         if (it.emptying)
@@ -129,29 +140,28 @@
         upstreams_.weights_seen(it.upstream, it.model, it.version);
         upstreams_.loading(it.upstream, now + it.remaining);
     }
-    for (auto const& [engine, digests] : report.reads)
-    {
-        for (auto const digest : digests)
-            parts_.read_by(now, digest, engine);
-    }
     for (auto const& it : report.crashes)
         quarantine_.crashed(now, it.request_digest, it.upstream);
 }
 
-membership::peer_report fleet_view::make_report(base::time_point now, std::uint64_t sequence)
+membership::peer_report fleet_view::make_report(base::time_point now, std::uint64_t sequence,
+                                                bool partial)
 {
     membership::peer_report out;
     out.instance = settings_.instance;
     out.incarnation = settings_.incarnation;
     out.sequence = sequence;
+    out.partial = partial;
     out.uptime = std::chrono::duration_cast<std::chrono::milliseconds>(now - started_at_);
-    for (auto const& [workspace, bucket] : buckets_)
-        out.admitted[workspace] = bucket.admitted_total();
-    out.use = upstreams_.own_use();
     while (!own_crashes_.empty() && now - own_crashes_.front().first > crash_telling)
         own_crashes_.pop_front();
     for (auto const& it : own_crashes_)
         out.crashes.push_back(it.second);
+    if (partial)
+        return out;
+    for (auto const& [workspace, bucket] : buckets_)
+        out.admitted[workspace] = bucket.admitted_total();
+    out.use = upstreams_.own_use();
     out.reads = std::exchange(untold_reads_, {});
     return out;
 }
--- a/libraries/savorymount/gateway/fleet_view.hpp
+++ b/libraries/savorymount/gateway/fleet_view.hpp
@@ -74,7 +74,8 @@
     void take_report(base::time_point now, membership::peer_report const& report);
 
     /// What this instance tells; `loads` are added by the holder of the duty.
-    membership::peer_report make_report(base::time_point now, std::uint64_t sequence);
+    /// A partial report names only crashes.
+    membership::peer_report make_report(base::time_point now, std::uint64_t sequence, bool partial);
 
     /// Lets what depends on time and on the number of instances follow.
     void tick(base::time_point now);
@@ -83,6 +84,8 @@
     void set_settings(gateway_settings settings) { settings_ = std::move(settings); }
 
 private:
+    void take_use(base::time_point now, membership::peer_report const& report);
+
     gateway_settings settings_;
     base::time_point started_at_;
     std::shared_ptr<configuration::deployment_index const> deployment_;
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -82,7 +82,7 @@
       metrics_server_(*loop_, small_limits(), [this](auto it) { answer_metrics(it); }),
       peers_(*loop_, timers_, view_, [this](base::time_point now) { return duty_.loads(now); }),
       duty_(timers_, view_, port_, random_,
-            {[this] { peers_.tell(); },
+            {[this] { peers_.tell_loads(); },
              [this](std::vector<member_record> const& it)
              {
                  peers_.take_members(it);
@@ -314,9 +314,7 @@
     bool const done = server_.connections() == 0 && duty_.idle();
     if (!done && !time_is_up)
         return;
-    // Told twice, since a datagram may be lost.
-    peers_.tell(true);
-    peers_.tell(true);
+    peers_.tell_leaving();
     drain_timer_ = timers_.after(release_timeout, [this] { loop_->stop(); });
     duty_.release([this] { loop_->stop(); });
 }
--- a/libraries/savorymount/gateway/peer_exchange.cpp
+++ b/libraries/savorymount/gateway/peer_exchange.cpp
@@ -11,7 +11,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr base::duration report_interval = 100ms;
+constexpr base::duration tick_interval = 50ms;
 
 } // namespace
 
@@ -28,11 +28,11 @@
     auto const port = socket_.bind(wanted, reason);
     if (!port)
         return std::nullopt;
-    timer_ = timers_.every(report_interval,
+    timer_ = timers_.every(tick_interval,
                            [this]
                            {
                                view_.tick(timers_.now());
-                               tell();
+                               tell_all();
                            });
     address_ = {wanted.host, *port};
     return address_;
@@ -45,13 +45,33 @@
         view_.roster().announced(now, it.instance, it.incarnation, it.address);
 }
 
-void peer_exchange::tell(bool leaving)
+void peer_exchange::tell_all()
 {
     auto const now = timers_.now();
-    auto report = view_.make_report(now, ++sequence_);
+    if (now - told_at_ < membership::report_interval(view_.roster().instances()))
+        return;
+    told_at_ = now;
+    send(view_.make_report(now, ++sequence_, false));
+}
+
+void peer_exchange::tell_loads()
+{
+    send(view_.make_report(timers_.now(), ++sequence_, true));
+}
+
+void peer_exchange::tell_leaving()
+{
+    auto report = view_.make_report(timers_.now(), ++sequence_, false);
+    report.leaving = true;
+    // Told twice, since a datagram may be lost.
+    send(report);
+    send(std::move(report));
+}
+
+void peer_exchange::send(membership::peer_report report)
+{
     report.address = to_string(address_);
-    report.leaving = leaving;
-    report.loads = loads_(now);
+    report.loads = loads_(timers_.now());
     auto const bytes = encode_peer_report(report);
     base::error ignored;
     for (auto const& [instance, peer] : view_.roster().peers())
--- a/libraries/savorymount/gateway/peer_exchange.hpp
+++ b/libraries/savorymount/gateway/peer_exchange.hpp
@@ -28,10 +28,14 @@
     /// Instances that the platform's store names.
     void take_members(std::vector<member_record> const& members);
 
-    /// Sends a report at once; the last one says that the process leaves.
-    void tell(bool leaving = false);
+    /// Sends loads and crashes at once.
+    void tell_loads();
+    /// Sends the last report, which says that the process leaves.
+    void tell_leaving();
 
 private:
+    void tell_all();
+    void send(membership::peer_report report);
     void receive(std::string_view bytes);
 
     runtime::timer_service& timers_;
@@ -40,6 +44,7 @@
     runtime::datagram_socket socket_;
     runtime::network_address address_;
     std::uint64_t sequence_ = 0;
+    base::time_point told_at_{};
     runtime::timer_service::subscription timer_;
 };
 
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -95,6 +95,7 @@
     out.incarnation = in.getIncarnation().cStr();
     out.address = in.getAddress().cStr();
     out.leaving = in.getLeaving();
+    out.partial = in.getPartial();
     out.uptime = std::chrono::milliseconds(in.getUptimeMilliseconds());
     out.sequence = in.getSequence();
     for (auto const it : in.getAdmitted())
@@ -125,6 +126,7 @@
     root.setIncarnation(report.incarnation);
     root.setAddress(report.address);
     root.setLeaving(report.leaving);
+    root.setPartial(report.partial);
     root.setUptimeMilliseconds(static_cast<std::uint64_t>(report.uptime.count()));
     root.setSequence(report.sequence);
     write_admitted(root, report);
--- a/libraries/savorymount/limits/shared_bucket.cpp
+++ b/libraries/savorymount/limits/shared_bucket.cpp
@@ -8,10 +8,19 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
 // An instance that hears of no other may be cut off from all of them, or they may be down. It uses
 // this part of its fair share, and the others leave it as much.
 constexpr double isolated_part = 0.5;
 
+// Within this time the others may not have heard of a request.
+constexpr base::duration telling_time = 500ms;
+// A single request passes when so large a part of the instances could each admit its like.
+constexpr double spare_part = 0.5;
+// An instance may take more of what is left than it had before, so that shares can move.
+constexpr double share_surplus = 1.5;
+
 double seconds(base::duration time)
 {
     return std::chrono::duration<double>(time).count();
@@ -21,8 +30,9 @@
 
 shared_bucket::shared_bucket(base::time_point now, bucket_contract const& contract,
                              double initial_part)
-    : contract_(contract), window_(contract.window), level_(contract.burst * initial_part),
-      created_at_(now), refilled_at_(now)
+    : contract_(contract), window_(contract.window), own_window_(contract.window),
+      untold_(telling_time), level_(contract.burst * initial_part), created_at_(now),
+      refilled_at_(now)
 {
     // What was used before is unknown: assume the rate, as the bucket does.
     if (initial_part < 1)
@@ -58,6 +68,8 @@
     if (!verdict.admitted)
         return verdict;
     take(now, tokens);
+    own_window_.add(now, tokens);
+    untold_.add(now, tokens);
     admitted_total_ += tokens;
     return {};
 }
@@ -65,10 +77,27 @@
 bucket_verdict shared_bucket::check_window(base::time_point now, double tokens)
 {
     // A request larger than the whole limit passes when nothing else is used.
-    auto const room = window_limit() - std::min(tokens, window_limit());
-    if (window_.used(now) <= room)
-        return {};
-    return {false, window_.time_until(now, room)};
+    auto const wanted = std::min(tokens, window_limit());
+    auto const most_used = window_limit() - wanted;
+    auto const used = window_.used(now);
+    if (used > most_used)
+        return {false, window_.time_until(now, most_used)};
+    if (!leaves_room_for_others(now, window_limit() - used, wanted))
+        return {false, telling_time};
+    return {};
+}
+
+bool shared_bucket::leaves_room_for_others(base::time_point now, double room, double tokens)
+{
+    if (instances_ <= 1)
+        return true;
+    auto const count = static_cast<double>(instances_);
+    auto const untold = untold_.used(now);
+    if (untold <= 0 && tokens * count * spare_part <= room)
+        return true;
+    auto const all = std::max(window_.used(now), 1.0);
+    auto const share = std::clamp(share_surplus * own_window_.used(now) / all, 1 / count, 1.0);
+    return untold + tokens <= (room + untold) * share;
 }
 
 bucket_verdict shared_bucket::check_bucket(double tokens) const
@@ -93,6 +122,8 @@
 void shared_bucket::refund(base::time_point now, double tokens)
 {
     window_.add(now, -tokens);
+    own_window_.add(now, -tokens);
+    untold_.add(now, -tokens);
     level_ = std::min(level_ + tokens, contract_.burst);
     admitted_total_ -= tokens;
 }
--- a/libraries/savorymount/limits/shared_bucket.hpp
+++ b/libraries/savorymount/limits/shared_bucket.hpp
@@ -40,7 +40,8 @@
 /// left, and an instance that hears of no other admits only that much.
 ///
 /// With a window the workspace may use its rate and burst anywhere within each interval of that
-/// length. While an instance is silent the bucket binds as well.
+/// length. While an instance is silent the bucket binds as well. What is left of the limit is
+/// divided while the others can't have heard of each other's requests.
 class shared_bucket
 {
 public:
@@ -76,11 +77,15 @@
     double own_rate() const;
     double window_limit() const;
     bucket_verdict check_window(base::time_point now, double tokens);
+    bool leaves_room_for_others(base::time_point now, double room, double tokens);
     bucket_verdict check_bucket(double tokens) const;
     void take(base::time_point now, double tokens);
 
     bucket_contract contract_;
     usage_window window_;
+    /// What this instance admitted within the window, and since the others heard of it.
+    usage_window own_window_;
+    usage_window untold_;
     double level_;
     base::time_point created_at_;
     base::time_point refilled_at_;
--- a/libraries/savorymount/membership/peer_report.hpp
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -43,6 +43,8 @@
     std::uint64_t sequence = 0;
     /// The process ends now and takes no more requests.
     bool leaving = false;
+    /// Only loads and crashes are told; what was told before of the rest still holds.
+    bool partial = false;
     /// Time since the process started, in whole milliseconds.
     std::chrono::milliseconds uptime{};
     /// Tokens admitted since the process started, by workspace.
--- a/libraries/savorymount/membership/peer_roster.cpp
+++ b/libraries/savorymount/membership/peer_roster.cpp
@@ -4,6 +4,22 @@
 
 namespace savorymount::membership
 {
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr base::duration shortest_interval = 100ms;
+constexpr std::size_t instances_at_shortest_interval = 5;
+
+} // namespace
+
+base::duration report_interval(std::size_t instances)
+{
+    auto const factor = std::max(instances, instances_at_shortest_interval);
+    return shortest_interval * static_cast<std::int64_t>(factor) /
+           static_cast<std::int64_t>(instances_at_shortest_interval);
+}
 
 void peer_roster::announced(base::time_point now, std::string const& instance,
                             std::string const& incarnation, std::string const& address)
@@ -53,6 +69,12 @@
     }
 }
 
+bool peer_roster::is_silent(base::time_point now, peer const& it) const
+{
+    auto const limit = std::max(options_.silence, report_interval(instances()) * 5 / 2);
+    return now - it.heard_at > limit;
+}
+
 std::size_t peer_roster::silent(base::time_point now) const
 {
     return static_cast<std::size_t>(
--- a/libraries/savorymount/membership/peer_roster.hpp
+++ b/libraries/savorymount/membership/peer_roster.hpp
@@ -12,12 +12,17 @@
 
 struct peer_roster_options
 {
-    /// Without a report for this long an instance counts as silent.
+    /// Without a report for this long, or for two and a half intervals, an instance counts as
+    /// silent.
     base::duration silence = std::chrono::milliseconds(1000);
     /// A silent instance is forgotten after this long.
     base::duration forget = std::chrono::seconds(10);
 };
 
+/// Time between two reports of an instance. It grows with the number of instances, so that the
+/// bytes of all reports grow with the number and not with its square.
+base::duration report_interval(std::size_t instances);
+
 /// The other instances: who they are, and which of them are heard of.
 class peer_roster
 {
@@ -52,6 +57,7 @@
     std::size_t instances() const { return peers_.size() + 1; }
     std::size_t silent(base::time_point now) const;
 
+    bool is_silent(base::time_point now, peer const& it) const;
     std::map<std::string, peer> const& peers() const { return peers_; }
 
 private:
--- a/libraries/savorymount/wire/peer_report.capnp
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -25,6 +25,8 @@
   leaving @9 :Bool;
   # Time since the process started.
   uptimeMilliseconds @10 :UInt64;
+  # Only loads and crashes are told; what was told before of the rest still holds.
+  partial @11 :Bool;
 }
 
 struct EngineReads {
--- a/libraries/savorymount/wire/peer_report.capnp.h
+++ b/libraries/savorymount/wire/peer_report.capnp.h
@@ -168,6 +168,8 @@
 
   inline  ::uint64_t getUptimeMilliseconds() const;
 
+  inline bool getPartial() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -261,6 +263,9 @@
   inline  ::uint64_t getUptimeMilliseconds();
   inline void setUptimeMilliseconds( ::uint64_t value);
 
+  inline bool getPartial();
+  inline void setPartial(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1069,6 +1074,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerReport::Reader::getPartial() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getPartial() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setPartial(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EngineReads::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/libraries/limits/shared_bucket_test.cpp
+++ b/tests/libraries/limits/shared_bucket_test.cpp
@@ -95,6 +95,24 @@
     EXPECT_TRUE(bucket.admit(at(8100ms), 1).admitted);
 }
 
+// Guards against many instances that see the same rest of the limit and all use it: a day with 25
+// instances broke the limit of a workspace that sent several times its rate.
+TEST(shared_bucket, divides_the_rest_of_the_limit_among_many_instances)
+{
+    constexpr std::size_t count = 25;
+    double admitted = 0;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        shared_bucket bucket(at(0s), {1000, 0, 8s}, 1);
+        bucket.set_instances(at(0s), count, 0);
+        bucket.report(at(0s), "other", at(0s), 7000);
+        for (int n = 0; n < 50; ++n)
+            admitted += bucket.admit(at(0s), 50).admitted ? 50 : 0;
+    }
+    EXPECT_LE(admitted, 2 * 1000);
+    EXPECT_GE(admitted, 0.5 * 1000);
+}
+
 // Guards against a restarted instance that admits a whole window at once, and against one that
 // admits nothing.
 TEST(shared_bucket, assumes_the_rate_before_it_started)
