--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 #include <savorymount/runtime/log_events.hpp>
 #include <savorymount/runtime/plugin_registry.hpp>
 
+#include <csignal>
 #include <functional>
 #include <utility>
 
@@ -105,6 +106,9 @@
     runtime::configure_log("savorymount-gateway",
                            static_cast<double>(settings.log_lines_per_second));
     loop_->on_termination([this] { leave(); });
+    // The signal says that the settings file has changed, which takes effect at the next start. Its
+    // default action would end the process.
+    std::signal(SIGHUP, SIG_IGN);
     follow_platform();
     announce();
     duty_.start();
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -213,6 +213,17 @@
     EXPECT_EQ(answer->body, whole_stream());
 }
 
+// Guards against a process that ends when it is told of changed settings.
+TEST(gateway, goes_on_after_sighup)
+{
+    platform_deployment system(1);
+    system.gateway(0).send_signal(SIGHUP);
+    auto const answer = system.prompt(0, "request-1");
+    system.client.wait({answer});
+    EXPECT_EQ(answer->body, whole_stream());
+    EXPECT_TRUE(system.gateway(0).running());
+}
+
 // Guards against a shutdown that cuts a stream or stays in rotation.
 TEST(gateway, finishes_its_streams_after_sigterm)
 {
