Forget the parts of an engine that started again or left; one type each for limits and appends

Cause: part_locations::forget_engine was never called, so an engine that restarted under its id, or left, stayed a source of prompt parts until the sightings expired (12 s): other engines were sent to fetch from it in vain. Now fleet_view calls it on a restart and when an entry is gone; an entry that lapsed with the store keeps its parts.

Tests: fleet_view_test; with the two calls removed the first two fail.

Clean-up without a change of behaviour: inbound_limits was a copy of client_limits, append_answer::kind one of append_outcome; unused functions are gone.

--- a/libraries/savorymount/configuration/deployment.hpp
+++ b/libraries/savorymount/configuration/deployment.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <savorymount/base/time.hpp>
+#include <savorymount/configuration/client_limits.hpp>
 
 #include <cstdint>
 #include <map>
@@ -102,17 +103,6 @@
     bool operator==(workspace_account const&) const = default;
 };
 
-/// Bounds on what a client may send.
-struct client_limits
-{
-    std::size_t max_header_bytes = std::size_t{16} * 1024;
-    std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
-    base::duration header_timeout = std::chrono::seconds(3);
-    base::duration idle_timeout = std::chrono::seconds(15);
-
-    bool operator==(client_limits const&) const = default;
-};
-
 /// One version of the whole configuration.
 struct deployment
 {
--- a/libraries/savorymount/gateway/fleet_view.cpp
+++ b/libraries/savorymount/gateway/fleet_view.cpp
@@ -1,6 +1,7 @@
 #include <savorymount/gateway/fleet_view.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace savorymount::gateway
 {
@@ -52,6 +53,20 @@
     return true;
 }
 
+void fleet_view::upstream_listed(base::time_point now, membership::upstream_record record)
+{
+    auto const id = record.id;
+    if (upstreams_.listed(now, std::move(record)))
+        parts_.forget_engine(id);
+}
+
+void fleet_view::upstream_unlisted(base::time_point now, std::string const& id)
+{
+    upstreams_.unlisted(now, id, store_was_away(now));
+    if (upstreams_.find(id) == nullptr)
+        parts_.forget_engine(id);
+}
+
 void fleet_view::weights_named(base::time_point now, std::string const& model,
                                std::uint64_t version)
 {
--- a/libraries/savorymount/gateway/fleet_view.hpp
+++ b/libraries/savorymount/gateway/fleet_view.hpp
@@ -38,6 +38,9 @@
         return deployment_;
     }
 
+    /// The platform's list names an upstream, or no longer does.
+    void upstream_listed(base::time_point now, membership::upstream_record record);
+    void upstream_unlisted(base::time_point now, std::string const& id);
     routing::upstream_table& upstreams() { return upstreams_; }
     routing::upstream_table const& upstreams() const { return upstreams_; }
     routing::part_locations& parts() { return parts_; }
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -31,12 +31,6 @@
     return out;
 }
 
-runtime::inbound_limits to_inbound(configuration::client_limits const& limits)
-{
-    return {limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout,
-            limits.idle_timeout};
-}
-
 std::int64_t to_ms(base::duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -144,12 +138,11 @@
     news.upstream_listed = [this](membership::upstream_record it)
     {
         upstreams_known_ = true;
-        view_.upstreams().listed(timers_.now(), std::move(it));
+        view_.upstream_listed(timers_.now(), std::move(it));
     };
     news.upstream_unlisted = [this](std::string const& id)
     {
-        auto const now = timers_.now();
-        view_.upstreams().unlisted(now, id, view_.store_was_away(now));
+        view_.upstream_unlisted(timers_.now(), id);
         pool_.forget(id);
         runtime::log(events::upstream_unlisted, {{"upstream", id}});
     };
@@ -200,7 +193,7 @@
     auto const version = data.version;
     if (!view_.adopt(timers_.now(), std::move(data)))
         return;
-    server_.set_limits(to_inbound(limits));
+    server_.set_limits(limits);
     runtime::log(events::configuration_adopted, {{"version", version}});
     follow_cache_store();
 }
--- a/libraries/savorymount/gateway/platform_port.hpp
+++ b/libraries/savorymount/gateway/platform_port.hpp
@@ -2,6 +2,7 @@
 
 #include <savorymount/base/error.hpp>
 #include <savorymount/configuration/deployment.hpp>
+#include <savorymount/gateway/append_outcome.hpp>
 #include <savorymount/gateway/caller_request.hpp>
 #include <savorymount/membership/upstream_record.hpp>
 #include <savorymount/orders/duty_lease.hpp>
@@ -53,17 +54,6 @@
     bool operator==(duty_page const&) const = default;
 };
 
-enum class append_outcome
-{
-    accepted,
-    /// The condition did not hold.
-    refused,
-    /// The store did nothing.
-    not_done,
-    /// No answer: the record may be appended, also later.
-    unanswered
-};
-
 /// What following a cache store reports.
 struct cache_news
 {
--- a/libraries/savorymount/routing/part_locations.hpp
+++ b/libraries/savorymount/routing/part_locations.hpp
@@ -59,7 +59,6 @@
     bool send_to_store(base::time_point now, std::uint64_t digest);
 
     bool in_store(std::string const& salt, std::string const& part) const;
-    std::size_t stored_parts() const { return stored_.size(); }
 
 private:
     struct sighting
--- a/libraries/savorymount/routing/upstream_table.cpp
+++ b/libraries/savorymount/routing/upstream_table.cpp
@@ -42,7 +42,7 @@
     return it == record.weights.end() ? 0 : it->second;
 }
 
-void upstream_table::listed(base::time_point now, membership::upstream_record record)
+bool upstream_table::listed(base::time_point now, membership::upstream_record record)
 {
     auto& state = states_[record.id];
     auto const listed_weights = record.weights;
@@ -66,6 +66,7 @@
     state.lapsed_at.reset();
     state.record = std::move(record);
     state.listed_weights = listed_weights;
+    return restarted;
 }
 
 void upstream_table::unlisted(base::time_point now, std::string const& id, bool list_was_away)
@@ -113,17 +114,6 @@
     return out.empty() ? avoided : out;
 }
 
-std::vector<upstream_state const*> upstream_table::members(std::string const& service) const
-{
-    std::vector<upstream_state const*> out;
-    for (auto const& [id, state] : states_)
-    {
-        if (state.record.service == service)
-            out.push_back(&state);
-    }
-    return out;
-}
-
 void upstream_table::dispatched(base::time_point now, std::string const& id,
                                 request_size const& size)
 {
--- a/libraries/savorymount/routing/upstream_table.hpp
+++ b/libraries/savorymount/routing/upstream_table.hpp
@@ -93,8 +93,8 @@
     /// return, since its owner may be alive.
     static constexpr base::duration lapse_grace = std::chrono::milliseconds(2000);
 
-    /// The list names an upstream.
-    void listed(base::time_point now, membership::upstream_record record);
+    /// The list names an upstream. True if another incarnation had its id before.
+    bool listed(base::time_point now, membership::upstream_record record);
 
     /// The list no longer names an upstream. `list_was_away` tells that the list could not be read
     /// shortly before.
@@ -107,8 +107,6 @@
     upstream_state const* find(std::string const& id) const;
     /// Upstreams of a service that may get new work, in the order of their ids.
     std::vector<upstream_state*> candidates(base::time_point now, std::string const& service);
-    /// Upstreams of a service, draining ones included.
-    std::vector<upstream_state const*> members(std::string const& service) const;
 
     void dispatched(base::time_point now, std::string const& id, request_size const& size);
     /// The first part of an answer arrived.
--- a/libraries/savorymount/runtime/inbound_connection.hpp
+++ b/libraries/savorymount/runtime/inbound_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <savorymount/base/time.hpp>
+#include <savorymount/configuration/client_limits.hpp>
 #include <savorymount/runtime/http_message_reader.hpp>
 #include <savorymount/runtime/timer_service.hpp>
 
@@ -16,19 +17,6 @@
 namespace savorymount::runtime
 {
 
-/// Bounds on what a client may send and how long it may take.
-struct inbound_limits
-{
-    std::size_t max_header_bytes = std::size_t{16} * 1024;
-    std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
-    /// From the first byte of a request to the end of its header.
-    base::duration header_timeout = std::chrono::seconds(3);
-    /// Without a request on a kept connection, and without progress in a body.
-    base::duration idle_timeout = std::chrono::seconds(15);
-
-    auto operator<=>(inbound_limits const&) const = default;
-};
-
 class inbound_connection;
 
 /// What a connection of a client reports and asks.
@@ -37,7 +25,7 @@
     std::function<void(std::shared_ptr<inbound_connection>, http_request&&)> request;
     /// The connection is closed; called once.
     std::function<void(inbound_connection const&)> closed;
-    std::function<inbound_limits()> limits;
+    std::function<configuration::client_limits()> limits;
     /// Whether the process is shutting down and keeps no connection after its next response.
     std::function<bool()> draining;
 };
@@ -107,7 +95,7 @@
 
     timer_service& timers_;
     inbound_hooks hooks_;
-    inbound_limits limits_;
+    configuration::client_limits limits_;
     bufferevent* buffer_;
     http_message_reader reader_;
     phase phase_ = phase::waiting;
--- a/libraries/savorymount/runtime/inbound_server.hpp
+++ b/libraries/savorymount/runtime/inbound_server.hpp
@@ -29,7 +29,7 @@
     std::optional<std::uint16_t> listen(network_address const& address, base::error& reason);
 
     /// Applies to connections that are opened from now on.
-    void set_limits(inbound_limits const& limits) { limits_ = limits; }
+    void set_limits(configuration::client_limits const& limits) { limits_ = limits; }
 
     /// From now on each connection ends after its next response.
     void drain() { draining_ = true; }
@@ -46,7 +46,7 @@
     event_loop& loop_;
     timer_service& timers_;
     request_hook hook_;
-    inbound_limits limits_;
+    configuration::client_limits limits_;
     bool draining_ = false;
     evconnlistener* listener_ = nullptr;
     std::unordered_map<inbound_connection const*, std::shared_ptr<inbound_connection>> connections_;
--- a/libraries/savorymount/runtime/outbound_pool.cpp
+++ b/libraries/savorymount/runtime/outbound_pool.cpp
@@ -30,7 +30,6 @@
         if (fresh(*connection))
             return connection;
     }
-    ++opened_;
     outbound_options options;
     options.address = address;
     return std::make_unique<outbound_connection>(loop_, timers_, options);
--- a/libraries/savorymount/runtime/outbound_pool.hpp
+++ b/libraries/savorymount/runtime/outbound_pool.hpp
@@ -3,7 +3,6 @@
 #include <savorymount/runtime/outbound_connection.hpp>
 
 #include <cstddef>
-#include <cstdint>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -28,15 +27,12 @@
     /// Closes the idle connections to an upstream.
     void forget(std::string const& upstream) { idle_.erase(upstream); }
 
-    std::uint64_t connections_opened() const { return opened_; }
-
 private:
     bool fresh(outbound_connection const& connection) const;
 
     event_loop& loop_;
     timer_service& timers_;
     std::unordered_map<std::string, std::vector<std::unique_ptr<outbound_connection>>> idle_;
-    std::uint64_t opened_ = 0;
 };
 
 } // namespace savorymount::runtime
