Split one send to an upstream from the life of a request

request_flow.cpp held two jobs in 487 lines: reading one upstream's answer, and what follows from it for the caller. upstream_send now reads the answer and tells the table of upstreams; request_flow decides. An upstream whose address can't be read was counted as finished without having been counted as sent; both are counted now.

--- /dev/null
+++ b/libraries/savorymount/gateway/flow_services.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <savorymount/base/random_source.hpp>
+#include <savorymount/gateway/fleet_view.hpp>
+#include <savorymount/gateway/platform_port.hpp>
+#include <savorymount/gateway/request_outcome.hpp>
+#include <savorymount/runtime/outbound_pool.hpp>
+#include <savorymount/runtime/timer_service.hpp>
+
+#include <functional>
+#include <string>
+
+namespace savorymount::gateway
+{
+
+/// What every request flow uses.
+struct flow_services
+{
+    runtime::timer_service& timers;
+    runtime::outbound_pool& pool;
+    fleet_view& view;
+    platform_port& port;
+    base::random_source& random;
+    /// Called once when a request has ended.
+    std::function<void(request_outcome const&)> ended;
+    /// Called when a request goes to another upstream; says why.
+    std::function<void(std::string const& id, std::string const& upstream,
+                       std::string const& reason)>
+        repeated;
+};
+
+} // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/request_flow.cpp
+++ b/libraries/savorymount/gateway/request_flow.cpp
@@ -14,9 +14,6 @@
 // The upstream ends its own work at the limit that it was given; this much later the flow ends.
 constexpr base::duration limit_slack = 60ms;
 constexpr base::duration retry_elsewhere_after = 120ms;
-constexpr base::duration full_pause = 40ms;
-constexpr base::duration busy_engine_pause = 80ms;
-constexpr base::duration misdirected_pause = 3s;
 // A repeatable request goes to another upstream when nothing has come for this part of its limit.
 constexpr double stall_part = 0.3;
 constexpr base::duration shortest_stall = 300ms;
@@ -39,11 +36,6 @@
     return {{"Content-Type", "text/plain"}};
 }
 
-bool is_success(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 } // namespace
 
 request_flow::request_flow(flow_services& services,
@@ -94,112 +86,42 @@
     placed->call.time_left = admitted_->time_limit - elapsed();
     placed->call.body_bytes = received_.body.size();
     placed->call.resume_after = last_event_;
-    send_ = std::make_unique<send>();
-    send_->placed = std::move(*placed);
-    call_upstream();
+    call_upstream(std::move(*placed));
 }
 
-void request_flow::call_upstream()
+void request_flow::call_upstream(placed_request placed)
 {
-    auto const now = services_.timers.now();
-    auto const& placed = send_->placed;
-    base::error reason;
-    auto const address = runtime::parse_address("upstream", placed.upstream.address, reason);
-    if (!address)
-    {
-        next_or_give_up(send_end::not_sent, reason.message);
-        return;
-    }
     outcome_.upstream = placed.upstream.id;
     outcome_.expected_wait = placed.expected_wait;
     outcome_.upstream_running = placed.upstream_running;
     if (placed.call.engine)
         outcome_.weight_version = placed.call.engine->expected_version;
     ++outcome_.attempts;
-    services_.view.upstreams().dispatched(now, placed.upstream.id, placed.size);
-    send_->connection = services_.pool.take(placed.upstream.id, *address);
+    bool const streaming = admitted_->route->kind == configuration::repeat_rule::streaming;
+    send_ = std::make_shared<upstream_send>(services_, std::move(placed), streaming);
+    watch_for_stall();
     auto const self = shared_from_this();
-    runtime::call_hooks hooks;
-    hooks.head = [self](runtime::http_head const& head)
-    {
-        self->take_head(head);
-    };
-    hooks.body = [self](std::string_view bytes)
+    send_hooks hooks;
+    hooks.event = [self](streams::raw_event const& event)
     {
-        self->take_body(bytes);
+        self->take_event(event);
     };
-    hooks.done = [self]
+    hooks.ended = [self](send_result result, std::string const& reason)
     {
-        self->take_end();
+        self->take_result(result, reason);
     };
-    hooks.failed = [self](runtime::call_failure kind, std::string const& text)
-    {
-        self->take_failure(kind, text);
-    };
-    hooks.answers = [self](runtime::http_head const& head)
-    {
-        auto const id = self->services_.port.read_answer(head).request_id;
-        return id.empty() || id == self->request_.id;
-    };
-    watch_for_stall();
-    send_->connection->call(services_.port.encode_call(request_, placed.call), received_.body,
-                            std::move(hooks));
+    // A send that fails at once is dropped before `start` returns.
+    auto const started = send_;
+    started->start(request_, received_.body, std::move(hooks));
 }
 
-void request_flow::take_head(runtime::http_head const& head)
-{
-    auto const now = services_.timers.now();
-    auto& upstreams = services_.view.upstreams();
-    auto const& id = send_->placed.upstream.id;
-    send_->head = head;
-    send_->facts = services_.port.read_answer(head);
-    auto const& facts = send_->facts;
-    if (facts.load)
-        upstreams.load_reported(now, id, *facts.load);
-    if (facts.version && request_.prompt)
-        upstreams.weights_seen(id, request_.prompt->model, *facts.version);
-    bool const foreign = facts.request_id.empty() || !facts.stamped;
-    send_->unusable = foreign && !facts.not_executed;
-    if (!is_stream_answer())
-    {
-        upstreams.answered(now, id, send_->placed.size);
-        send_->answered = true;
-        send_->stall_timer = {};
-    }
-}
-
-void request_flow::take_body(std::string_view bytes)
-{
-    services_.view.upstreams().progressed(services_.timers.now(), send_->placed.upstream.id);
-    if (is_stream_answer())
-        take_events(bytes);
-    else
-        send_->body += bytes;
-}
-
-void request_flow::take_events(std::string_view bytes)
-{
-    if (!send_->answered)
-    {
-        services_.view.upstreams().answered(services_.timers.now(), send_->placed.upstream.id,
-                                            send_->placed.size);
-        send_->answered = true;
-        send_->stall_timer = {};
-    }
-    std::vector<streams::raw_event> events;
-    send_->events.feed(bytes, events);
-    for (auto const& it : events)
-        forward_event(it);
-    hold_back_if_client_is_slow();
-}
-
-void request_flow::forward_event(streams::raw_event const& event)
+void request_flow::take_event(streams::raw_event const& event)
 {
     if (!streaming_)
     {
         streaming_ = true;
         outcome_.time_to_first_byte = elapsed();
-        client_->start(send_->head.status, services_.port.answer_headers(send_->head));
+        client_->start(send_->head().status, services_.port.answer_headers(send_->head()));
     }
     // A run that goes on elsewhere may repeat events that the client has.
     if (event.id && last_event_ && *event.id <= *last_event_)
@@ -207,152 +129,118 @@
     if (event.id)
         last_event_ = event.id;
     client_->write(event.bytes);
+    hold_back_if_client_is_slow();
 }
 
 void request_flow::hold_back_if_client_is_slow()
 {
     if (client_->buffered_bytes() < most_client_buffer_bytes)
         return;
-    send_->connection->pause_reading(true);
+    send_->pause_reading(true);
     client_->when_drained(
         [self = shared_from_this()]
         {
-            if (self->send_ && self->send_->connection)
-                self->send_->connection->pause_reading(false);
+            if (self->send_)
+                self->send_->pause_reading(false);
         });
 }
 
-void request_flow::take_end()
+void request_flow::take_result(send_result result, std::string const& reason)
 {
-    if (send_->facts.not_executed)
-    {
-        take_rejection();
-        return;
-    }
-    bool const cut_short = is_stream_answer() && !send_->events.rest().empty();
-    if (send_->unusable || cut_short)
+    switch (result)
     {
-        may_have_run_ = true;
-        ++sent_;
-        next_or_give_up(send_end::lost, "the upstream's answer is not whole");
+    case send_result::answered:
+        take_answer();
         return;
-    }
-    if (is_stream_answer())
-    {
-        if (!streaming_)
-            client_->start(send_->head.status, services_.port.answer_headers(send_->head));
-        client_->finish();
-        end(request_end::answered, send_->head.status, "");
+    case send_result::stream_ended:
+        take_stream_end();
         return;
-    }
-    if (streaming_)
-    {
-        // The stream began elsewhere and could not be resumed here.
-        may_have_run_ = true;
-        ++sent_;
-        next_or_give_up(send_end::failed_answer, "the upstream did not resume the stream");
+    case send_result::not_sent:
+        ++not_sent_;
+        next_or_give_up(send_end::not_sent, reason);
         return;
-    }
-    bool const failed = send_->head.status >= first_server_failure_status;
-    if (failed && is_repeatable(admitted_->route->kind, admitted_->route->resumable))
-    {
-        may_have_run_ = true;
+    case send_result::rejected:
         ++sent_;
-        failure_head_ = send_->head;
-        failure_body_ = send_->body;
-        next_or_give_up(send_end::failed_answer, "the upstream answered with a failure");
+        next_or_give_up(send_end::rejected, reason);
         return;
+    case send_result::lost:
+        services_.view.upstream_crashed(services_.timers.now(), admitted_->digest,
+                                        send_->placed().upstream.id);
+        break;
+    case send_result::unusable:
+        break;
     }
-    deliver(send_->head, send_->body);
+    take_loss(send_end::lost, reason);
 }
 
-void request_flow::deliver(runtime::http_head const& head, std::string const& body)
+void request_flow::take_stream_end()
 {
-    outcome_.time_to_first_byte = elapsed();
-    auto const status = head.status;
-    client_->respond(status, services_.port.answer_headers(head), body);
-    end(request_end::answered, status, status < first_failure_status ? "" : "upstream failure");
+    auto const& head = send_->head();
+    if (!streaming_)
+        client_->start(head.status, services_.port.answer_headers(head));
+    client_->finish();
+    end(request_end::answered, head.status, "");
 }
 
-void request_flow::take_failure(runtime::call_failure kind, std::string const& reason)
+void request_flow::take_answer()
 {
-    auto const now = services_.timers.now();
-    auto const id = send_->placed.upstream.id;
-    services_.view.upstreams().failed(now, id);
-    services_.pool.forget(id);
-    if (kind == runtime::call_failure::not_sent)
+    if (streaming_)
     {
-        ++not_sent_;
-        next_or_give_up(send_end::not_sent, reason);
+        // The stream began elsewhere.
+        take_loss(send_end::failed_answer, "the upstream did not resume the stream");
         return;
     }
-    if (kind == runtime::call_failure::lost)
-        services_.view.upstream_crashed(now, admitted_->digest, id);
-    ++sent_;
-    may_have_run_ = true;
-    next_or_give_up(send_end::lost, reason);
+    bool const failed = send_->head().status >= first_server_failure_status;
+    if (failed && is_repeatable(admitted_->route->kind, admitted_->route->resumable))
+    {
+        failure_head_ = send_->head();
+        failure_body_ = send_->body();
+        take_loss(send_end::failed_answer, "the upstream answered with a failure");
+        return;
+    }
+    deliver(send_->head(), send_->body());
 }
 
-void request_flow::take_rejection()
+void request_flow::take_loss(send_end last, std::string const& reason)
 {
-    auto const now = services_.timers.now();
-    auto& upstreams = services_.view.upstreams();
-    auto const& placed = send_->placed;
-    auto const& facts = send_->facts;
-    auto pause = placed.call.engine ? busy_engine_pause : full_pause;
-    if (facts.misdirected)
-    {
-        bool const other = !facts.upstream.empty() && facts.upstream != placed.upstream.id;
-        if (other || !placed.call.engine)
-            pause = misdirected_pause;
-        else
-            weights_denied();
-    }
-    upstreams.rejected(now, placed.upstream.id, pause);
+    may_have_run_ = true;
     ++sent_;
-    next_or_give_up(send_end::rejected,
-                    "the upstream rejected the request with " + std::to_string(send_->head.status));
+    next_or_give_up(last, reason);
 }
 
-void request_flow::weights_denied()
+void request_flow::deliver(runtime::http_head const& head, std::string const& body)
 {
-    auto& upstreams = services_.view.upstreams();
-    auto const& id = send_->placed.upstream.id;
-    auto const& model = request_.prompt->model;
-    auto const denied = send_->placed.call.engine->expected_version;
-    auto const newest = services_.view.weights().newest(model);
-    // An engine that no longer has an older version has probably got the newest one meanwhile.
-    if (denied < newest)
-        upstreams.weights_seen(id, model, newest);
-    else
-        upstreams.weights_denied(id, model, denied);
+    outcome_.time_to_first_byte = elapsed();
+    auto const status = head.status;
+    client_->respond(status, services_.port.answer_headers(head), body);
+    end(request_end::answered, status, status < first_failure_status ? "" : "upstream failure");
 }
 
 void request_flow::watch_for_stall()
 {
+    stall_timer_ = {};
     if (!is_repeatable(admitted_->route->kind, admitted_->route->resumable))
         return;
     auto const part = base::duration(
         static_cast<std::int64_t>(static_cast<double>(admitted_->time_limit.count()) * stall_part));
-    send_->stall_timer = services_.timers.after(std::max(part, shortest_stall),
-                                                [self = shared_from_this()] { self->stalled(); });
+    stall_timer_ = services_.timers.after(std::max(part, shortest_stall),
+                                          [self = shared_from_this()] { self->stalled(); });
 }
 
 void request_flow::stalled()
 {
+    if (!send_ || send_->answered())
+        return;
     auto last = history();
     last.sent += 1;
-    if (!may_send_again(send_end::lost, last))
-        return;
-    ++sent_;
-    may_have_run_ = true;
-    next_or_give_up(send_end::lost, "the upstream sent nothing in time");
+    if (may_send_again(send_end::lost, last))
+        take_loss(send_end::lost, "the upstream sent nothing in time");
 }
 
 void request_flow::next_or_give_up(send_end last, std::string const& reason)
 {
     auto const self = shared_from_this();
-    auto const upstream = send_->placed.upstream.id;
+    auto const upstream = send_->placed().upstream.id;
     drop_send(last == send_end::rejected || last == send_end::failed_answer);
     if (!may_send_again(last, history()))
     {
@@ -427,12 +315,7 @@
     if (!send_)
         return;
     auto const it = std::exchange(send_, nullptr);
-    auto const& id = it->placed.upstream.id;
-    services_.view.upstreams().finished(id, it->answered, it->placed.size);
-    if (!it->connection)
-        return;
-    if (keep_connection)
-        services_.pool.give_back(id, std::move(it->connection));
+    it->finish(keep_connection);
 }
 
 void request_flow::end(request_end how, int status, std::string const& reason)
@@ -441,6 +324,7 @@
         return;
     auto const now = services_.timers.now();
     time_limit_ = {};
+    stall_timer_ = {};
     client_->on_gone(nullptr);
     drop_send(how == request_end::answered);
     outcome_.id = request_.id;
@@ -459,12 +343,6 @@
     services_.ended(outcome_);
 }
 
-bool request_flow::is_stream_answer() const
-{
-    return admitted_->route->kind == configuration::repeat_rule::streaming &&
-           is_success(send_->head.status) && !send_->unusable && !send_->facts.not_executed;
-}
-
 base::duration request_flow::elapsed() const
 {
     return services_.timers.now() - arrived_;
