Add a fault soak over the real programs

savorymount-soak starts gateways, upstreams and the store of the users' platform as processes, with a relay before each upstream and one between each gateway and the store. A seeded plan kills, pauses, stops and restarts processes, delays, resets, silences or mutes links, lets the store refuse, lose answers or drop its history, changes configuration, keys and weights. Callers keep their connections. The checker reads what callers and upstreams saw: at most once, truthful refusals, whole answers, events in order, nothing lost by planned work in a stable stretch, withdrawn keys, weights in force, one holder per fencing token, no process that ends by itself, service again at the end.

--- /dev/null
+++ b/tests/soak/fault_plan.cpp
@@ -0,0 +1,119 @@
+#include <savorymount/base/random_source.hpp>
+
+#include <tests/soak/fault_plan.hpp>
+
+namespace savorymount::soak
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr base::duration longest_gap = 1200ms;
+constexpr base::duration shortest_fault = 200ms;
+constexpr base::duration longest_fault = 4s;
+// Several steps at once from time to time.
+constexpr double series_share = 0.3;
+
+bool is_upstream_fault(fault_kind kind)
+{
+    return kind >= fault_kind::kill_upstream && kind <= fault_kind::mute_upstream_link;
+}
+
+base::duration draw(base::random_source& random, base::duration least, base::duration most)
+{
+    auto const span = static_cast<std::uint64_t>((most - least).count()) + 1;
+    return least + base::duration(static_cast<std::int64_t>(random.below(span)));
+}
+
+} // namespace
+
+std::string_view to_string(fault_kind kind)
+{
+    switch (kind)
+    {
+    case fault_kind::kill_gateway:
+        return "kill_gateway";
+    case fault_kind::pause_gateway:
+        return "pause_gateway";
+    case fault_kind::stop_gateway:
+        return "stop_gateway";
+    case fault_kind::hang_up_gateway:
+        return "hang_up_gateway";
+    case fault_kind::kill_upstream:
+        return "kill_upstream";
+    case fault_kind::pause_upstream:
+        return "pause_upstream";
+    case fault_kind::drain_upstream:
+        return "drain_upstream";
+    case fault_kind::delay_upstream_link:
+        return "delay_upstream_link";
+    case fault_kind::reset_upstream_link:
+        return "reset_upstream_link";
+    case fault_kind::silence_upstream_link:
+        return "silence_upstream_link";
+    case fault_kind::mute_upstream_link:
+        return "mute_upstream_link";
+    case fault_kind::cut_store_link:
+        return "cut_store_link";
+    case fault_kind::silence_store_link:
+        return "silence_store_link";
+    case fault_kind::delay_store_link:
+        return "delay_store_link";
+    case fault_kind::refuse_store:
+        return "refuse_store";
+    case fault_kind::lose_appends:
+        return "lose_appends";
+    case fault_kind::compact_store:
+        return "compact_store";
+    case fault_kind::new_configuration:
+        return "new_configuration";
+    case fault_kind::withdraw_key:
+        return "withdraw_key";
+    case fault_kind::name_weights:
+        break;
+    }
+    return "name_weights";
+}
+
+bool is_planned_work(fault_kind kind)
+{
+    switch (kind)
+    {
+    case fault_kind::stop_gateway:
+    case fault_kind::hang_up_gateway:
+    case fault_kind::drain_upstream:
+    case fault_kind::compact_store:
+    case fault_kind::new_configuration:
+    case fault_kind::withdraw_key:
+    case fault_kind::name_weights:
+        return true;
+    default:
+        return false;
+    }
+}
+
+std::vector<planned_fault> make_plan(std::uint64_t seed, base::duration length,
+                                     deployment_size const& size)
+{
+    base::random_source random(seed);
+    std::vector<planned_fault> out;
+    // A run of planned work alone shows requests that such work loses.
+    bool const planned_only = random.below(4) == 0;
+    base::duration at = draw(random, base::duration::zero(), longest_gap);
+    while (at < length)
+    {
+        planned_fault step;
+        step.at = at;
+        step.kind = static_cast<fault_kind>(random.below(fault_kinds));
+        step.target = random.below(is_upstream_fault(step.kind) ? size.upstreams() : size.gateways);
+        step.length = draw(random, shortest_fault, longest_fault);
+        if (!planned_only || is_planned_work(step.kind))
+            out.push_back(step);
+        if (random.unit() > series_share)
+            at += draw(random, base::duration::zero(), longest_gap);
+    }
+    return out;
+}
+
+} // namespace savorymount::soak
--- /dev/null
+++ b/tests/soak/promise_checker.cpp
@@ -0,0 +1,195 @@
+#include <algorithm>
+#include <map>
+#include <tests/soak/promise_checker.hpp>
+
+namespace savorymount::soak
+{
+namespace
+{
+
+constexpr std::uint64_t events_per_stream = 8;
+constexpr int status_ok = 200;
+constexpr int status_unauthorized = 401;
+constexpr int status_unavailable = 503;
+constexpr int status_bad_gateway = 502;
+
+/// Checks the promises one after the other.
+class checker
+{
+public:
+    checker(soak_history const& history, promise_bounds const& bounds)
+        : history_(history), bounds_(bounds)
+    {
+        for (auto const& it : history_.runs)
+            ++runs_[it.request];
+    }
+
+    std::vector<violation> check()
+    {
+        for (auto const& it : history_.calls)
+        {
+            check_runs(it);
+            if (it.kind == call_kind::stream)
+                check_events(it);
+            check_planned_work(it);
+            check_withdrawn_key(it);
+        }
+        check_versions();
+        check_fences();
+        check_end();
+        return std::move(found_);
+    }
+
+private:
+    std::size_t runs_of(call_record const& call) const
+    {
+        auto const it = runs_.find(call.id);
+        return it == runs_.end() ? 0 : it->second;
+    }
+
+    /// Whether nothing unplanned was wrong from `stable` before `from` until `to`.
+    bool calm(base::time_point from, base::time_point to) const
+    {
+        return std::none_of(history_.disturbances.begin(), history_.disturbances.end(),
+                            [&](disturbance const& it)
+                            { return it.from <= to && it.to + bounds_.stable >= from; });
+    }
+
+    void report(std::string promise, std::string what)
+    {
+        found_.push_back({std::move(promise), std::move(what)});
+    }
+
+    void check_runs(call_record const& call)
+    {
+        auto const runs = runs_of(call);
+        if (call.kind == call_kind::booking && runs > 1)
+            report("at most once", call.id + " ran " + std::to_string(runs) + " times");
+        bool const refusal = call.status >= 400 && call.status <= status_unavailable &&
+                             call.status != status_bad_gateway && !call.stamped;
+        if (refusal && call.status != 500 && runs > 0)
+            report("truthful refusals",
+                   call.id + " was refused with " + std::to_string(call.status) + " and ran");
+        bool const booked =
+            call.kind == call_kind::booking && call.status == status_ok && call.whole;
+        if (booked && (runs != 1 || call.body != "booked " + call.id))
+            report("whole answers",
+                   call.id + " got \"" + call.body + "\" after " + std::to_string(runs) + " runs");
+    }
+
+    void check_events(call_record const& call)
+    {
+        if (call.status != status_ok)
+            return;
+        std::string expected;
+        for (std::uint64_t i = 1; i <= events_per_stream; ++i)
+            expected += "id: " + std::to_string(i) + "\ndata: token " + std::to_string(i) + "\n\n";
+        if (!expected.starts_with(call.body))
+            report("events in order, once", call.id + " got \"" + call.body + "\"");
+        else if (call.whole && call.body != expected)
+            report("whole answers", call.id + " ended after \"" + call.body + "\"");
+    }
+
+    void check_planned_work(call_record const& call)
+    {
+        if (!calm(call.started, call.ended) || (call.status == status_ok && call.whole))
+            return;
+        if (call.key == second_key() && call.status == status_unauthorized)
+            return;
+        bool const crossed_close = call.kept_connection && call.status == 0 && runs_of(call) == 0 &&
+                                   call.ended - call.started < bounds_.loss_slack;
+        if (!crossed_close)
+            report("planned work loses nothing",
+                   call.id + " at gateway " + std::to_string(call.gateway) + " got status " +
+                       std::to_string(call.status) + " after " +
+                       std::to_string((call.ended - call.started).count() / 1000) +
+                       " ms: " + call.body);
+    }
+
+    void check_withdrawn_key(call_record const& call)
+    {
+        if (call.key != second_key() || call.status != status_ok)
+            return;
+        auto const next = std::find_if(history_.key_changes.begin(), history_.key_changes.end(),
+                                       [&](key_change const& it) { return it.at > call.started; });
+        if (next == history_.key_changes.begin())
+            return;
+        auto const last = std::prev(next);
+        bool const in_force = call.started - last->at > bounds_.configuration;
+        if (!last->granted && in_force && calm(last->at, call.started))
+            report("withdrawn keys", call.id + " was served with a withdrawn key");
+    }
+
+    void check_versions()
+    {
+        for (auto const& run : history_.runs)
+        {
+            if (run.version == 0)
+                continue;
+            for (auto const& named : history_.weights)
+            {
+                bool const late = run.at - named.at > bounds_.version;
+                if (run.version < named.version && late && calm(named.at, run.at))
+                {
+                    report("weights in force", run.request + " began on version " +
+                                                   std::to_string(run.version) + " at " +
+                                                   run.upstream);
+                    break;
+                }
+            }
+        }
+    }
+
+    void check_fences()
+    {
+        std::map<std::uint64_t, std::string> holders;
+        std::map<std::string, std::uint64_t> highest;
+        for (auto const& it : history_.orders)
+        {
+            auto const [known, added] = holders.try_emplace(it.fence, it.holder);
+            if (!added && known->second != it.holder)
+                report("one holder of the duty", it.holder + " and " + known->second +
+                                                     " sent orders with fencing token " +
+                                                     std::to_string(it.fence));
+            auto& most = highest[it.upstream];
+            if (it.fence < most)
+                report("one holder of the duty", it.upstream + " took an order of an older holder");
+            most = std::max(most, it.fence);
+        }
+    }
+
+    void check_end()
+    {
+        for (auto const& it : history_.exits)
+            report("no process ends by itself",
+                   it.process + " ended with " + std::to_string(it.code));
+        for (auto const& it : history_.outdated_engines)
+            report("weights in force", it + " still has older weights at the end");
+        bool const served =
+            std::any_of(history_.calls.begin(), history_.calls.end(),
+                        [&](call_record const& it)
+                        { return it.status == status_ok && calm(it.started, it.ended); });
+        if (!served)
+            report("serves again", "no request was served in a stable stretch");
+    }
+
+    soak_history const& history_;
+    promise_bounds const& bounds_;
+    std::map<std::string, std::size_t> runs_;
+    std::vector<violation> found_;
+};
+
+} // namespace
+
+std::string const& second_key()
+{
+    static std::string const key = "key-b";
+    return key;
+}
+
+std::vector<violation> check_promises(soak_history const& history, promise_bounds const& bounds)
+{
+    return checker(history, bounds).check();
+}
+
+} // namespace savorymount::soak
--- /dev/null
+++ b/tests/soak/promise_checker.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <savorymount/base/time.hpp>
+
+#include <string>
+#include <tests/soak/soak_history.hpp>
+#include <vector>
+
+namespace savorymount::soak
+{
+
+/// A promise that a history breaks.
+struct violation
+{
+    std::string promise;
+    std::string what;
+
+    bool operator==(violation const&) const = default;
+};
+
+/// Bounds of the promises, as the deployment states them.
+struct promise_bounds
+{
+    /// A deployment without a disturbance for this long is stable.
+    base::duration stable = std::chrono::milliseconds(4000);
+    /// From a change of the configuration to its use everywhere.
+    base::duration configuration = std::chrono::milliseconds(3000);
+    /// From a new version's naming to the last request that begins on an older one.
+    base::duration version = std::chrono::milliseconds(8000);
+    /// From a request's last byte to the close of its connection, if it was not read.
+    base::duration loss_slack = std::chrono::milliseconds(200);
+
+    bool operator==(promise_bounds const&) const = default;
+};
+
+std::string const& second_key();
+
+/// All violations of a history, in the order of the promises.
+std::vector<violation> check_promises(soak_history const& history, promise_bounds const& bounds);
+
+} // namespace savorymount::soak
--- /dev/null
+++ b/tests/soak/soak_caller.cpp
@@ -0,0 +1,120 @@
+#include <tests/soak/promise_checker.hpp>
+#include <tests/soak/soak_caller.hpp>
+#include <utility>
+
+namespace savorymount::soak
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr base::duration time_limit = 4s;
+// A caller waits somewhat longer than it says.
+constexpr base::duration patience = time_limit + 1s;
+constexpr base::duration shortest_pause = 5ms;
+constexpr std::uint64_t pause_spread_us = 40'000;
+constexpr base::duration pause_without_gateway = 50ms;
+constexpr double stream_share = 0.5;
+constexpr double second_key_share = 0.2;
+
+} // namespace
+
+soak_caller::soak_caller(runtime::event_loop& loop, runtime::timer_service& timers,
+                         std::string name, std::uint64_t seed, caller_hooks hooks)
+    : loop_(loop), timers_(timers), name_(std::move(name)), random_(seed), hooks_(std::move(hooks))
+{
+}
+
+void soak_caller::next_call()
+{
+    in_call_ = false;
+    if (stopping_)
+        return;
+    if (connection_ && !connection_->reusable())
+        connection_.reset();
+    bool const kept = connection_ != nullptr;
+    if (!kept)
+    {
+        auto const gateway = hooks_.choose_gateway();
+        if (!gateway)
+        {
+            think_timer_ = timers_.after(pause_without_gateway, [this] { next_call(); });
+            return;
+        }
+        gateway_ = gateway->index;
+        runtime::outbound_options options;
+        options.address = gateway->address;
+        connection_ = std::make_unique<runtime::outbound_connection>(loop_, timers_, options);
+    }
+    call_ = {};
+    call_.kept_connection = kept;
+    send();
+}
+
+void soak_caller::send()
+{
+    in_call_ = true;
+    call_.id = name_ + "-" + std::to_string(sent_++);
+    call_.kind = random_.unit() < stream_share ? call_kind::stream : call_kind::booking;
+    call_.key = random_.unit() < second_key_share ? second_key() : "key-a";
+    call_.gateway = gateway_;
+    call_.started = timers_.now();
+    runtime::call_hooks hooks;
+    hooks.head = [this](runtime::http_head const& head)
+    {
+        take_head(head);
+    };
+    hooks.body = [this](std::string_view bytes)
+    {
+        call_.body += bytes;
+    };
+    hooks.done = [this]
+    {
+        end_call(true);
+    };
+    hooks.failed = [this](runtime::call_failure, std::string const&)
+    {
+        connection_.reset();
+        end_call(false);
+    };
+    give_up_timer_ = timers_.after(patience,
+                                   [this]
+                                   {
+                                       connection_.reset();
+                                       end_call(false);
+                                   });
+    connection_->call(make_request(), call_.id, std::move(hooks));
+}
+
+std::string soak_caller::make_request() const
+{
+    bool const stream = call_.kind == call_kind::stream;
+    std::string out = stream ? "POST /p/chat HTTP/1.1\r\n" : "POST /b/slot HTTP/1.1\r\n";
+    out += "Host: chat.example\r\nX-Request-Id: " + call_.id + "\r\n";
+    out += "X-Deadline-Ms: " + std::to_string(time_limit.count() / 1000) + "\r\n";
+    out += "Authorization: Bearer " + call_.key + "\r\n";
+    if (stream)
+        out += "X-Model: crew\r\nX-Token-Count: 300,8\r\nX-Prompt-Prefix: aa:200," + name_ +
+               ":100\r\n";
+    return out + "Content-Length: " + std::to_string(call_.id.size()) + "\r\n\r\n";
+}
+
+void soak_caller::take_head(runtime::http_head const& head)
+{
+    call_.status = head.status;
+    call_.stamped = runtime::find_header(head.headers, "X-Response-Stamp").has_value();
+}
+
+void soak_caller::end_call(bool whole)
+{
+    give_up_timer_ = {};
+    call_.whole = whole;
+    call_.ended = timers_.now();
+    hooks_.ended(call_);
+    auto const pause =
+        shortest_pause + base::duration(static_cast<std::int64_t>(random_.below(pause_spread_us)));
+    think_timer_ = timers_.after(pause, [this] { next_call(); });
+}
+
+} // namespace savorymount::soak
--- /dev/null
+++ b/tests/soak/soak_deployment.cpp
@@ -0,0 +1,501 @@
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <tests/soak/promise_checker.hpp>
+#include <tests/soak/soak_deployment.hpp>
+#include <utility>
+
+namespace savorymount::soak
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr char const* grace_seconds = "8";
+constexpr base::duration grace = 8s;
+constexpr base::duration readiness_interval = 200ms;
+constexpr unsigned checks_before_unready = 2;
+// The entry of an upstream that no longer renews it lapses after this time.
+constexpr base::duration entry_lifetime = 1500ms;
+// An upstream that leaves gets no new requests after this time.
+constexpr base::duration drain_time = 3s;
+constexpr std::int64_t link_delay_ms = 150;
+constexpr std::int64_t store_link_delay_ms = 300;
+
+runtime::network_address local(std::uint16_t port)
+{
+    return {"127.0.0.1", port};
+}
+
+std::uint16_t to_port(std::string const& text)
+{
+    return static_cast<std::uint16_t>(std::stoi(text.substr(text.rfind(':') + 1)));
+}
+
+/// The value behind `key=` in a line of output.
+std::string field(std::string const& line, std::string const& key)
+{
+    auto const start = line.find(" " + key + "=");
+    if (start == std::string::npos)
+        return "";
+    auto const value = start + key.size() + 2;
+    return line.substr(value, line.find(' ', value) - value);
+}
+
+std::uint64_t number_field(std::string const& line, std::string const& key)
+{
+    return std::stoull(field(line, key));
+}
+
+base::time_point time_field(std::string const& line)
+{
+    return base::time_point(base::duration(std::stoll(field(line, "at"))));
+}
+
+} // namespace
+
+soak_deployment::soak_deployment(runtime::event_loop& loop, runtime::timer_service& timers,
+                                 deployment_size const& size)
+    : timers_(timers), client_(loop, timers),
+      platform_(std::make_unique<tests::process>(
+          "savorymount-users-platform-stand-in",
+          std::vector<std::string>{"--engines", "0", "--desks", "0"})),
+      store_(local(to_port(platform_->wait_for_field("listening", "port")))),
+      gateways_(size.gateways), upstreams_(size.upstreams())
+{
+    for (std::size_t i = 0; i < upstreams_.size(); ++i)
+    {
+        upstreams_[i].engine = i < size.engines;
+        start_upstream(i);
+    }
+    for (std::size_t i = 0; i < gateways_.size(); ++i)
+    {
+        gateways_[i].store_link = start_relay(store_.port);
+        start_gateway(i, true);
+    }
+    readiness_timer_ = timers_.every(readiness_interval, [this] { check_readiness(); });
+}
+
+soak_deployment::relay soak_deployment::start_relay(std::uint16_t target)
+{
+    relay out;
+    out.program = std::make_unique<tests::process>(
+        "savorymount-fault-relay",
+        std::vector<std::string>{"--target", "127.0.0.1:" + std::to_string(target)});
+    out.control = local(to_port(out.program->wait_for_field("listening", "port")));
+    out.port = to_port(out.program->wait_for_field("relaying", "port"));
+    return out;
+}
+
+void soak_deployment::start_gateway(std::size_t index, bool first)
+{
+    auto& it = gateways_[index];
+    it.program = std::make_unique<tests::process>(
+        "savorymount-gateway",
+        std::vector<std::string>{"--instance",       "gateway-" + std::to_string(index),
+                                 "--data-centre",    "liege",
+                                 "--http-listen",    "127.0.0.1:0",
+                                 "--ready-listen",   "127.0.0.1:0",
+                                 "--metrics-listen", "127.0.0.1:0",
+                                 "--peer-listen",    "127.0.0.1:0",
+                                 "--store-address",  to_string(local(it.store_link.port)),
+                                 "--first-start",    first ? "true" : "false",
+                                 "--grace-s",        grace_seconds,
+                                 "--log-lines",      "2000"});
+    it.http = local(to_port(it.program->wait_for_field("name=started", "http")));
+    it.ready = local(to_port(it.program->wait_for_field("name=started", "ready")));
+    it.is_ready = false;
+    it.ending = false;
+}
+
+void soak_deployment::start_upstream(std::size_t index)
+{
+    auto& it = upstreams_[index];
+    it.id = std::string(it.engine ? "engine-" : "desk-") + std::to_string(index) + "." +
+            std::to_string(it.starts++);
+    it.program = std::make_unique<tests::process>(
+        "savorymount-users-upstream-stand-in",
+        std::vector<std::string>{"--id", it.id, "--kind", it.engine ? "engine" : "desk",
+                                 "--serve-port", std::to_string(it.port)});
+    it.port = to_port(it.program->wait_for_field("serving", "port"));
+    if (!it.link.program)
+        it.link = start_relay(it.port);
+    list(it, "ready");
+}
+
+void soak_deployment::list(upstream const& it, std::string const& state)
+{
+    json models = json::array();
+    if (it.engine)
+        models.push_back({{"name", "crew"}, {"version", 1}});
+    json const entry{{"service", it.engine ? "pool" : "desk"},
+                     {"address", to_string(local(it.link.port))},
+                     {"zone", "liege"},
+                     {"slots", 8},
+                     {"state", state},
+                     {"models", models},
+                     {"sequence", 1},
+                     {"born", it.starts}};
+    control(store_, {{"entry", {{"id", it.id}, {"value", entry.dump()}}}});
+}
+
+void soak_deployment::unlist(std::string const& id)
+{
+    control(store_, {{"entry", {{"id", id}, {"value", ""}}}});
+}
+
+void soak_deployment::configure()
+{
+    json keys = json::array({"key-a"});
+    if (second_key_granted_)
+        keys.push_back(second_key());
+    control(store_, {{"configuration", ++configuration_}, {"keys", keys}});
+}
+
+void soak_deployment::name_weights()
+{
+    control(store_, {{"weights", ++weights_}});
+    history_.weights.push_back({weights_, timers_.now()});
+}
+
+void soak_deployment::control(runtime::network_address const& address, json const& body)
+{
+    client_.fetch({address, "POST", "/control", {}, body.dump()},
+                  [body](std::optional<runtime::http_answer> answer, base::error const& reason)
+                  {
+                      if (!answer || answer->status != 200)
+                          throw std::runtime_error("a stand-in did not take " + body.dump() + ": " +
+                                                   reason.message);
+                  });
+}
+
+void soak_deployment::check_readiness()
+{
+    for (std::size_t i = 0; i < gateways_.size(); ++i)
+        client_.fetch({gateways_[i].ready, "GET", "/", {}, "", readiness_interval},
+                      [this, i](std::optional<runtime::http_answer> answer, base::error const&)
+                      {
+                          auto& it = gateways_[i];
+                          bool const good = answer && answer->status == 200;
+                          it.failed_checks = good ? 0 : it.failed_checks + 1;
+                          if (good || it.failed_checks >= checks_before_unready)
+                              it.is_ready = good;
+                      });
+}
+
+std::optional<reachable_gateway> soak_deployment::ready_gateway(std::uint64_t number) const
+{
+    for (std::size_t i = 0; i < gateways_.size(); ++i)
+    {
+        auto const index = (number + i) % gateways_.size();
+        if (gateways_[index].is_ready)
+            return reachable_gateway{index, gateways_[index].http};
+    }
+    return std::nullopt;
+}
+
+bool soak_deployment::all_ready() const
+{
+    return std::all_of(gateways_.begin(), gateways_.end(),
+                       [](gateway const& it) { return it.is_ready; });
+}
+
+void soak_deployment::later(base::duration delay, std::function<void()> mend)
+{
+    ++mending_;
+    auto const timer = std::make_shared<runtime::timer_service::subscription>();
+    *timer = timers_.after(delay,
+                           [this, timer, mend = std::move(mend)]
+                           {
+                               auto const ended = std::move(*timer);
+                               --mending_;
+                               mend();
+                           });
+}
+
+void soak_deployment::disturbed(base::duration length)
+{
+    history_.disturbances.push_back({timers_.now(), timers_.now() + length});
+}
+
+void soak_deployment::apply(planned_fault const& step)
+{
+    switch (step.kind)
+    {
+    case fault_kind::kill_gateway:
+        return kill_gateway(step.target, step.length);
+    case fault_kind::pause_gateway:
+        return pause_gateway(step.target, step.length);
+    case fault_kind::stop_gateway:
+        return stop_gateway(step.target);
+    case fault_kind::hang_up_gateway:
+        return hang_up_gateway(step.target);
+    case fault_kind::kill_upstream:
+        return kill_upstream(step.target, step.length);
+    case fault_kind::pause_upstream:
+        return pause_upstream(step.target, step.length);
+    case fault_kind::drain_upstream:
+        return drain_upstream(step.target);
+    case fault_kind::delay_upstream_link:
+        return disturb_upstream_link(step.target, {{"delay_ms", link_delay_ms}}, step.length);
+    case fault_kind::reset_upstream_link:
+        return disturb_upstream_link(step.target, {{"mode", "cut"}}, step.length);
+    case fault_kind::silence_upstream_link:
+        return disturb_upstream_link(step.target, {{"mode", "blackhole"}}, step.length);
+    case fault_kind::mute_upstream_link:
+        return disturb_upstream_link(step.target, {{"mode", "mute_answers"}}, step.length);
+    case fault_kind::cut_store_link:
+        return disturb_store_link(step.target, {{"mode", "cut"}}, step.length);
+    case fault_kind::silence_store_link:
+        return disturb_store_link(step.target, {{"mode", "blackhole"}}, step.length);
+    case fault_kind::delay_store_link:
+        return disturb_store_link(step.target, {{"delay_ms", store_link_delay_ms}}, step.length);
+    case fault_kind::refuse_store:
+        return disturb_store("refuse", step.length);
+    case fault_kind::lose_appends:
+        return disturb_store("lose_appends", step.length);
+    case fault_kind::compact_store:
+        return control(store_, {{"compact", true}});
+    case fault_kind::new_configuration:
+        return configure();
+    case fault_kind::withdraw_key:
+        second_key_granted_ = !second_key_granted_;
+        history_.key_changes.push_back({second_key_granted_, timers_.now()});
+        return configure();
+    case fault_kind::name_weights:
+        return name_weights();
+    }
+}
+
+void soak_deployment::kill_gateway(std::size_t index, base::duration length)
+{
+    auto& it = gateways_[index];
+    if (std::exchange(it.busy, true))
+        return;
+    it.program->send_signal(SIGKILL);
+    it.program->wait();
+    it.is_ready = false;
+    ended_outputs_.emplace_back("gateway-" + std::to_string(index), it.program->output());
+    disturbed(length);
+    later(length,
+          [this, index]
+          {
+              start_gateway(index, false);
+              gateways_[index].busy = false;
+          });
+}
+
+void soak_deployment::pause_gateway(std::size_t index, base::duration length)
+{
+    auto& it = gateways_[index];
+    if (std::exchange(it.busy, true))
+        return;
+    it.program->send_signal(SIGSTOP);
+    disturbed(length);
+    later(length,
+          [this, index]
+          {
+              gateways_[index].program->send_signal(SIGCONT);
+              gateways_[index].busy = false;
+          });
+}
+
+void soak_deployment::hang_up_gateway(std::size_t index)
+{
+    if (!gateways_[index].busy)
+        gateways_[index].program->send_signal(SIGHUP);
+}
+
+void soak_deployment::stop_gateway(std::size_t index)
+{
+    // One at a time, as operators do it.
+    if (!all_ready() || std::exchange(gateways_[index].busy, true))
+        return;
+    gateways_[index].ending = true;
+    gateways_[index].program->send_signal(SIGTERM);
+    await_exit(index, timers_.now());
+}
+
+void soak_deployment::await_exit(std::size_t index, base::time_point since)
+{
+    constexpr base::duration check_interval = 50ms;
+    later(check_interval,
+          [this, index, since]
+          {
+              auto& it = gateways_[index];
+              bool const overdue = timers_.now() - since > grace;
+              if (it.program->running() && !overdue)
+              {
+                  await_exit(index, since);
+                  return;
+              }
+              if (overdue)
+                  it.program->send_signal(SIGKILL);
+              auto const code = it.program->wait();
+              if (code != 0)
+                  history_.exits.push_back({"gateway-" + std::to_string(index), code});
+              ended_outputs_.emplace_back("gateway-" + std::to_string(index), it.program->output());
+              start_gateway(index, false);
+              it.busy = false;
+          });
+}
+
+void soak_deployment::kill_upstream(std::size_t index, base::duration length)
+{
+    auto& it = upstreams_[index];
+    if (std::exchange(it.busy, true))
+        return;
+    it.program->send_signal(SIGKILL);
+    it.program->wait();
+    ended_outputs_.emplace_back(it.id, it.program->output());
+    disturbed(std::max(length, entry_lifetime));
+    later(entry_lifetime, [this, id = it.id] { unlist(id); });
+    later(length,
+          [this, index]
+          {
+              start_upstream(index);
+              upstreams_[index].busy = false;
+          });
+}
+
+void soak_deployment::pause_upstream(std::size_t index, base::duration length)
+{
+    auto& it = upstreams_[index];
+    if (std::exchange(it.busy, true))
+        return;
+    it.program->send_signal(SIGSTOP);
+    disturbed(length);
+    later(length,
+          [this, index]
+          {
+              upstreams_[index].program->send_signal(SIGCONT);
+              upstreams_[index].busy = false;
+          });
+}
+
+void soak_deployment::drain_upstream(std::size_t index)
+{
+    auto& it = upstreams_[index];
+    if (std::exchange(it.busy, true))
+        return;
+    // Its successor is there before it leaves.
+    list(it, "draining");
+    later(drain_time, [this, index] { finish_drain(index); });
+}
+
+void soak_deployment::finish_drain(std::size_t index)
+{
+    auto& it = upstreams_[index];
+    unlist(it.id);
+    it.program->send_signal(SIGTERM);
+    it.program->wait();
+    ended_outputs_.emplace_back(it.id, it.program->output());
+    start_upstream(index);
+    it.busy = false;
+}
+
+void soak_deployment::disturb_upstream_link(std::size_t index, json const& fault,
+                                            base::duration length)
+{
+    auto& it = upstreams_[index];
+    if (std::exchange(it.link_busy, true))
+        return;
+    control(it.link.control, fault);
+    disturbed(length);
+    later(length,
+          [this, index]
+          {
+              // Connections that lost bytes must not carry anything more.
+              control(upstreams_[index].link.control, {{"delay_ms", 0}, {"mode", "cut"}});
+              control(upstreams_[index].link.control, {{"mode", "pass"}});
+              upstreams_[index].link_busy = false;
+          });
+}
+
+void soak_deployment::disturb_store_link(std::size_t index, json const& fault,
+                                         base::duration length)
+{
+    control(gateways_[index].store_link.control, fault);
+    disturbed(length);
+    later(length,
+          [this, index]
+          {
+              auto const& address = gateways_[index].store_link.control;
+              control(address, {{"delay_ms", 0}, {"mode", "cut"}});
+              control(address, {{"mode", "pass"}});
+          });
+}
+
+void soak_deployment::disturb_store(std::string const& fault, base::duration length)
+{
+    if (std::exchange(store_busy_, true))
+        return;
+    control(store_, {{"store", fault}});
+    disturbed(length);
+    later(length,
+          [this]
+          {
+              control(store_, {{"store", "pass"}});
+              store_busy_ = false;
+          });
+}
+
+void soak_deployment::collect()
+{
+    for (std::size_t i = 0; i < gateways_.size(); ++i)
+    {
+        auto& it = *gateways_[i].program;
+        if (!it.running())
+            history_.exits.push_back({"gateway-" + std::to_string(i), it.wait()});
+    }
+    for (auto const& [id, text] : ended_outputs_)
+        collect_output(id, text);
+    for (auto& it : upstreams_)
+    {
+        if (!it.program->running())
+            history_.exits.push_back({it.id, it.program->wait()});
+        auto const text = it.program->output();
+        collect_output(it.id, text);
+        auto const newest = " version=" + std::to_string(weights_) + "\n";
+        bool const current = weights_ == 1 || text.find(newest) != std::string::npos;
+        if (it.engine && !current)
+            history_.outdated_engines.push_back(it.id);
+    }
+    history_.ended = timers_.now();
+}
+
+void soak_deployment::collect_output(std::string const& id, std::string const& text)
+{
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);)
+    {
+        if (line.starts_with("run "))
+            history_.runs.push_back({id, field(line, "request"),
+                                     id.starts_with("engine") ? number_field(line, "version") : 0,
+                                     time_field(line)});
+        else if (line.starts_with("order "))
+            history_.orders.push_back({id, field(line, "holder"), number_field(line, "fence"),
+                                       number_field(line, "version"), time_field(line)});
+    }
+}
+
+void soak_deployment::write_logs(std::string const& folder) const
+{
+    std::filesystem::create_directories(folder);
+    auto const write = [&](std::string const& name, std::string const& text)
+    {
+        std::ofstream(folder + "/" + name + ".log", std::ios::app) << text;
+    };
+    for (auto const& [name, text] : ended_outputs_)
+        write(name, text);
+    for (std::size_t i = 0; i < gateways_.size(); ++i)
+        write("gateway-" + std::to_string(i), gateways_[i].program->output());
+    for (auto const& it : upstreams_)
+        write(it.id, it.program->output());
+}
+
+} // namespace savorymount::soak
--- a/tests/stand_ins/fault_relay/fault_relay.cpp
+++ b/tests/stand_ins/fault_relay/fault_relay.cpp
@@ -76,6 +76,7 @@
                                                                  }});
     if (mode_ == "blackhole")
         link->silence();
+    link->mute_answers(mode_ == "mute_answers");
     links_[link.get()] = std::move(link);
 }
 
@@ -105,9 +106,12 @@
 
 bool fault_relay::set_mode(std::string const& mode)
 {
-    if (mode != "pass" && mode != "cut" && mode != "blackhole" && mode != "blackhole_existing")
+    if (mode != "pass" && mode != "cut" && mode != "blackhole" && mode != "blackhole_existing" &&
+        mode != "mute_answers")
         return false;
     mode_ = mode;
+    for (auto const& it : links_)
+        it.second->mute_answers(mode == "mute_answers");
     if (mode == "cut")
         links_.clear();
     if (mode == "blackhole" || mode == "blackhole_existing")
--- a/tests/stand_ins/fault_relay/relay_link.cpp
+++ b/tests/stand_ins/fault_relay/relay_link.cpp
@@ -82,7 +82,8 @@
 {
     auto* const link = static_cast<relay_link*>(self);
     std::string bytes = take_all(buffer);
-    if (!link->silent_)
+    bool const lost = link->answers_muted_ && buffer == link->downwards_.from;
+    if (!link->silent_ && !lost)
         link->enqueue(link->from(buffer), std::move(bytes), false);
 }
 
--- a/tests/stand_ins/fault_relay/relay_link.hpp
+++ b/tests/stand_ins/fault_relay/relay_link.hpp
@@ -38,6 +38,9 @@
     /// From now on both connections stay open and lose all bytes, for good.
     void silence();
 
+    /// Loses the bytes towards the client while `mute` is true.
+    void mute_answers(bool mute) { answers_muted_ = mute; }
+
     bool silent() const { return silent_; }
 
 private:
@@ -77,6 +80,7 @@
     direction upwards_;
     direction downwards_;
     bool silent_ = false;
+    bool answers_muted_ = false;
     bool ended_ = false;
     bool reset_on_close_ = true;
     std::shared_ptr<char> const alive_ = std::make_shared<char>();
--- a/tests/stand_ins/users_platform/fake_upstream.cpp
+++ b/tests/stand_ins/users_platform/fake_upstream.cpp
@@ -22,18 +22,19 @@
     unsigned left_before_break;
 };
 
-fake_upstream::fake_upstream(runtime::event_loop& loop, std::string id, bool model_engine)
-    : timers_(loop), id_(std::move(id)), model_engine_(model_engine),
+fake_upstream::fake_upstream(runtime::event_loop& loop, std::string id, bool model_engine,
+                             std::uint16_t port, upstream_hooks hooks)
+    : timers_(loop), id_(std::move(id)), model_engine_(model_engine), hooks_(std::move(hooks)),
       server_(loop, runtime::http_limits{}, [this](exchange_ptr const& it) { handle(it); })
 {
     base::error reason;
-    auto const port = server_.listen({"127.0.0.1", 0}, reason);
-    if (!port)
+    auto const listening = server_.listen({"127.0.0.1", port}, reason);
+    if (!listening)
     {
         std::cerr << reason.message << "\n";
         std::exit(1);
     }
-    port_ = *port;
+    port_ = *listening;
 }
 
 void fake_upstream::handle(exchange_ptr const& exchange)
@@ -63,6 +64,8 @@
     {
         fence_ = fence;
         ++orders_;
+        if (hooks_.order_accepted)
+            hooks_.order_accepted(body.at("holder").get<std::string>(), fence, version);
         run_after(timers_, load_time, [this, version] { version_ = version; });
         respond(exchange, 202, {});
     }
@@ -84,6 +87,8 @@
     }
     auto const request = header(exchange, "X-Request-Id");
     ++executions_[request];
+    if (hooks_.run)
+        hooks_.run(request, version_);
     seen_.push_back({{"request", request},
                      {"workspace", header(exchange, "X-Tenant")},
                      {"salt", header(exchange, "X-Cache-Salt")},
--- a/tests/stand_ins/users_platform/fake_upstream.hpp
+++ b/tests/stand_ins/users_platform/fake_upstream.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -9,12 +10,22 @@
 namespace savorymount::stand_ins
 {
 
+/// What an upstream tells of its work.
+struct upstream_hooks
+{
+    std::function<void(std::string const& request, std::uint64_t version)> run;
+    std::function<void(std::string const& holder, std::uint64_t fence, std::uint64_t version)>
+        order_accepted;
+};
+
 /// An upstream of the users' platform: a plain service, or a model engine whose answers are
 /// streams of numbered events.
 class fake_upstream
 {
 public:
-    fake_upstream(runtime::event_loop& loop, std::string id, bool model_engine);
+    /// Listens on `port`, or on one that the kernel chooses if it is 0.
+    fake_upstream(runtime::event_loop& loop, std::string id, bool model_engine,
+                  std::uint16_t port = 0, upstream_hooks hooks = {});
 
     std::string const& id() const { return id_; }
     std::uint64_t version() const { return version_; }
@@ -40,6 +51,7 @@
     runtime::timer_service timers_;
     std::string id_;
     bool model_engine_;
+    upstream_hooks hooks_;
     runtime::http_server server_;
     std::uint16_t port_ = 0;
     std::uint64_t version_ = 1;
--- a/tests/stand_ins/users_platform/keyed_topics.cpp
+++ b/tests/stand_ins/users_platform/keyed_topics.cpp
@@ -32,6 +32,11 @@
 bool keyed_topics::handle(exchange_ptr const& exchange)
 {
     auto const target = parse_target(exchange->target());
+    if (fault_ == "refuse" && target.path.starts_with("/-/log-"))
+    {
+        respond(exchange, 503, {});
+        return true;
+    }
     if (target.path == "/-/log-newest")
         newest(exchange, target);
     else if (target.path == "/-/log-read")
@@ -43,6 +48,12 @@
     return true;
 }
 
+void keyed_topics::compact()
+{
+    for (auto const& [topic, all] : topics_)
+        first_[topic] = all.size();
+}
+
 void keyed_topics::put(std::string const& topic, std::string const& key, std::string const& value)
 {
     topics_[topic].push_back({key, value});
@@ -69,7 +80,9 @@
 {
     auto const& topic = target.query.at("topic");
     auto const from = static_cast<std::size_t>(target.number("from", 0));
-    if (from < topics_[topic].size() || target.number("waitMs", 0) == 0)
+    if (from < first_[topic])
+        respond(exchange, 410, {});
+    else if (from < topics_[topic].size() || target.number("waitMs", 0) == 0)
         answer_read(exchange, topic, from);
     else
         waiting_.push_back({exchange, topic, from});
@@ -90,7 +103,10 @@
     auto const key_length = static_cast<unsigned char>(body.at(key_length_at));
     all.push_back({std::string(body.substr(key_length_at + 1, key_length)),
                    std::string(body.substr(key_length_at + 1 + key_length))});
-    respond(exchange, 200, {{"offset", all.size() - 1}, {"end", all.size()}});
+    if (fault_ == "lose_appends")
+        exchange->abort();
+    else
+        respond(exchange, 200, {{"offset", all.size() - 1}, {"end", all.size()}});
     wake_readers(topic);
 }
 
--- a/tests/stand_ins/users_platform/keyed_topics.hpp
+++ b/tests/stand_ins/users_platform/keyed_topics.hpp
@@ -16,6 +16,12 @@
     /// Serves the calls that begin with `/-/log-`. False for any other path.
     bool handle(exchange_ptr const& exchange);
 
+    /// `refuse` answers every call with 503, `lose_appends` carries appends out and breaks the
+    /// connection instead of answering; any other word ends both.
+    void set_fault(std::string const& fault) { fault_ = fault; }
+    /// Drops all records but the newest of each key.
+    void compact();
+
     /// Appends a record; an empty value drops the key.
     void put(std::string const& topic, std::string const& key, std::string const& value);
 
@@ -40,6 +46,9 @@
     void wake_readers(std::string const& topic);
 
     std::map<std::string, std::vector<record>> topics_;
+    /// First offset that can still be read, by topic.
+    std::map<std::string, std::size_t> first_;
+    std::string fault_;
     std::vector<waiting_read> waiting_;
 };
 
--- a/tests/stand_ins/users_platform/main.cpp
+++ b/tests/stand_ins/users_platform/main.cpp
@@ -14,12 +14,14 @@
 class users_platform
 {
 public:
-    users_platform(runtime::event_loop& loop, std::int64_t engines)
+    users_platform(runtime::event_loop& loop, std::int64_t engines, std::int64_t desks)
     {
         for (std::int64_t i = 0; i < engines; ++i)
             upstreams_.push_back(
                 std::make_unique<fake_upstream>(loop, "engine-" + std::to_string(i), true));
-        upstreams_.push_back(std::make_unique<fake_upstream>(loop, "desk-0", false));
+        for (std::int64_t i = 0; i < desks; ++i)
+            upstreams_.push_back(
+                std::make_unique<fake_upstream>(loop, "desk-" + std::to_string(i), false));
         configure(1, {"key-a", "key-b"});
         topics_.put(operator_topic, "version/crew", R"({"model":"crew","version":1})");
         for (auto const& it : upstreams_)
@@ -91,6 +93,13 @@
                         json{{"model", "crew"}, {"version", body->at("weights")}}.dump());
         if (body->contains("unreadable"))
             topics_.put(upstream_topic, "ghost", body->at("unreadable").get<std::string>());
+        if (body->contains("entry"))
+            topics_.put(upstream_topic, body->at("entry").at("id").get<std::string>(),
+                        body->at("entry").at("value").get<std::string>());
+        if (body->contains("store"))
+            topics_.set_fault(body->at("store").get<std::string>());
+        if (body->contains("compact"))
+            topics_.compact();
         for (auto const& it : upstreams_)
         {
             if (body->value("break_off", "") == it->id())
@@ -123,12 +132,14 @@
 {
     using namespace savorymount;
     runtime::settings_parser parser("savorymount-users-platform-stand-in");
-    parser.add("engines", "2", "number of model engines");
+    parser.add("engines", "2", "number of model engines in this process")
+        .add("desks", "1", "number of plain upstreams in this process");
     return stand_ins::run(argc, argv, parser,
                           [](runtime::event_loop& loop, runtime::parsed_settings const& settings)
                           {
                               auto const it = std::make_shared<stand_ins::users_platform>(
-                                  loop, stand_ins::number(settings, "engines"));
+                                  loop, stand_ins::number(settings, "engines"),
+                                  stand_ins::number(settings, "desks"));
                               return [it](stand_ins::exchange_ptr const& exchange)
                               {
                                   it->handle(exchange);
--- /dev/null
+++ b/tests/system/soak/promise_checker_test.cpp
@@ -0,0 +1,158 @@
+#include <gtest/gtest.h>
+
+#include <tests/soak/promise_checker.hpp>
+
+namespace savorymount::soak
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+base::time_point at(base::duration time)
+{
+    return base::time_point(100s + time);
+}
+
+std::string events(int first, int last)
+{
+    std::string out;
+    for (int i = first; i <= last; ++i)
+        out += "id: " + std::to_string(i) + "\ndata: token " + std::to_string(i) + "\n\n";
+    return out;
+}
+
+call_record served_stream(std::string const& id, base::duration started)
+{
+    call_record out;
+    out.id = id;
+    out.key = "key-a";
+    out.started = at(started);
+    out.ended = at(started + 50ms);
+    out.status = 200;
+    out.whole = true;
+    out.stamped = true;
+    out.body = events(1, 8);
+    return out;
+}
+
+call_record served_booking(std::string const& id, base::duration started)
+{
+    auto out = served_stream(id, started);
+    out.kind = call_kind::booking;
+    out.body = "booked " + id;
+    return out;
+}
+
+/// One stream and one booking that were served.
+soak_history good_history()
+{
+    soak_history out;
+    out.calls = {served_stream("stream", 1s), served_booking("booking", 2s)};
+    out.runs = {{"engine-0.0", "stream", 1, at(1s)}, {"desk-4.0", "booking", 0, at(2s)}};
+    out.ended = at(3s);
+    return out;
+}
+
+std::vector<std::string> broken_promises(soak_history const& history)
+{
+    std::vector<std::string> out;
+    for (auto const& it : check_promises(history, {}))
+        out.push_back(it.promise);
+    return out;
+}
+
+using promises = std::vector<std::string>;
+
+// Guards against a checker that finds what is not there.
+TEST(promise_checker, finds_nothing_in_a_good_history)
+{
+    EXPECT_EQ(broken_promises(good_history()), promises{});
+}
+
+// Guards against a checker that misses a booking that ran twice.
+TEST(promise_checker, finds_a_booking_that_ran_twice)
+{
+    auto history = good_history();
+    history.runs.push_back({"desk-5.0", "booking", 0, at(2s)});
+    EXPECT_EQ(broken_promises(history), (promises{"at most once", "whole answers"}));
+}
+
+// Guards against a checker that believes a refusal whose request ran.
+TEST(promise_checker, finds_a_refusal_of_a_request_that_ran)
+{
+    auto history = good_history();
+    history.disturbances = {{at(0s), at(3s)}};
+    history.calls.push_back(served_stream("served", 20s));
+    history.calls[1].status = 503;
+    history.calls[1].stamped = false;
+    EXPECT_EQ(broken_promises(history), promises{"truthful refusals"});
+}
+
+// Guards against a checker that misses events that come twice, in another order or not at all.
+TEST(promise_checker, finds_events_that_are_repeated_or_missing)
+{
+    for (auto const& body : {events(1, 3) + events(3, 8), events(1, 3) + events(5, 8)})
+    {
+        auto history = good_history();
+        history.calls[0].body = body;
+        EXPECT_EQ(broken_promises(history), promises{"events in order, once"});
+    }
+    auto history = good_history();
+    history.calls[0].body = events(1, 5);
+    EXPECT_EQ(broken_promises(history), promises{"whole answers"});
+}
+
+// Guards against a checker that excuses requests that planned work lost.
+TEST(promise_checker, finds_a_request_that_was_lost_in_a_stable_stretch)
+{
+    auto history = good_history();
+    history.calls[0].whole = false;
+    EXPECT_EQ(broken_promises(history), promises{"planned work loses nothing"});
+    history.disturbances = {{at(-2s), at(-1s)}};
+    history.calls.push_back(served_stream("later", 20s));
+    EXPECT_EQ(broken_promises(history), promises{});
+}
+
+// Guards against a checker that misses a key that is served after its withdrawal.
+TEST(promise_checker, finds_a_withdrawn_key_that_is_served)
+{
+    auto history = good_history();
+    history.calls[0].key = second_key();
+    history.key_changes = {{false, at(-4s)}};
+    EXPECT_EQ(broken_promises(history), promises{"withdrawn keys"});
+    history.key_changes.push_back({true, at(0s)});
+    EXPECT_EQ(broken_promises(history), promises{});
+}
+
+// Guards against a checker that misses requests that begin on replaced weights.
+TEST(promise_checker, finds_a_run_on_replaced_weights)
+{
+    auto history = good_history();
+    history.weights = {{2, at(-9s)}};
+    EXPECT_EQ(broken_promises(history), promises{"weights in force"});
+    history.weights = {{2, at(-7s)}};
+    EXPECT_EQ(broken_promises(history), promises{});
+}
+
+// Guards against a checker that misses two holders of the duty.
+TEST(promise_checker, finds_two_holders_of_one_fencing_token)
+{
+    auto history = good_history();
+    history.orders = {{"engine-0.0", "gateway-0#a", 3, 2, at(1s)},
+                      {"engine-1.0", "gateway-1#b", 3, 2, at(1s)}};
+    EXPECT_EQ(broken_promises(history), promises{"one holder of the duty"});
+}
+
+// Guards against a checker that takes a deployment for good that serves nothing.
+TEST(promise_checker, finds_processes_that_ended_and_a_deployment_that_serves_nothing)
+{
+    auto history = good_history();
+    history.exits = {{"gateway-1", -11}};
+    EXPECT_EQ(broken_promises(history), promises{"no process ends by itself"});
+    history = {};
+    EXPECT_EQ(broken_promises(history), promises{"serves again"});
+}
+
+} // namespace
+} // namespace savorymount::soak
--- a/tests/system/support/process.cpp
+++ b/tests/system/support/process.cpp
@@ -108,9 +108,10 @@
     return text.str();
 }
 
-void process::send_signal(int number) const
+bool process::send_signal(int number) const
 {
-    kill(pid_, number);
+    // kill(-1) would reach every process of this user.
+    return pid_ > 0 && kill(pid_, number) == 0;
 }
 
 int process::wait()
--- a/tests/system/support/process.hpp
+++ b/tests/system/support/process.hpp
@@ -23,7 +23,8 @@
     std::string wait_for_field(std::string const& marker, std::string const& key) const;
 
     std::string output() const;
-    void send_signal(int number) const;
+    /// False, and nothing is sent, once the end was waited for.
+    bool send_signal(int number) const;
 
     /// Waits for the end and returns the exit code, or minus the signal's number.
     int wait();
