Take changed settings while running, sample log lines by request, add metrics

Settings: SIGHUP, or a changed settings file, is read again; bounds, retries, the quota window, loads at once and log lines take effect, every difference is one line (setting_changed) with its values. Unreadable settings change nothing.

Log: all lines of a request are written or none. Above the log's room a share of the request ids is chosen, the same on every process; refusals and failures are always tried. Hops to other upstreams are written with the request's end.

Metrics: refusals by reason, sends and repeats, expected wait, prompt tokens read and kept, store answers and failures and age, instances, bucket levels, upstreams, versions, duty. request_log and gateway_metrics take this out of gateway.cpp.

--- a/libraries/savorymount/gateway/fleet_view.cpp
+++ b/libraries/savorymount/gateway/fleet_view.cpp
@@ -53,6 +53,15 @@
     return true;
 }
 
+void fleet_view::set_settings(base::time_point now, gateway_settings settings)
+{
+    settings_ = std::move(settings);
+    if (!deployment_)
+        return;
+    for (auto const& it : deployment_->data().workspaces)
+        buckets_.at(it.name).set_contract(now, contract_of(it, settings_.quota_window));
+}
+
 void fleet_view::upstream_listed(base::time_point now, membership::upstream_record record)
 {
     auto const id = record.id;
--- a/libraries/savorymount/gateway/fleet_view.hpp
+++ b/libraries/savorymount/gateway/fleet_view.hpp
@@ -84,7 +84,8 @@
     void tick(base::time_point now);
 
     gateway_settings const& settings() const { return settings_; }
-    void set_settings(gateway_settings settings) { settings_ = std::move(settings); }
+    /// Takes changed settings into use.
+    void set_settings(base::time_point now, gateway_settings settings);
 
 private:
     void take_use(base::time_point now, membership::peer_report const& report);
--- a/libraries/savorymount/gateway/flow_services.hpp
+++ b/libraries/savorymount/gateway/flow_services.hpp
@@ -8,7 +8,6 @@
 #include <savorymount/runtime/timer_service.hpp>
 
 #include <functional>
-#include <string>
 
 namespace savorymount::gateway
 {
@@ -23,10 +22,6 @@
     base::random_source& random;
     /// Called once when a request has ended.
     std::function<void(request_outcome const&)> ended;
-    /// Called when a request goes to another upstream; says why.
-    std::function<void(std::string const& id, std::string const& upstream,
-                       std::string const& reason)>
-        repeated;
 };
 
 } // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -2,7 +2,7 @@
 #include <savorymount/runtime/log_events.hpp>
 #include <savorymount/runtime/plugin_registry.hpp>
 
-#include <csignal>
+#include <cstdlib>
 #include <functional>
 #include <utility>
 
@@ -22,6 +22,13 @@
 constexpr base::duration drain_check_interval = 50ms;
 constexpr base::duration release_timeout = 200ms;
 constexpr base::duration announce_retry = 300ms;
+constexpr base::duration settings_check_interval = 1s;
+
+std::string settings_path()
+{
+    char const* const path = std::getenv(runtime::settings_file_variable);
+    return path == nullptr ? "" : path;
+}
 
 runtime::http_limits small_limits()
 {
@@ -31,16 +38,6 @@
     return out;
 }
 
-std::int64_t to_ms(base::duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
-double to_seconds(base::duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 } // namespace
 
 std::unique_ptr<gateway> gateway::make(gateway_settings const& settings, base::error& reason)
@@ -57,18 +54,16 @@
                  platform_port port)
     : loop_(std::move(loop)), timers_(*loop_), port_(std::move(port)),
       random_(std::hash<std::string>()(settings.instance + settings.incarnation)),
-      view_(settings, timers_.now()), pool_(*loop_, timers_),
-      flows_{timers_,
-             pool_,
-             view_,
-             port_,
-             random_,
-             [this](request_outcome const& it) { request_ended(it); },
-             [](std::string const& id, std::string const& upstream, std::string const& reason)
-             {
-                 runtime::log(events::request_repeated,
-                              {{"request", id}, {"upstream", upstream}, {"reason", reason}});
-             }},
+      view_(settings, timers_.now()), metrics_(view_), request_log_(settings.log_lines_per_second),
+      pool_(*loop_, timers_), flows_{timers_,
+                                     pool_,
+                                     view_,
+                                     port_,
+                                     random_,
+                                     [this](request_outcome const& it)
+                                     {
+                                         request_ended(it);
+                                     }},
       server_(*loop_, timers_,
               [this](auto client, runtime::http_request&& request)
               { handle(std::move(client), std::move(request)); }),
@@ -77,10 +72,12 @@
       peers_(*loop_, timers_, view_, [this](base::time_point now) { return duty_.loads(now); }),
       duty_(timers_, view_, port_, random_,
             {[this] { peers_.tell_loads(); },
-             [this](std::vector<member_record> const& it)
+             [this](std::vector<member_record> const& it) { peers_.take_members(it); },
+             [this](bool held)
              {
-                 peers_.take_members(it);
-             }})
+                 metrics_.duty_changed(held);
+             }}),
+      settings_file_(settings_path())
 {
 }
 
@@ -96,12 +93,9 @@
     if (!peers)
         return false;
     peer_address_ = *peers;
-    runtime::configure_log("savorymount-gateway",
-                           static_cast<double>(settings.log_lines_per_second));
+    configure_log(settings);
     loop_->on_termination([this] { leave(); });
-    // The signal says that the settings file has changed, which takes effect at the next start. Its
-    // default action would end the process.
-    std::signal(SIGHUP, SIG_IGN);
+    watch_settings();
     follow_platform();
     announce();
     duty_.start();
@@ -121,6 +115,51 @@
     runtime::log(events::stopped);
 }
 
+void gateway::follow_settings(settings_source source, runtime::parsed_settings const& in_force)
+{
+    settings_reload_.emplace(std::move(source), in_force);
+}
+
+void gateway::watch_settings()
+{
+    loop_->on_hang_up([this] { reload_settings(); });
+    settings_timer_ = timers_.every(settings_check_interval,
+                                    [this]
+                                    {
+                                        if (settings_file_.changed())
+                                            reload_settings();
+                                    });
+}
+
+void gateway::reload_settings()
+{
+    if (!settings_reload_)
+        return;
+    auto settings = view_.settings();
+    base::error reason;
+    auto const changes = settings_reload_->read(settings, reason);
+    if (!changes)
+    {
+        runtime::log(events::settings_unreadable, {{"reason", reason.message}});
+        return;
+    }
+    if (settings.log_lines_per_second != view_.settings().log_lines_per_second)
+        configure_log(settings);
+    view_.set_settings(timers_.now(), std::move(settings));
+    for (auto const& it : *changes)
+        runtime::log(events::setting_changed, {{"setting", it.name},
+                                               {"before", it.before},
+                                               {"after", it.after},
+                                               {"in_force", it.in_force ? "true" : "false"}});
+}
+
+void gateway::configure_log(gateway_settings const& settings)
+{
+    runtime::configure_log("savorymount-gateway",
+                           static_cast<double>(settings.log_lines_per_second));
+    request_log_.set_lines_per_second(settings.log_lines_per_second);
+}
+
 void gateway::follow_platform()
 {
     platform_news news;
@@ -131,6 +170,7 @@
     news.weights_named = [this](std::string const& model, std::uint64_t version)
     {
         view_.weights_named(timers_.now(), model, version);
+        metrics_.weights_named(model, version);
         runtime::log(events::weights_wanted, {{"model", model}, {"version", version}});
         duty_.advance();
     };
@@ -163,6 +203,7 @@
 void gateway::store_answered()
 {
     view_.store_answered(timers_.now());
+    metrics_.store_answered();
     if (!std::exchange(store_available_, true))
         runtime::log(events::log_available);
 }
@@ -170,6 +211,7 @@
 void gateway::store_failed(base::error const& reason)
 {
     view_.store_failed(timers_.now());
+    metrics_.store_failed();
     if (std::exchange(store_available_, false))
         runtime::log(events::log_unavailable, {{"reason", reason.message}});
 }
@@ -193,6 +235,7 @@
     if (!view_.adopt(timers_.now(), std::move(data)))
         return;
     server_.set_limits(limits);
+    metrics_.configuration_adopted(version);
     runtime::log(events::configuration_adopted, {{"version", version}});
     follow_cache_store();
 }
@@ -236,40 +279,8 @@
 
 void gateway::request_ended(request_outcome const& it)
 {
-    auto const end = std::string(to_string(it.end));
-    metrics_
-        .counter("savorymount_requests_total", "Requests by how they ended.",
-                 {{"end", end}, {"status", std::to_string(it.status)}, {"route", it.route}})
-        .add();
-    metrics_
-        .histogram("savorymount_request_seconds", "Time from arrival to the end of the answer.",
-                   {{"route", it.route}})
-        .record(to_seconds(it.total_time));
-    if (it.end == request_end::answered)
-        metrics_
-            .histogram("savorymount_first_byte_seconds", "Time to the first byte of the answer.",
-                       {{"route", it.route}})
-            .record(to_seconds(it.time_to_first_byte));
-    auto const& event = it.end == request_end::answered    ? events::request_answered
-                        : it.end == request_end::refused   ? events::request_refused
-                        : it.end == request_end::abandoned ? events::request_abandoned
-                                                           : events::request_failed;
-    runtime::log(event, {{"request", it.id},
-                         {"route", it.route},
-                         {"workspace", it.workspace},
-                         {"upstream", it.upstream},
-                         {"status", it.status},
-                         {"reason", it.reason},
-                         {"attempts", it.attempts},
-                         {"configuration", it.configuration_version},
-                         {"weights", it.weight_version},
-                         {"store_age_ms", to_ms(it.store_age)},
-                         {"expected_ms", to_ms(it.expected_wait)},
-                         {"upstream_running", static_cast<int>(it.upstream_running)},
-                         {"tokens", static_cast<std::int64_t>(it.tokens)},
-                         {"bucket_level", static_cast<std::int64_t>(it.bucket_level)},
-                         {"first_byte_ms", to_ms(it.time_to_first_byte)},
-                         {"total_ms", to_ms(it.total_time)}});
+    metrics_.request_ended(it);
+    request_log_.write(timers_.now(), it);
 }
 
 bool gateway::ready() const
@@ -285,7 +296,8 @@
 
 void gateway::answer_metrics(std::shared_ptr<runtime::http_exchange> const& exchange)
 {
-    exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.render());
+    exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                      metrics_.render(timers_.now()));
 }
 
 void gateway::leave()
--- a/libraries/savorymount/gateway/gateway.hpp
+++ b/libraries/savorymount/gateway/gateway.hpp
@@ -2,15 +2,17 @@
 
 #include <savorymount/base/random_source.hpp>
 #include <savorymount/gateway/fleet_view.hpp>
+#include <savorymount/gateway/gateway_metrics.hpp>
 #include <savorymount/gateway/gateway_settings.hpp>
 #include <savorymount/gateway/peer_exchange.hpp>
 #include <savorymount/gateway/platform_port.hpp>
 #include <savorymount/gateway/request_flow.hpp>
+#include <savorymount/gateway/request_log.hpp>
+#include <savorymount/gateway/settings_reload.hpp>
 #include <savorymount/gateway/weights_duty.hpp>
 #include <savorymount/runtime/event_loop.hpp>
 #include <savorymount/runtime/http_server.hpp>
 #include <savorymount/runtime/inbound_server.hpp>
-#include <savorymount/runtime/metrics.hpp>
 #include <savorymount/runtime/outbound_pool.hpp>
 #include <savorymount/runtime/timer_service.hpp>
 
@@ -30,6 +32,10 @@
     gateway(gateway_settings const& settings, std::unique_ptr<runtime::event_loop> loop,
             platform_port port);
 
+    /// Takes changed settings into use while the process runs, on SIGHUP and when the settings
+    /// file changes. Call it before `start`.
+    void follow_settings(settings_source source, runtime::parsed_settings const& in_force);
+
     /// Opens the ports and starts to follow the platform.
     bool start(base::error& reason);
 
@@ -37,6 +43,9 @@
     void run();
 
 private:
+    void watch_settings();
+    void reload_settings();
+    void configure_log(gateway_settings const& settings);
     void follow_platform();
     void announce();
     void adopt(configuration::deployment data);
@@ -57,7 +66,8 @@
     platform_port port_;
     base::random_source random_;
     fleet_view view_;
-    runtime::metrics metrics_;
+    gateway_metrics metrics_;
+    request_log request_log_;
     runtime::outbound_pool pool_;
     flow_services flows_;
     runtime::inbound_server server_;
@@ -71,6 +81,9 @@
     bool upstreams_known_ = false;
     std::optional<base::time_point> leaving_since_;
     bool idle_closed_ = false;
+    std::optional<settings_reload> settings_reload_;
+    settings_file_watch settings_file_;
+    runtime::timer_service::subscription settings_timer_;
     runtime::timer_service::subscription announce_timer_;
     runtime::timer_service::subscription drain_timer_;
 };
--- /dev/null
+++ b/libraries/savorymount/gateway/gateway_metrics.cpp
@@ -0,0 +1,194 @@
+#include <savorymount/gateway/gateway_metrics.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace savorymount::gateway
+{
+namespace
+{
+
+double to_seconds(base::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+std::uint64_t whole(double value)
+{
+    return static_cast<std::uint64_t>(std::max(value, 0.0));
+}
+
+} // namespace
+
+void gateway_metrics::request_ended(request_outcome const& it)
+{
+    count_request(it);
+    record_times(it);
+    if (it.prompt_tokens > 0)
+        count_prompt(it);
+}
+
+void gateway_metrics::count_request(request_outcome const& it)
+{
+    metrics_
+        .counter("savorymount_requests_total", "Requests by how they ended.",
+                 {{"end", std::string(to_string(it.end))},
+                  {"status", std::to_string(it.status)},
+                  {"route", it.route}})
+        .add();
+    if (it.refusal)
+        metrics_
+            .counter("savorymount_refusals_total", "Refused requests by the kind of the reason.",
+                     {{"reason", std::string(base::to_string(*it.refusal))}, {"route", it.route}})
+            .add();
+    metrics_
+        .counter("savorymount_upstream_sends_total", "Sends of requests to upstreams.",
+                 {{"service", it.service}})
+        .add(it.attempts);
+    metrics_
+        .counter("savorymount_upstream_repeats_total",
+                 "Sends of requests to upstreams beyond the first.", {{"service", it.service}})
+        .add(it.hops.size());
+}
+
+void gateway_metrics::record_times(request_outcome const& it)
+{
+    runtime::metric_labels const labels{{"route", it.route}};
+    metrics_
+        .histogram("savorymount_request_seconds", "Time from arrival to the end of the answer.",
+                   labels)
+        .record(to_seconds(it.total_time));
+    if (it.end != request_end::answered)
+        return;
+    metrics_
+        .histogram("savorymount_first_byte_seconds", "Time to the first byte of the answer.",
+                   labels)
+        .record(to_seconds(it.time_to_first_byte));
+    metrics_
+        .histogram("savorymount_expected_wait_seconds",
+                   "Wait at the upstream that was expected when it was chosen.", labels)
+        .record(to_seconds(it.expected_wait));
+}
+
+void gateway_metrics::count_prompt(request_outcome const& it)
+{
+    auto const count = [this](char const* source, double tokens)
+    {
+        metrics_
+            .counter("savorymount_prompt_tokens_total",
+                     "Prompt tokens by whether the engine has to read them or holds or fetches "
+                     "them.",
+                     {{"source", source}})
+            .add(whole(tokens));
+    };
+    count("read", it.read_tokens);
+    count("kept", it.prompt_tokens - it.read_tokens);
+}
+
+void gateway_metrics::store_answered()
+{
+    metrics_.counter("savorymount_store_answers_total", "Answers of the platform's store.").add();
+}
+
+void gateway_metrics::store_failed()
+{
+    metrics_.counter("savorymount_store_failures_total", "Failed calls to the platform's store.")
+        .add();
+}
+
+void gateway_metrics::configuration_adopted(std::uint64_t version)
+{
+    metrics_.gauge("savorymount_configuration_version", "Version of the configuration in force.")
+        .set(static_cast<double>(version));
+}
+
+void gateway_metrics::weights_named(std::string const& model, std::uint64_t version)
+{
+    metrics_
+        .gauge("savorymount_weights_wanted_version", "Newest weight version that was named.",
+               {{"model", model}})
+        .set(static_cast<double>(version));
+}
+
+void gateway_metrics::duty_changed(bool held)
+{
+    metrics_
+        .gauge("savorymount_duty_held", "1 while this instance holds the duty to order weights.")
+        .set(held ? 1 : 0);
+    metrics_
+        .counter("savorymount_duty_changes_total", "Changes of the duty to order weights.",
+                 {{"to", held ? "held" : "lost"}})
+        .add();
+}
+
+std::string gateway_metrics::render(base::time_point now)
+{
+    show_view(now);
+    show_upstreams(now);
+    return metrics_.render();
+}
+
+void gateway_metrics::show_view(base::time_point now)
+{
+    auto const age = view_.store_age(now).value_or(base::duration(-1));
+    metrics_
+        .gauge("savorymount_store_age_seconds",
+               "Age of the newest answer of the platform's store; negative before the first.")
+        .set(to_seconds(age));
+    auto& roster = view_.roster();
+    metrics_.gauge("savorymount_instances", "Known instances, this one included.")
+        .set(static_cast<double>(roster.instances()));
+    metrics_.gauge("savorymount_instances_silent", "Known instances that are not heard of.")
+        .set(static_cast<double>(roster.silent(now)));
+    if (!view_.deployment())
+        return;
+    for (auto const& it : view_.deployment()->data().workspaces)
+    {
+        if (auto* const bucket = view_.bucket(it.name))
+            metrics_
+                .gauge("savorymount_bucket_level_tokens",
+                       "Tokens that a workspace may use now; negative when too many were used.",
+                       {{"workspace", it.name}})
+                .set(bucket->level(now));
+    }
+}
+
+void gateway_metrics::show_upstreams(base::time_point now)
+{
+    // NOTE: A service without any upstream left goes on with the value 0.
+    struct count
+    {
+        std::size_t listed = 0;
+        std::size_t avoided = 0;
+        double running = 0;
+    };
+    std::map<std::string, count> counts;
+    if (view_.deployment())
+    {
+        for (auto const& [name, service] : view_.deployment()->data().services)
+            counts[name];
+    }
+    for (auto const& [id, state] : view_.upstreams().all())
+    {
+        auto& it = counts[state.record.service];
+        it.listed += 1;
+        it.avoided += now < state.avoid_until ? 1 : 0;
+        it.running += state.running(now);
+    }
+    for (auto const& [service, it] : counts)
+    {
+        runtime::metric_labels const labels{{"service", service}};
+        metrics_.gauge("savorymount_upstreams", "Listed upstreams.", labels)
+            .set(static_cast<double>(it.listed));
+        metrics_
+            .gauge("savorymount_upstreams_avoided", "Upstreams that get no new request for now.",
+                   labels)
+            .set(static_cast<double>(it.avoided));
+        metrics_
+            .gauge("savorymount_upstream_requests",
+                   "Requests that run or wait at upstreams, of all instances.", labels)
+            .set(it.running);
+    }
+}
+
+} // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/request_flow.cpp
+++ b/libraries/savorymount/gateway/request_flow.cpp
@@ -94,6 +94,8 @@
     outcome_.upstream = placed.upstream.id;
     outcome_.expected_wait = placed.expected_wait;
     outcome_.upstream_running = placed.upstream_running;
+    outcome_.prompt_tokens = request_.prompt ? request_.prompt->prompt_tokens : 0;
+    outcome_.read_tokens = placed.size.prefill_tokens;
     if (placed.call.engine)
         outcome_.weight_version = placed.call.engine->expected_version;
     ++outcome_.attempts;
@@ -250,7 +252,7 @@
     if (last != send_end::not_sent)
         services_.view.retries(service_).try_spend(services_.timers.now());
     tried_.insert(upstream);
-    services_.repeated(request_.id, upstream, reason);
+    outcome_.hops.push_back({upstream, reason, elapsed()});
     dispatch();
 }
 
@@ -295,6 +297,7 @@
     auto headers = text_headers();
     if (it.retry_after)
         headers.push_back({"Retry-After", seconds_text(*it.retry_after)});
+    outcome_.refusal = it.reason.kind;
     outcome_.tokens = it.tokens;
     outcome_.bucket_level = it.level;
     if (admitted_ && admitted_->tokens > 0)
--- /dev/null
+++ b/libraries/savorymount/gateway/request_log.cpp
@@ -0,0 +1,91 @@
+#include <savorymount/gateway/request_log.hpp>
+#include <savorymount/runtime/log_events.hpp>
+
+#include <chrono>
+
+namespace savorymount::gateway
+{
+namespace
+{
+
+namespace events = runtime::log_events;
+
+// Half of the lines are kept for refusals and failures; the rest is for requests and for what the
+// process believes.
+constexpr double sampled_part = 0.4;
+
+runtime::log_sampler make_sampler(std::size_t lines_per_second)
+{
+    return runtime::log_sampler(static_cast<double>(lines_per_second) * sampled_part);
+}
+
+std::int64_t to_ms(base::duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+runtime::log_event const& event_of(request_end end)
+{
+    switch (end)
+    {
+    case request_end::answered:
+        return events::request_answered;
+    case request_end::refused:
+        return events::request_refused;
+    case request_end::failed:
+        return events::request_failed;
+    case request_end::abandoned:
+        break;
+    }
+    return events::request_abandoned;
+}
+
+} // namespace
+
+std::vector<runtime::log_line> request_lines(request_outcome const& it)
+{
+    std::vector<runtime::log_line> out;
+    for (auto const& hop : it.hops)
+        out.push_back({&events::request_repeated,
+                       {{"request", it.id},
+                        {"upstream", hop.upstream},
+                        {"reason", hop.reason},
+                        {"at_ms", to_ms(hop.at)}}});
+    out.push_back({&event_of(it.end),
+                   {{"request", it.id},
+                    {"route", it.route},
+                    {"workspace", it.workspace},
+                    {"upstream", it.upstream},
+                    {"status", it.status},
+                    {"reason", it.reason},
+                    {"attempts", it.attempts},
+                    {"configuration", it.configuration_version},
+                    {"weights", it.weight_version},
+                    {"store_age_ms", to_ms(it.store_age)},
+                    {"expected_ms", to_ms(it.expected_wait)},
+                    {"upstream_running", static_cast<int>(it.upstream_running)},
+                    {"tokens", static_cast<std::int64_t>(it.tokens)},
+                    {"bucket_level", static_cast<std::int64_t>(it.bucket_level)},
+                    {"first_byte_ms", to_ms(it.time_to_first_byte)},
+                    {"total_ms", to_ms(it.total_time)}}});
+    return out;
+}
+
+request_log::request_log(std::size_t lines_per_second) : sampler_(make_sampler(lines_per_second)) {}
+
+void request_log::set_lines_per_second(std::size_t lines_per_second)
+{
+    sampler_ = make_sampler(lines_per_second);
+}
+
+void request_log::write(base::time_point now, request_outcome const& it)
+{
+    bool const chosen = sampler_.keep(now, it.id);
+    bool const important = it.end == request_end::refused || it.end == request_end::failed;
+    if (chosen || important)
+        runtime::log(request_lines(it));
+    else
+        runtime::note_lines_left_out(it.hops.size() + 1);
+}
+
+} // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/request_outcome.hpp
+++ b/libraries/savorymount/gateway/request_outcome.hpp
@@ -4,7 +4,10 @@
 #include <savorymount/base/time.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace savorymount::gateway
 {
@@ -24,6 +27,17 @@
 
 std::string_view to_string(request_end end);
 
+/// A send after which the request went to another upstream.
+struct request_hop
+{
+    std::string upstream;
+    std::string reason;
+    /// From the request's arrival.
+    base::duration at{};
+
+    bool operator==(request_hop const&) const = default;
+};
+
 /// What one request came to, for the log and the metrics.
 struct request_outcome
 {
@@ -36,7 +50,10 @@
     int status = 0;
     /// Why it was refused or failed; empty for an answer.
     std::string reason;
+    /// Kind of the reason of a refusal.
+    std::optional<base::error_kind> refusal;
     std::uint32_t attempts = 0;
+    std::vector<request_hop> hops;
     std::uint64_t configuration_version = 0;
     std::uint64_t weight_version = 0;
     /// Age of the newest answer of the platform's store; negative when there was none.
@@ -47,6 +64,9 @@
     base::duration expected_wait{};
     /// Requests that ran or waited at the upstream when it was chosen.
     double upstream_running = 0;
+    /// Prompt tokens of the last send, and how many of them the engine has to read.
+    double prompt_tokens = 0;
+    double read_tokens = 0;
     /// Tokens that a request above its workspace's rate asked for, and the bucket's level then.
     double tokens = 0;
     double bucket_level = 0;
--- a/libraries/savorymount/gateway/weights_duty.cpp
+++ b/libraries/savorymount/gateway/weights_duty.cpp
@@ -107,6 +107,7 @@
         return;
     holding_ = fence.has_value();
     rollout_.reset();
+    hooks_.duty_changed(holding_);
     if (holding_)
         runtime::log(events::duty_acquired, {{"duty", "weights"}, {"fence", *fence}});
     else
--- a/libraries/savorymount/gateway/weights_duty.hpp
+++ b/libraries/savorymount/gateway/weights_duty.hpp
@@ -21,6 +21,8 @@
     std::function<void()> loads_changed;
     /// The platform's store named the members of the deployment.
     std::function<void(std::vector<member_record> const&)> members;
+    /// The duty came to this instance or left it.
+    std::function<void(bool held)> duty_changed;
 };
 
 /// Takes part in the duty to order weight versions: competes for its lease and, while it holds it,
--- a/libraries/savorymount/runtime/daemon.hpp
+++ b/libraries/savorymount/runtime/daemon.hpp
@@ -46,6 +46,14 @@
     }
     configure_log(program);
     auto const daemon = Daemon::make(*settings, reason);
+    // The parser outlives the daemon.
+    if constexpr (requires { daemon->follow_settings({}, *values); })
+    {
+        if (daemon)
+            daemon->follow_settings([&parser, argc, argv](base::error& why)
+                                    { return parser.parse(argc, argv, why); },
+                                    *values);
+    }
     if (!daemon || !daemon->start(reason))
     {
         std::cerr << program << ": " << reason.message << "\n";
--- a/libraries/savorymount/runtime/event_loop.cpp
+++ b/libraries/savorymount/runtime/event_loop.cpp
@@ -84,16 +84,23 @@
 void event_loop::on_termination(std::function<void()> hook)
 {
     termination_hook_ = std::move(hook);
-    int const numbers[] = {SIGTERM, SIGINT};
-    for (std::size_t i = 0; i < 2; ++i)
-    {
-        signal_events_[i] = evsignal_new(
-            base_, numbers[i],
-            [](evutil_socket_t, short, void* self)
-            { static_cast<event_loop*>(self)->termination_hook_(); },
-            this);
-        event_add(signal_events_[i], nullptr);
-    }
+    for (int const number : {SIGTERM, SIGINT})
+        watch_signal(number, [](evutil_socket_t, short, void* self)
+                     { static_cast<event_loop*>(self)->termination_hook_(); });
+}
+
+void event_loop::on_hang_up(std::function<void()> hook)
+{
+    hang_up_hook_ = std::move(hook);
+    watch_signal(SIGHUP, [](evutil_socket_t, short, void* self)
+                 { static_cast<event_loop*>(self)->hang_up_hook_(); });
+}
+
+void event_loop::watch_signal(int number, event_callback_fn callback)
+{
+    auto* const it = evsignal_new(base_, number, callback, this);
+    event_add(it, nullptr);
+    signal_events_.push_back(it);
 }
 
 void event_loop::detach(kj::Promise<void>&& promise)
--- a/libraries/savorymount/runtime/event_loop.hpp
+++ b/libraries/savorymount/runtime/event_loop.hpp
@@ -6,6 +6,7 @@
 #include <kj/async.h>
 
 #include <functional>
+#include <vector>
 
 namespace savorymount::runtime
 {
@@ -39,6 +40,9 @@
     /// Calls `hook` on SIGTERM and SIGINT; ignores SIGPIPE.
     void on_termination(std::function<void()> hook);
 
+    /// Calls `hook` on SIGHUP.
+    void on_hang_up(std::function<void()> hook);
+
     /// Lets `promise` run to its end; errors are dropped, so handle them in the promise.
     void detach(kj::Promise<void>&& promise);
 
@@ -48,12 +52,14 @@
     void setRunnable(bool runnable) override;
     void taskFailed(kj::Exception&& exception) override;
 
+    void watch_signal(int number, event_callback_fn callback);
     static void run_kj(evutil_socket_t, short, void* self);
 
     event_base* base_;
     event* kj_event_;
-    event* signal_events_[2] = {nullptr, nullptr};
+    std::vector<event*> signal_events_;
     std::function<void()> termination_hook_;
+    std::function<void()> hang_up_hook_;
     kj::EventLoop kj_loop_;
     kj::WaitScope wait_scope_;
     kj::Own<kj::TaskSet> tasks_;
--- a/libraries/savorymount/runtime/log_budget.cpp
+++ b/libraries/savorymount/runtime/log_budget.cpp
@@ -16,20 +16,21 @@
 
 } // namespace
 
-bool log_budget::admit(base::time_point now, bool important)
+bool log_budget::admit(base::time_point now, bool important, std::uint64_t lines)
 {
     if (lines_per_second_ <= 0)
         return true;
     auto const passed = std::chrono::duration<double>(now - refilled_at_).count();
     level_ = std::min(level_ + passed * lines_per_second_, lines_per_second_);
     refilled_at_ = now;
-    auto const least = important ? 1.0 : lines_per_second_ * reserved_part + 1;
+    auto const wanted = static_cast<double>(lines);
+    auto const least = important ? wanted : lines_per_second_ * reserved_part + wanted;
     if (level_ < least)
     {
-        ++dropped_;
+        dropped_ += lines;
         return false;
     }
-    level_ -= 1;
+    level_ -= wanted;
     return true;
 }
 
--- a/libraries/savorymount/runtime/log_budget.hpp
+++ b/libraries/savorymount/runtime/log_budget.hpp
@@ -18,11 +18,11 @@
     {
     }
 
-    /// Whether a line may be written now.
-    bool admit(base::time_point now, bool important);
+    /// Whether `lines` may be written now; all of them or none.
+    bool admit(base::time_point now, bool important, std::uint64_t lines = 1);
 
-    /// The reader of the log does not take a line that was admitted.
-    void not_taken() { ++dropped_; }
+    /// Counts lines that were not written for another reason.
+    void left_out(std::uint64_t lines) { dropped_ += lines; }
 
     /// Lines dropped since the last call, at most once a second; zero when there is nothing to
     /// tell.
--- a/libraries/savorymount/runtime/log_event.cpp
+++ b/libraries/savorymount/runtime/log_event.cpp
@@ -4,6 +4,7 @@
 
 #include <easylogging++.h>
 
+#include <algorithm>
 #include <chrono>
 #include <unistd.h>
 
@@ -83,18 +84,32 @@
 }
 
 void log(log_event const& event, std::vector<log_field> const& fields)
+{
+    log(std::vector<log_line>{{&event, fields}});
+}
+
+void log(std::vector<log_line> const& lines)
 {
     auto const now = log_time();
-    if (!budget().admit(now, event.level != log_level::info))
+    bool const important =
+        std::any_of(lines.begin(), lines.end(),
+                    [](log_line const& it) { return it.event->level != log_level::info; });
+    if (!budget().admit(now, important, lines.size()))
         return;
     if (!takes_a_line(STDOUT_FILENO))
     {
-        budget().not_taken();
+        budget().left_out(lines.size());
         return;
     }
     if (auto const dropped = budget().take_dropped(now))
         write_line(log_events::log_lines_dropped, {{"lines", dropped}});
-    write_line(event, fields);
+    for (auto const& it : lines)
+        write_line(*it.event, it.fields);
+}
+
+void note_lines_left_out(std::uint64_t lines)
+{
+    budget().left_out(lines);
 }
 
 } // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/log_event.hpp
+++ b/libraries/savorymount/runtime/log_event.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +41,13 @@
     }
 };
 
+/// One line that is not written yet.
+struct log_line
+{
+    log_event const* event = nullptr;
+    std::vector<log_field> fields;
+};
+
 /// Sends log lines to standard output, one line each; no log file is written. At most
 /// `lines_per_second` are written, zero means no bound.
 void configure_log(std::string_view program, double lines_per_second = 0);
@@ -49,4 +57,10 @@
 /// counted.
 void log(log_event const& event, std::vector<log_field> const& fields = {});
 
+/// Writes all lines or none; they count as important if one of them is a warning or an error.
+void log(std::vector<log_line> const& lines);
+
+/// Counts lines that are left out on purpose.
+void note_lines_left_out(std::uint64_t lines);
+
 } // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -17,6 +17,12 @@
 inline constexpr log_event log_lines_dropped{
     104, log_level::warning, "log_lines_dropped",
     "Lines were dropped since the last one of these: above the budget, or not read."};
+inline constexpr log_event setting_changed{
+    105, log_level::info, "setting_changed",
+    "A setting differs from the one in force; shows whether it takes effect now."};
+inline constexpr log_event settings_unreadable{
+    106, log_level::warning, "settings_unreadable",
+    "The changed settings can't be read; those in force are kept."};
 inline constexpr log_event configuration_adopted{200, log_level::info, "configuration_adopted",
                                                  "A newer configuration version is in force here."};
 inline constexpr log_event configuration_rejected{
@@ -105,6 +111,8 @@
                                 stopped,
                                 settings_rejected,
                                 log_lines_dropped,
+                                setting_changed,
+                                settings_unreadable,
                                 configuration_adopted,
                                 configuration_rejected,
                                 snapshot_appended,
--- /dev/null
+++ b/tests/libraries/gateway/settings_reload_test.cpp
@@ -0,0 +1,85 @@
+#include <savorymount/gateway/settings_reload.hpp>
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace savorymount::gateway
+{
+namespace
+{
+
+runtime::parsed_settings parsed(std::map<std::string, std::string> const& flags)
+{
+    runtime::settings_parser parser("gateway");
+    declare_gateway_settings(parser);
+    std::vector<std::string> words{"gateway"};
+    for (auto const& [name, value] : flags)
+        words.push_back("--" + name + "=" + value);
+    for (char const* it : {"instance=one", "data-centre=liege", "http-listen=127.0.0.1:0",
+                           "ready-listen=127.0.0.1:0", "metrics-listen=127.0.0.1:0",
+                           "peer-listen=127.0.0.1:0", "store-address=127.0.0.1:1"})
+        words.push_back(std::string("--") + it);
+    std::vector<char const*> argv;
+    for (auto const& it : words)
+        argv.push_back(it.c_str());
+    base::error reason;
+    auto const out = parser.parse(static_cast<int>(argv.size()), argv.data(), reason);
+    EXPECT_TRUE(out) << reason.message;
+    return *out;
+}
+
+gateway_settings settings_of(runtime::parsed_settings const& values)
+{
+    base::error reason;
+    return *parse_gateway_settings(values, reason);
+}
+
+// Guards against a changed bound that waits for the next start, and against a change that nobody
+// hears of.
+TEST(settings_reload, takes_what_may_change_and_names_every_difference)
+{
+    auto const before = parsed({{"retry-ratio", "0.2"}, {"lease-ms", "3000"}});
+    auto const after = parsed({{"retry-ratio", "0.3"}, {"lease-ms", "4000"}});
+    settings_reload reload([&](base::error&) { return after; }, before);
+    auto settings = settings_of(before);
+    base::error reason;
+    auto const changes = reload.read(settings, reason);
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(*changes, (std::vector<setting_change>{{"lease-ms", "3000", "4000", false},
+                                                     {"retry-ratio", "0.2", "0.3", true}}));
+    EXPECT_EQ(settings.retries.ratio, 0.3);
+    EXPECT_EQ(settings.lease, std::chrono::seconds(3));
+    // What is in force is told once; what waits for a start is told again.
+    EXPECT_EQ(reload.read(settings, reason)->size(), 1U);
+}
+
+// Guards against a file that is half written or wrong and takes settings away.
+TEST(settings_reload, keeps_everything_if_the_settings_are_wrong)
+{
+    auto const before = parsed({});
+    settings_reload reload([&](base::error&) { return parsed({{"grace-s", "none"}}); }, before);
+    auto settings = settings_of(before);
+    base::error reason;
+    EXPECT_FALSE(reload.read(settings, reason));
+    EXPECT_NE(reason.message.find("grace-s"), std::string::npos);
+    EXPECT_EQ(settings.grace, settings_of(before).grace);
+}
+
+// Guards against a change without a signal that nobody sees.
+TEST(settings_file_watch, sees_a_file_that_was_written)
+{
+    auto const path = testing::TempDir() + "savorymount-settings-watch";
+    std::ofstream(path) << "a";
+    settings_file_watch watch(path);
+    EXPECT_FALSE(watch.changed());
+    std::ofstream(path) << "b";
+    EXPECT_TRUE(watch.changed());
+    EXPECT_FALSE(watch.changed());
+    std::remove(path.c_str());
+    EXPECT_FALSE(watch.changed());
+}
+
+} // namespace
+} // namespace savorymount::gateway
