--- a/utilities/savorymountctl/command_line.cpp
+++ b/utilities/savorymountctl/command_line.cpp
@@ -28,6 +28,8 @@
         .add("list-address", "", "IP:port of the platform's instance list")
         .add("log-plugin", "http", "plug-in for the platform's log")
         .add("list-plugin", "http", "plug-in for the platform's instance list")
+        .add("store-address", "", "IP:port of the metadata store of the users' platform")
+        .add("platform-plugin", "users-platform", "adapter to the users' platform")
         .add("operator", login_name(), "name in the audit trail")
         .add("base", "", "version that diff showed; empty: the version in force");
     return out;
@@ -73,6 +75,10 @@
            "  key grant WORKSPACE   add a key to a contract and print it once\n"
            "  key withdraw KEY_ID   remove a key from its contract\n"
            "  status                ask every instance for its state\n"
+           "  status --store-address IP:PORT\n"
+           "                        show what the store of the users' platform holds\n"
+           "  explain REQUEST-ID FILE...\n"
+           "                        show what the logs of several processes tell of a request\n"
            "  audit                 list the changes in the log with their verdicts\n"
            "\n"
            "Exit codes: 0 success; 1 refused, lost the race or unreachable; 2 wrong usage;\n"
--- a/utilities/savorymountctl/operator_commands.cpp
+++ b/utilities/savorymountctl/operator_commands.cpp
@@ -1,7 +1,9 @@
 #include "utilities/savorymountctl/operator_commands.hpp"
 
 #include "utilities/savorymountctl/document_folder.hpp"
+#include "utilities/savorymountctl/request_explanation.hpp"
 #include "utilities/savorymountctl/text_table.hpp"
+#include "utilities/savorymountctl/users_platform_status.hpp"
 #include <savorymount/base/digest.hpp>
 #include <savorymount/configuration/caller_key.hpp>
 #include <savorymount/configuration/schema.hpp>
@@ -119,7 +121,9 @@
     if (it.size() == 3 && it[0] == "key" && it[1] == "withdraw")
         return withdraw(it[2]);
     if (it.size() == 1 && it[0] == "status")
-        return status();
+        return setting("store-address").empty() ? status() : users_platform_status();
+    if (it.size() >= 3 && it[0] == "explain")
+        return explain_request();
     if (it.size() == 1 && it[0] == "audit")
         return audit();
     return fail(exit_code::wrong_usage, "unknown command or wrong number of operands; see "
@@ -252,6 +256,37 @@
     return exit_code::success;
 }
 
+exit_code operator_commands::users_platform_status()
+{
+    base::error reason;
+    auto const store = runtime::parse_address("store-address", setting("store-address"), reason);
+    if (!store)
+        return fail(exit_code::wrong_usage, reason.message);
+    auto const status =
+        read_users_platform(client_.loop(), setting("platform-plugin"), *store, reason);
+    if (!status)
+        return fail(exit_code::failure, reason.message);
+    out_ << to_text(*status);
+    return exit_code::success;
+}
+
+exit_code operator_commands::explain_request()
+{
+    auto const& request = line_.operands[1];
+    std::vector<std::vector<logged_line>> files;
+    for (std::size_t i = 2; i < line_.operands.size(); ++i)
+    {
+        base::error reason;
+        auto lines = read_log_file(line_.operands[i], reason);
+        if (!lines)
+            return fail(exit_code::failure, reason.message);
+        files.push_back(std::move(*lines));
+    }
+    auto const explanation = control::explain_request(request, files);
+    out_ << to_text(request, explanation);
+    return explanation.own.empty() ? exit_code::failure : exit_code::success;
+}
+
 exit_code operator_commands::audit()
 {
     base::error reason;
--- a/utilities/savorymountctl/operator_commands.hpp
+++ b/utilities/savorymountctl/operator_commands.hpp
@@ -29,6 +29,8 @@
     exit_code grant(std::string const& workspace);
     exit_code withdraw(std::string const& key_id);
     exit_code status();
+    exit_code users_platform_status();
+    exit_code explain_request();
     exit_code audit();
 
     std::optional<configuration::documents> read_valid(std::string const& folder, exit_code& code);
--- a/utilities/savorymountctl/platform_client.hpp
+++ b/utilities/savorymountctl/platform_client.hpp
@@ -51,6 +51,8 @@
 
     void wait(base::duration delay);
 
+    runtime::event_loop& loop() { return *loop_; }
+
     std::int64_t unix_milliseconds() const { return loop_->unix_milliseconds(); }
 
 private:
