--- a/libraries/savorymount/routing/part_locations.cpp
+++ b/libraries/savorymount/routing/part_locations.cpp
@@ -16,8 +16,6 @@
 constexpr base::duration store_retry = 2500ms;
 // Part of the lifetime after which a sighting is told again.
 constexpr base::duration telling_interval = 4s;
-// An engine can't pass on a part that it is still reading.
-constexpr base::duration reading_time = 200ms;
 constexpr std::size_t most_digests = 20'000;
 constexpr std::size_t most_stored_parts = 200'000;
 
@@ -48,17 +46,12 @@
         order_.push_back(digest);
     auto& all = it->second;
     bool known = false;
-    auto first_at = now;
     for (auto const& old : all)
-    {
-        if (old.engine != engine || !valid(now, old))
-            continue;
-        known = known || now - old.at < telling_interval;
-        first_at = std::min(first_at, old.first_at);
-    }
+        known =
+            known || (old.engine == engine && valid(now, old) && now - old.at < telling_interval);
     std::erase_if(all,
                   [&](sighting const& old) { return old.engine == engine || !valid(now, old); });
-    all.push_back({engine, epoch_of(engine), now, first_at});
+    all.push_back({engine, epoch_of(engine), now});
     while (order_.size() > most_digests)
     {
         sightings_.erase(order_.front());
@@ -86,7 +79,7 @@
         return best;
     for (auto const& it : first->second)
     {
-        if (it.engine == except || now - it.first_at < reading_time)
+        if (it.engine == except)
             continue;
         auto const held = held_by(now, digests, it.engine);
         if (held > 0 && (!best || held >= best->parts))
--- a/libraries/savorymount/routing/part_locations.hpp
+++ b/libraries/savorymount/routing/part_locations.hpp
@@ -66,8 +66,6 @@
         std::string engine;
         std::uint64_t epoch = 0;
         base::time_point at{};
-        /// When the engine was first sent the part.
-        base::time_point first_at{};
     };
 
     std::uint64_t epoch_of(std::string const& engine) const;
