Read the list of upstreams as often as the drain bound needs

Ruled out: fewer reads by a long poll, since upstreams write all the time. Change: the pause is 0.35 of drainMs, 0.45 with more than 8 instances, at most 1.4 s.

--- a/libraries/savorymount/gateway/fleet_view.cpp
+++ b/libraries/savorymount/gateway/fleet_view.cpp
@@ -20,6 +20,13 @@
 // How long a crash is told to the other instances, so that a lost datagram does not matter.
 constexpr base::duration crash_telling = 3s;
 constexpr double burst_after_restart = 0.3;
+// Parts of the time in which a leaving upstream must be known. Many instances read less often,
+// since their calls add up at the store.
+constexpr double list_interval_part = 0.35;
+constexpr double longer_list_interval_part = 0.45;
+constexpr std::size_t few_instances = 8;
+// The store must be heard of often enough to count as fresh.
+constexpr base::duration longest_list_interval = 1400ms;
 // Instances that share the slack of the retries at least, until all of them are known.
 constexpr std::size_t least_instances = 4;
 
@@ -190,6 +197,14 @@
     return out;
 }
 
+base::duration fleet_view::list_interval() const
+{
+    auto const part =
+        roster_.instances() > few_instances ? longer_list_interval_part : list_interval_part;
+    return std::min(std::chrono::duration_cast<base::duration>(settings_.drain_bound * part),
+                    longest_list_interval);
+}
+
 void fleet_view::tick(base::time_point now)
 {
     roster_.expire(now);
--- a/libraries/savorymount/gateway/fleet_view.hpp
+++ b/libraries/savorymount/gateway/fleet_view.hpp
@@ -83,6 +83,9 @@
     /// Lets what depends on time and on the number of instances follow.
     void tick(base::time_point now);
 
+    /// Pause between two reads of the list of upstreams.
+    base::duration list_interval() const;
+
     gateway_settings const& settings() const { return settings_; }
     /// Takes changed settings into use.
     void set_settings(base::time_point now, gateway_settings settings);
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -197,7 +197,7 @@
     {
         store_failed(it);
     };
-    port_.follow(std::move(news));
+    port_.follow(std::move(news), [this] { return view_.list_interval(); });
 }
 
 void gateway::store_answered()
--- a/libraries/savorymount/gateway/gateway_settings.cpp
+++ b/libraries/savorymount/gateway/gateway_settings.cpp
@@ -85,6 +85,7 @@
         .add("grace-s", "8", "seconds between SIGTERM and SIGKILL")
         .add("lease-ms", "3000", "lease of the duty to order weights, milliseconds")
         .add("version-ms", "8000", "longest start on older weights, milliseconds")
+        .add("drain-ms", "2000", "longest time of new requests to a leaving upstream, milliseconds")
         .add("retry-ratio", "0.2", "repeats per request, over all instances")
         .add("retry-slack", "50", "repeats per window whatever the load, over all instances")
         .add("retry-window-s", "10", "window of the two settings above, seconds")
@@ -115,6 +116,7 @@
         static_cast<std::int64_t>(std::llround(in.decimal("grace-s", 1, 600) * 1000)));
     out.lease = in.milliseconds("lease-ms");
     out.version_bound = in.milliseconds("version-ms");
+    out.drain_bound = in.milliseconds("drain-ms");
     out.retries.ratio = in.decimal("retry-ratio", 0, 10);
     out.retries.slack = in.decimal("retry-slack", 0, 1'000'000);
     out.retries.window = std::chrono::milliseconds(
--- a/libraries/savorymount/gateway/gateway_settings.hpp
+++ b/libraries/savorymount/gateway/gateway_settings.hpp
@@ -32,6 +32,8 @@
     base::duration lease{};
     /// Longest time that requests may begin on older weights.
     base::duration version_bound{};
+    /// Longest time that an upstream which leaves may get new requests.
+    base::duration drain_bound{};
     retries::retry_bounds retries;
     /// Interval over which a workspace's rate and burst are counted; 0 means every interval.
     base::duration quota_window{};
--- a/libraries/savorymount/gateway/platform_port.hpp
+++ b/libraries/savorymount/gateway/platform_port.hpp
@@ -67,8 +67,9 @@
 /// The users' platform as the gateway sees it. Filled in by a plug-in.
 struct platform_port
 {
-    /// Starts to follow configuration, weight versions and upstreams.
-    std::function<void(platform_news)> follow;
+    /// Starts to follow configuration, weight versions and upstreams. `list_interval` tells how
+    /// long the next read of the upstreams waits.
+    std::function<void(platform_news, std::function<base::duration()> list_interval)> follow;
 
     std::function<void(std::function<void(std::optional<duty_page>)>)> read_duties;
     std::function<void(orders::lease_append const&,
--- a/libraries/savorymount/gateway/settings_reload.cpp
+++ b/libraries/savorymount/gateway/settings_reload.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 8> changeable{
-    "grace-s",        "version-ms",     "retry-ratio",     "retry-slack",
+constexpr std::array<std::string_view, 9> changeable{
+    "grace-s",        "drain-ms",       "version-ms",      "retry-ratio", "retry-slack",
     "retry-window-s", "quota-window-s", "loading-at-once", "log-lines"};
 
 bool may_change(std::string const& name)
@@ -25,6 +25,7 @@
 {
     settings.grace = read.grace;
     settings.version_bound = read.version_bound;
+    settings.drain_bound = read.drain_bound;
     settings.retries = read.retries;
     settings.quota_window = read.quota_window;
     settings.loading_at_once = read.loading_at_once;
--- a/tests/libraries/gateway/fleet_view_test.cpp
+++ b/tests/libraries/gateway/fleet_view_test.cpp
@@ -58,5 +58,24 @@
     EXPECT_EQ(view.parts().held_by(at(2500ms), parts, "engine-1"), 2U);
 }
 
+// Guards against a list that is read too seldom for the time in which a leaving upstream must be
+// known, and against a store that seems stale between two reads.
+TEST(fleet_view, reads_the_list_within_the_drain_time)
+{
+    gateway_settings settings;
+    for (auto const bound : {1s, 2s, 3s, 60s})
+    {
+        settings.drain_bound = bound;
+        fleet_view view(settings, at(0s));
+        EXPECT_LE(view.list_interval(), bound / 2);
+        EXPECT_LE(view.list_interval(), 1400ms);
+        auto const alone = view.list_interval();
+        for (int i = 0; i < 20; ++i)
+            view.roster().announced(at(0s), "gateway-" + std::to_string(i), "1", "127.0.0.1:1");
+        EXPECT_GE(view.list_interval(), alone);
+        EXPECT_LE(view.list_interval(), bound / 2);
+    }
+}
+
 } // namespace
 } // namespace savorymount::gateway
--- a/utilities/savorymountctl/users_platform_status.cpp
+++ b/utilities/savorymountctl/users_platform_status.cpp
@@ -17,6 +17,7 @@
 // Without news for this long everything that the store holds has been read.
 constexpr base::duration quiet_time = 500ms;
 constexpr base::duration check_interval = 20ms;
+constexpr base::duration list_interval = 100ms;
 
 /// Follows the store until nothing new comes.
 class store_reader
@@ -30,7 +31,7 @@
 
     std::optional<users_platform_status> read(base::error& reason)
     {
-        port_.follow(make_news());
+        port_.follow(make_news(), [] { return list_interval; });
         port_.read_duties(
             [this](std::optional<gateway::duty_page> page)
             {
