--- a/tests/libraries/gateway/fleet_view_test.cpp
+++ b/tests/libraries/gateway/fleet_view_test.cpp
@@ -63,7 +63,7 @@
 TEST(fleet_view, reads_the_list_within_the_drain_time)
 {
     gateway_settings settings;
-    for (auto const bound : {1s, 2s, 3s, 60s})
+    for (base::duration const bound : {1s, 2s, 3s, 60s})
     {
         settings.drain_bound = bound;
         fleet_view view(settings, at(0s));
