Read the duty's topic seldom while its holder is heard of

Cause: every instance read the topic of the duty every 1.0 to 1.2 s only to see whether the holder had renewed; on the grown sites that was a quarter of all calls to the store. Ruled out: waiting reads, since each renewal would answer all of them. Change: the holder tells the offset of its record with its reports. While it is heard, the others read every 4 s, for new members. Once it is silent they read as before; a record that was told of counts from the telling, which is after the log took it, so a successor comes no later and never too early.

Test: duty_lease counts_a_record_from_when_it_was_told; the generated histories tell offsets between processes.

--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -69,7 +69,13 @@
               { handle(std::move(client), std::move(request)); }),
       ready_server_(*loop_, small_limits(), [this](auto it) { answer_readiness(it); }),
       metrics_server_(*loop_, small_limits(), [this](auto it) { answer_metrics(it); }),
-      peers_(*loop_, timers_, view_, [this](base::time_point now) { return duty_.loads(now); }),
+      peers_(*loop_, timers_, view_,
+             {[this](base::time_point now) { return duty_.loads(now); },
+              [this](base::time_point now) { return duty_.held_offset(now); },
+              [this](base::time_point now, std::uint64_t offset)
+              {
+                  duty_.told(now, offset);
+              }}),
       duty_(timers_, view_, port_, random_,
             {[this] { peers_.tell_loads(); },
              [this](std::vector<member_record> const& it) { peers_.take_members(it); },
--- a/libraries/savorymount/gateway/peer_exchange.cpp
+++ b/libraries/savorymount/gateway/peer_exchange.cpp
@@ -16,8 +16,8 @@
 } // namespace
 
 peer_exchange::peer_exchange(runtime::event_loop& loop, runtime::timer_service& timers,
-                             fleet_view& view, loads_source loads)
-    : timers_(timers), view_(view), loads_(std::move(loads)),
+                             fleet_view& view, exchange_hooks hooks)
+    : timers_(timers), view_(view), hooks_(std::move(hooks)),
       socket_(loop, [this](std::string_view bytes) { receive(bytes); })
 {
 }
@@ -71,7 +71,8 @@
 void peer_exchange::send(membership::peer_report report)
 {
     report.address = to_string(address_);
-    report.loads = loads_(timers_.now());
+    report.loads = hooks_.loads(timers_.now());
+    report.duty_offset = hooks_.duty_offset(timers_.now());
     auto const bytes = encode_peer_report(report);
     base::error ignored;
     for (auto const& [instance, peer] : view_.roster().peers())
@@ -90,7 +91,10 @@
         runtime::log(runtime::log_events::peer_rejected, {{"reason", "malformed report"}});
         return;
     }
-    view_.take_report(timers_.now(), *report);
+    auto const now = timers_.now();
+    view_.take_report(now, *report);
+    if (report->duty_offset && report->instance != view_.settings().instance)
+        hooks_.duty_told(now, *report->duty_offset);
 }
 
 } // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/peer_exchange.hpp
+++ b/libraries/savorymount/gateway/peer_exchange.hpp
@@ -13,14 +13,22 @@
 namespace savorymount::gateway
 {
 
+/// What the exchange asks of the duty to order weights, and tells it.
+struct exchange_hooks
+{
+    std::function<std::vector<membership::weight_load>(base::time_point)> loads;
+    /// The offset of the record by which this instance holds the duty.
+    std::function<std::optional<std::uint64_t>(base::time_point)> duty_offset;
+    /// Another instance holds the duty by the record at this offset.
+    std::function<void(base::time_point, std::uint64_t)> duty_told;
+};
+
 /// Tells the other instances what they have to know of this one, and hears what they tell.
 class peer_exchange
 {
 public:
-    using loads_source = std::function<std::vector<membership::weight_load>(base::time_point)>;
-
     peer_exchange(runtime::event_loop& loop, runtime::timer_service& timers, fleet_view& view,
-                  loads_source loads);
+                  exchange_hooks hooks);
 
     /// Opens the socket and returns its address.
     std::optional<runtime::network_address> start(base::error& reason);
@@ -40,7 +48,7 @@
 
     runtime::timer_service& timers_;
     fleet_view& view_;
-    loads_source loads_;
+    exchange_hooks hooks_;
     runtime::datagram_socket socket_;
     runtime::network_address address_;
     std::uint64_t sequence_ = 0;
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -98,6 +98,8 @@
     out.partial = in.getPartial();
     out.uptime = std::chrono::milliseconds(in.getUptimeMilliseconds());
     out.sequence = in.getSequence();
+    if (in.getHoldsDuty())
+        out.duty_offset = in.getDutyOffset();
     for (auto const it : in.getAdmitted())
         out.admitted[it.getWorkspace().cStr()] = it.getTokens();
     for (auto const it : in.getUse())
@@ -129,6 +131,8 @@
     root.setPartial(report.partial);
     root.setUptimeMilliseconds(static_cast<std::uint64_t>(report.uptime.count()));
     root.setSequence(report.sequence);
+    root.setHoldsDuty(report.duty_offset.has_value());
+    root.setDutyOffset(report.duty_offset.value_or(0));
     write_admitted(root, report);
     write_use(root, report);
     write_loads(root, report);
--- a/libraries/savorymount/gateway/weights_duty.cpp
+++ b/libraries/savorymount/gateway/weights_duty.cpp
@@ -14,9 +14,14 @@
 
 constexpr base::duration read_interval = 1000ms;
 constexpr std::uint64_t read_jitter_ms = 200;
+// While the holder of the duty is heard of, the others read only for new members.
+constexpr base::duration longest_read_interval = 4s;
+// Reports of the holder that may be lost before it counts as silent.
+constexpr int lost_reports = 2;
 // How long an engine is avoided after the last word that it is being emptied.
 constexpr base::duration emptying_notice = 400ms;
 constexpr base::duration advance_interval = 50ms;
+constexpr base::duration check_interval = 200ms;
 // A deployment lets about this share of its engines load at once without slowing them down.
 constexpr std::size_t engines_per_load = 6;
 
@@ -59,15 +64,38 @@
     advance_timer_ = timers_.every(advance_interval, [this] { advance(); });
 }
 
+bool weights_duty::holder_is_heard(base::time_point now) const
+{
+    auto const interval = membership::report_interval(view_.roster().instances());
+    return holder_heard_at_ && now - *holder_heard_at_ < interval * (lost_reports + 1);
+}
+
+void weights_duty::told(base::time_point now, std::uint64_t offset)
+{
+    holder_heard_at_ = now;
+    lease_.told(now, offset);
+}
+
+void weights_duty::read_duties_if_due()
+{
+    auto const now = timers_.now();
+    bool const others_hold = !holding_ && holder_is_heard(now);
+    if (others_hold && now - read_at_ < longest_read_interval)
+        read_timer_ = timers_.after(check_interval, [this] { read_duties_if_due(); });
+    else
+        read_duties();
+}
+
 void weights_duty::read_duties()
 {
+    read_at_ = timers_.now();
     port_.read_duties(
         [this](std::optional<duty_page> page)
         {
             if (page)
                 take_duties(*page);
             auto const jitter = std::chrono::milliseconds(random_.below(read_jitter_ms));
-            read_timer_ = timers_.after(read_interval + jitter, [this] { read_duties(); });
+            read_timer_ = timers_.after(read_interval + jitter, [this] { read_duties_if_due(); });
         });
 }
 
--- a/libraries/savorymount/gateway/weights_duty.hpp
+++ b/libraries/savorymount/gateway/weights_duty.hpp
@@ -43,10 +43,20 @@
     /// Gives the duty up; `done` is called when that is recorded or has failed.
     void release(std::function<void()> done);
 
+    /// Another instance holds the duty by the record at `offset`.
+    void told(base::time_point now, std::uint64_t offset);
+    /// The offset of the record by which this instance holds the duty.
+    std::optional<std::uint64_t> held_offset(base::time_point now) const
+    {
+        return lease_.held_offset(now);
+    }
+
     /// Engines that load by order of this instance.
     std::vector<membership::weight_load> loads(base::time_point now) const;
 
 private:
+    void read_duties_if_due();
+    bool holder_is_heard(base::time_point now) const;
     void read_duties();
     void take_duties(duty_page const& page);
     void compete();
@@ -70,6 +80,8 @@
     std::vector<base::time_point> load_ends_;
     /// Engines that get no new requests until they are ordered to load.
     std::vector<std::string> emptying_;
+    std::optional<base::time_point> holder_heard_at_;
+    base::time_point read_at_{};
     bool holding_ = false;
     bool leaving_ = false;
     bool releasing_ = false;
--- a/libraries/savorymount/membership/peer_report.hpp
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
     /// Tokens admitted since the process started, by workspace.
     std::map<std::string, double> admitted;
     std::map<std::string, routing::upstream_use> use;
+    /// The offset of the record by which the sender holds the duty to order weights.
+    std::optional<std::uint64_t> duty_offset;
     std::vector<weight_load> loads;
     std::vector<crash_notice> crashes;
     /// Digests of shared prompt parts that engines were sent to read, by engine.
--- a/libraries/savorymount/orders/duty_lease.cpp
+++ b/libraries/savorymount/orders/duty_lease.cpp
@@ -19,7 +19,7 @@
         return;
     newest_offset_ = offset;
     newest_ = newest ? std::optional(newest->record) : std::nullopt;
-    seen_at_ = now;
+    seen_at_ = offset && offset == told_offset_ ? told_at_ : now;
     if (!newest_ || !own(*newest_))
     {
         held_since_.reset();
@@ -36,6 +36,14 @@
     }
 }
 
+void duty_lease::told(base::time_point now, std::uint64_t offset)
+{
+    if (told_offset_ && offset <= *told_offset_)
+        return;
+    told_offset_ = offset;
+    told_at_ = now;
+}
+
 std::optional<lease_append> duty_lease::next(base::time_point now)
 {
     if (!end_ || pending_)
--- a/libraries/savorymount/orders/duty_lease.hpp
+++ b/libraries/savorymount/orders/duty_lease.hpp
@@ -68,6 +68,10 @@
     void observed(base::time_point now, std::optional<logged_lease> const& newest,
                   std::uint64_t end);
 
+    /// Another instance told that it holds the duty by the record at `offset`, which the log has
+    /// taken. A later read that finds this record newest counts its time from now on.
+    void told(base::time_point now, std::uint64_t offset);
+
     /// What to append now, if anything. The caller reports how it ended.
     std::optional<lease_append> next(base::time_point now);
 
@@ -88,6 +92,12 @@
     /// A record that gives the duty up, if this process holds it.
     std::optional<lease_append> release(base::time_point now);
 
+    /// The offset of the record by which this process holds the duty at `now`.
+    std::optional<std::uint64_t> held_offset(base::time_point now) const
+    {
+        return fence(now) ? newest_offset_ : std::nullopt;
+    }
+
     std::optional<lease_record> const& newest() const { return newest_; }
 
 private:
@@ -97,8 +107,11 @@
     std::optional<lease_record> newest_;
     std::optional<std::uint64_t> newest_offset_;
     std::optional<std::uint64_t> end_;
-    /// When the newest record was first seen.
+    /// When the newest record was first seen, or first told of.
     base::time_point seen_at_{};
+    /// The newest record that another instance told of, and when it did first.
+    std::optional<std::uint64_t> told_offset_;
+    base::time_point told_at_{};
     /// The append that has no answer yet, and when it was sent.
     std::optional<lease_append> pending_;
     base::time_point pending_since_{};
--- a/libraries/savorymount/wire/peer_report.capnp
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -27,6 +27,9 @@
   uptimeMilliseconds @10 :UInt64;
   # Only loads and crashes are told; what was told before of the rest still holds.
   partial @11 :Bool;
+  # The sender holds the duty to order weights, by the record at this offset of the store's topic.
+  holdsDuty @12 :Bool;
+  dutyOffset @13 :UInt64;
 }
 
 struct EngineReads {
--- a/libraries/savorymount/wire/peer_report.capnp.h
+++ b/libraries/savorymount/wire/peer_report.capnp.h
@@ -37,7 +37,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 3, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 4, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -170,6 +170,10 @@
 
   inline bool getPartial() const;
 
+  inline bool getHoldsDuty() const;
+
+  inline  ::uint64_t getDutyOffset() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -266,6 +270,12 @@
   inline bool getPartial();
   inline void setPartial(bool value);
 
+  inline bool getHoldsDuty();
+  inline void setHoldsDuty(bool value);
+
+  inline  ::uint64_t getDutyOffset();
+  inline void setDutyOffset( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1088,6 +1098,34 @@
       ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerReport::Reader::getHoldsDuty() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getHoldsDuty() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setHoldsDuty(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerReport::Reader::getDutyOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getDutyOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setDutyOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EngineReads::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/libraries/gateway/peer_report_codec_test.cpp
+++ b/tests/libraries/gateway/peer_report_codec_test.cpp
@@ -16,6 +16,7 @@
     out.incarnation = "9f";
     out.address = "10.0.0.1:7600";
     out.sequence = 12;
+    out.duty_offset = 7;
     out.admitted = {{"club", 812.5}};
     out.use = {{"engine-1", {3, 900}}};
     out.loads = {{"engine-2", "crew", 4, 250ms, false}, {"engine-3", "", 0, 400ms, true}};
--- a/tests/libraries/orders/duty_lease_test.cpp
+++ b/tests/libraries/orders/duty_lease_test.cpp
@@ -126,6 +126,26 @@
     EXPECT_FALSE(lease.fence(at(2800ms)));
 }
 
+// Guards against instances that read seldom, since they hear of the holder, and so wait a whole
+// lease from their next read; and against one that trusts what it was told of an older record.
+TEST(duty_lease, counts_a_record_from_when_it_was_told)
+{
+    fake_log log;
+    auto first = make_lease("a");
+    take(first, log, 0s);
+    EXPECT_EQ(first.held_offset(at(100ms)), 0U);
+    auto second = make_lease("b");
+    second.told(at(100ms), *first.held_offset(at(100ms)));
+    auto third = second;
+    second.observed(at(3s), log.newest(), log.end());
+    EXPECT_FALSE(second.next(at(3350ms)));
+    EXPECT_TRUE(second.next(at(3351ms)));
+    take(first, log, 1s);
+    third.observed(at(3s), log.newest(), log.end());
+    EXPECT_FALSE(third.next(at(6250ms)));
+    EXPECT_TRUE(third.next(at(6251ms)));
+}
+
 // Guards against a successor that waits although the holder was idle, or acts too early after one
 // that was not.
 TEST(duty_lease, passes_on_sooner_when_the_released_holder_was_idle)
@@ -168,6 +188,12 @@
                 if (now < frozen_until[process])
                     continue;
                 auto& it = processes[process];
+                bool const told = wait % 3 == 0;
+                for (auto const& other : processes)
+                {
+                    if (auto const offset = other.held_offset(now); told && offset)
+                        it.told(now, *offset);
+                }
                 if (kind == 9)
                 {
                     frozen_until[process] = now + 5s;
