Fetch parts that an engine has not used lately from the cache store

Change: a source that used the parts more than 2 s ago gives way to the store if the store has as many of them.

Test: engine_placement fetches_what_an_engine_has_not_used_lately_from_the_store.

--- a/libraries/savorymount/routing/engine_placement.cpp
+++ b/libraries/savorymount/routing/engine_placement.cpp
@@ -31,6 +31,8 @@
 constexpr double old_weights_ms = 500;
 // An engine that is being emptied takes requests only when the others are overloaded.
 constexpr double emptying_ms = 600;
+// An engine under load drops what was not used for longer; the store keeps it.
+constexpr base::duration engine_keeps_for = 2s;
 // Covers the time in which the version was named but not heard of here.
 constexpr base::duration version_margin = 1500ms;
 
@@ -92,7 +94,9 @@
     auto const known = std::max({held, stored, elsewhere});
     // An engine's link is faster than the store's, which all engines share. The engine fetches
     // only what it lacks: naming a source also covers parts that it dropped unnoticed.
-    if (elsewhere > 0 && elsewhere >= stored)
+    bool const probably_dropped = holder && holder->unused_for > engine_keeps_for;
+    bool const store_first = stored > 0 && stored >= elsewhere && probably_dropped;
+    if (elsewhere > 0 && elsewhere >= stored && !store_first)
         out.source_address = engine->record.address;
     else if (stored > 0)
         out.source_address = in.pool.store_address;
--- a/libraries/savorymount/routing/part_locations.cpp
+++ b/libraries/savorymount/routing/part_locations.cpp
@@ -83,7 +83,7 @@
             continue;
         auto const held = held_by(now, digests, it.engine);
         if (held > 0 && (!best || held >= best->parts))
-            best = part_holder{it.engine, held};
+            best = part_holder{it.engine, held, now - it.at};
     }
     return best;
 }
--- a/libraries/savorymount/routing/part_locations.hpp
+++ b/libraries/savorymount/routing/part_locations.hpp
@@ -23,6 +23,8 @@
 {
     std::string engine;
     std::size_t parts = 0;
+    /// Time since the engine last used the first of them, as far as is known.
+    base::duration unused_for{};
 
     bool operator==(part_holder const&) const = default;
 };
--- a/tests/libraries/routing/engine_placement_test.cpp
+++ b/tests/libraries/routing/engine_placement_test.cpp
@@ -84,6 +84,27 @@
     EXPECT_EQ(other->source_address, "10.0.0.1:8000");
 }
 
+// Guards against a source that has dropped the parts, so that they are read again, and against a
+// store whose link carries what an engine could send.
+TEST_F(engine_placement, fetches_what_an_engine_has_not_used_lately_from_the_store)
+{
+    pool.store_address = "10.0.0.9:9000";
+    auto const& parts = request().prompt.parts;
+    auto const salt = cache_salt("crew", 1, "");
+    auto const digests = part_digests(salt, parts);
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        locations.read_by(at(0s), digests[i], "engine-4");
+        locations.stored(salt, parts[i].id);
+    }
+    auto elsewhere = request();
+    elsewhere.tried.insert("engine-4");
+    EXPECT_EQ(choose(elsewhere, 1s)->source_address, "10.0.0.1:8000");
+    EXPECT_EQ(choose(elsewhere, 3s)->source_address, "10.0.0.9:9000");
+    locations.store_emptied();
+    EXPECT_EQ(choose(elsewhere, 3s)->source_address, "10.0.0.1:8000");
+}
+
 // Guards against parts of another workspace or another version being found under the same salt.
 TEST_F(engine_placement, separates_versions_and_isolated_workspaces_by_salt)
 {
