--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -16,29 +16,19 @@
 // A report of the largest deployment stays far below this.
 constexpr std::uint64_t most_message_words = std::uint64_t{64} * 1024;
 
-void write_use(wire::PeerReport::Builder out, membership::peer_report const& report)
+/// Writes each item into its place of a list that has as many.
+template <typename List, typename Items, typename Write>
+void write_list(List list, Items const& items, Write write)
 {
-    auto list = out.initUse(static_cast<unsigned>(report.use.size()));
     unsigned i = 0;
-    for (auto const& [upstream, use] : report.use)
-    {
-        auto it = list[i++];
-        it.setUpstream(upstream);
-        it.setRequests(use.requests);
-        it.setTokens(use.tokens);
-    }
+    for (auto const& it : items)
+        write(list[i++], it);
 }
 
-void write_admitted(wire::PeerReport::Builder out, membership::peer_report const& report)
+template <typename Items>
+unsigned count(Items const& items)
 {
-    auto list = out.initAdmitted(static_cast<unsigned>(report.admitted.size()));
-    unsigned i = 0;
-    for (auto const& [workspace, tokens] : report.admitted)
-    {
-        auto it = list[i++];
-        it.setWorkspace(workspace);
-        it.setTokens(tokens);
-    }
+    return static_cast<unsigned>(items.size());
 }
 
 std::uint32_t clamp_microseconds(base::duration time)
@@ -47,45 +37,45 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, most));
 }
 
-void write_loads(wire::PeerReport::Builder out, membership::peer_report const& report)
+void write_load(wire::WeightLoad::Builder out, membership::weight_load const& load)
 {
-    auto list = out.initLoads(static_cast<unsigned>(report.loads.size()));
-    unsigned i = 0;
-    for (auto const& load : report.loads)
-    {
-        auto it = list[i++];
-        it.setUpstream(load.upstream);
-        it.setModel(load.model);
-        it.setVersion(load.version);
-        it.setRemainingMicroseconds(clamp_microseconds(load.remaining));
-        it.setEmptying(load.emptying);
-    }
+    out.setUpstream(load.upstream);
+    out.setModel(load.model);
+    out.setVersion(load.version);
+    out.setRemainingMicroseconds(clamp_microseconds(load.remaining));
+    out.setEmptying(load.emptying);
 }
 
-void write_crashes(wire::PeerReport::Builder out, membership::peer_report const& report)
+void write_lists(wire::PeerReport::Builder out, membership::peer_report const& report)
 {
-    auto list = out.initCrashes(static_cast<unsigned>(report.crashes.size()));
-    unsigned i = 0;
-    for (auto const& crash : report.crashes)
-    {
-        auto it = list[i++];
-        it.setDigest(crash.request_digest);
-        it.setUpstream(crash.upstream);
-    }
-}
-
-void write_reads(wire::PeerReport::Builder out, membership::peer_report const& report)
-{
-    auto list = out.initReads(static_cast<unsigned>(report.reads.size()));
-    unsigned i = 0;
-    for (auto const& [upstream, digests] : report.reads)
-    {
-        auto it = list[i++];
-        it.setUpstream(upstream);
-        auto values = it.initDigests(static_cast<unsigned>(digests.size()));
-        for (unsigned n = 0; n < digests.size(); ++n)
-            values.set(n, digests[n]);
-    }
+    write_list(out.initAdmitted(count(report.admitted)), report.admitted,
+               [](wire::AdmittedTokens::Builder to, auto const& it)
+               {
+                   to.setWorkspace(it.first);
+                   to.setTokens(it.second);
+               });
+    write_list(out.initUse(count(report.use)), report.use,
+               [](wire::UpstreamUse::Builder to, auto const& it)
+               {
+                   to.setUpstream(it.first);
+                   to.setRequests(it.second.requests);
+                   to.setTokens(it.second.tokens);
+               });
+    write_list(out.initLoads(count(report.loads)), report.loads, write_load);
+    write_list(out.initCrashes(count(report.crashes)), report.crashes,
+               [](wire::CrashNotice::Builder to, auto const& it)
+               {
+                   to.setDigest(it.request_digest);
+                   to.setUpstream(it.upstream);
+               });
+    write_list(out.initReads(count(report.reads)), report.reads,
+               [](wire::EngineReads::Builder to, auto const& it)
+               {
+                   to.setUpstream(it.first);
+                   auto digests = to.initDigests(count(it.second));
+                   for (unsigned n = 0; n < it.second.size(); ++n)
+                       digests.set(n, it.second[n]);
+               });
 }
 
 membership::peer_report read_report(wire::PeerReport::Reader in)
@@ -133,11 +123,7 @@
     root.setSequence(report.sequence);
     root.setHoldsDuty(report.duty_offset.has_value());
     root.setDutyOffset(report.duty_offset.value_or(0));
-    write_admitted(root, report);
-    write_use(root, report);
-    write_loads(root, report);
-    write_crashes(root, report);
-    write_reads(root, report);
+    write_lists(root, report);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     auto const bytes = out.getArray();
