Split crash detection from the agent's request table

request_table.cpp held admission and runs as well as crash evidence, the quarantine and its records in the log; the latter are crash_watch now.

--- a/libraries/savorymount/agent/request_table.cpp
+++ b/libraries/savorymount/agent/request_table.cpp
@@ -36,13 +36,8 @@
                              runtime::upstream_adapter const& adapter, upstream_monitor& monitor,
                              bucket_service& buckets, claim_service& claims)
     : kernel_(owner), settings_(settings), adapter_(adapter), monitor_(monitor), buckets_(buckets),
-      claims_(claims), quarantine_(retries::crash_quarantine_options{})
+      claims_(claims), crashes_(owner, monitor)
 {
-    kernel_.configuration().on_change(
-        [this](configuration::configuration const& current)
-        { quarantine_.set_quarantine(current.settings().quarantine); });
-    kernel_.log().on_record([this](runtime::log_record const& record)
-                            { handle_crash_record(record); });
     tick_ = kernel_.timers().every(tick_interval,
                                    [this]
                                    {
@@ -178,7 +173,7 @@
         return refusal({base::error_kind::unauthorized,
                         "the key is not valid; ask the operator for a new one"},
                        {}, false);
-    if (auto const left = quarantine_.refused_for(kernel_.now(), request.digest))
+    if (auto const left = crashes_.refused_for(request.digest))
         return refusal(
             {base::error_kind::crashed,
              "this request ended the upstreams that ran it twice and is refused for now; "
@@ -356,66 +351,13 @@
         return;
     }
     if (outcome.end == outcome_kind::failed)
-        check_crash(it, std::move(outcome));
+        crashes_.examine(it, std::move(outcome),
+                         [this, it](runtime::request_outcome examined)
+                         { finish(it, std::move(examined)); });
     else
         finish(it, std::move(outcome));
 }
 
-void request_table::check_crash(request_pointer const& it, runtime::request_outcome outcome)
-{
-    monitor_.check(
-        [this, it, outcome](bool answers, std::string const& engine) mutable
-        {
-            retries::crash_evidence evidence;
-            evidence.connection_lost = outcome.reason.kind != base::error_kind::deadline;
-            evidence.health_check_failed = !answers;
-            evidence.engine_before = it->engine_before;
-            evidence.engine_after = answers ? engine : std::string();
-            outcome.crashed = retries::is_crash(evidence);
-            if (outcome.crashed)
-            {
-                outcome.reason.kind = base::error_kind::crashed;
-                note_crash(it);
-            }
-            finish(it, std::move(outcome));
-        });
-}
-
-void request_table::note_crash(request_pointer const& it)
-{
-    auto const& request = it->request();
-    runtime::log(runtime::log_events::upstream_crashed,
-                 {{"request", request.id}, {"engine", it->engine_before}});
-    auto const now = kernel_.now();
-    quarantine_.crashed(now, request.digest, it->engine_before);
-    if (quarantine_.refused_for(now, request.digest))
-        runtime::log(runtime::log_events::request_quarantined, {{"request", request.id}});
-    nlohmann::json const body{{"kind", "crash"},
-                              {"workspace", request.workspace},
-                              {"request", request.digest},
-                              {"upstream", kernel_.settings().name()},
-                              {"engine", it->engine_before}};
-    kernel_.log().append("crash-" + request.id, body, [](auto const&, auto const&) {});
-}
-
-void request_table::handle_crash_record(runtime::log_record const& record)
-{
-    if (!runtime::has_kind(record, "crash"))
-        return;
-    auto const request = record.body.find("request");
-    auto const engine = record.body.find("engine");
-    bool const complete = request != record.body.end() && request->is_string() &&
-                          engine != record.body.end() && engine->is_string();
-    if (!complete)
-        return;
-    // The record's age is taken from its time, so that a restarted agent does not refuse for
-    // longer.
-    auto const age = std::chrono::milliseconds(
-        std::max<std::int64_t>(0, kernel_.loop().unix_milliseconds() - record.time_ms));
-    quarantine_.crashed(kernel_.now() - age, request->get<std::string>(),
-                        engine->get<std::string>());
-}
-
 void request_table::refuse(request_pointer const& it, base::error reason,
                            base::duration retry_after, bool elsewhere)
 {
--- a/libraries/savorymount/agent/request_table.hpp
+++ b/libraries/savorymount/agent/request_table.hpp
@@ -4,11 +4,11 @@
 #include <savorymount/agent/agent_settings.hpp>
 #include <savorymount/agent/bucket_service.hpp>
 #include <savorymount/agent/claim_service.hpp>
+#include <savorymount/agent/crash_watch.hpp>
 #include <savorymount/agent/upstream_monitor.hpp>
 #include <savorymount/deduplication/outcome_store.hpp>
 #include <savorymount/limits/token_estimator.hpp>
 #include <savorymount/queueing/fair_queue.hpp>
-#include <savorymount/retries/crash_quarantine.hpp>
 #include <savorymount/runtime/kernel.hpp>
 
 #include <memory>
@@ -69,11 +69,8 @@
     void entry_lost(request_pointer const& it);
     void refuse(request_pointer const& it, base::error reason, base::duration retry_after,
                 bool elsewhere);
-    void check_crash(request_pointer const& it, runtime::request_outcome outcome);
-    void note_crash(request_pointer const& it);
     void end_claim(request_pointer const& it, bool ran);
     void abandon(request_pointer const& it);
-    void handle_crash_record(runtime::log_record const& record);
     kj::Promise<runtime::request_outcome> wait(request_pointer const& it);
     std::uint64_t cost(submitted_request const& request) const;
 
@@ -88,7 +85,7 @@
     std::unordered_map<std::string, queueing::queued_request> taken_;
     queueing::fair_queue queue_;
     limits::token_estimator estimator_;
-    retries::crash_quarantine quarantine_;
+    crash_watch crashes_;
     std::size_t running_ = 0;
     runtime::timer_service::subscription tick_;
 };
