Check a workspace's limit in the soak

Callers book with the key of a workspace of 10 tokens a second; the checker counts what ran in each window of 8 s against the limit, its excess and its slack, in the proportions that the users' deployments state.

--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <map>
+#include <string>
 #include <tests/soak/promise_checker.hpp>
 
 namespace savorymount::soak
@@ -10,9 +11,15 @@
 constexpr std::uint64_t events_per_stream = 8;
 constexpr int status_ok = 200;
 constexpr int status_unauthorized = 401;
+constexpr int status_too_many = 429;
 constexpr int status_unavailable = 503;
 constexpr int status_bad_gateway = 502;
 
+double seconds(base::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
 /// Checks the promises one after the other.
 class checker
 {
@@ -34,6 +41,7 @@
             check_planned_work(it);
             check_withdrawn_key(it);
         }
+        check_limit();
         check_versions();
         check_fences();
         check_end();
@@ -96,6 +104,8 @@
             return;
         if (call.key == second_key() && call.status == status_unauthorized)
             return;
+        if (call.key == limited_key() && call.status == status_too_many)
+            return;
         bool const crossed_close = call.kept_connection && call.status == 0 && runs_of(call) == 0 &&
                                    call.ended - call.started < bounds_.loss_slack;
         if (!crossed_close)
@@ -120,6 +130,35 @@
             report("withdrawn keys", call.id + " was served with a withdrawn key");
     }
 
+    /// Counts the bookings of the limited workspace that ran in each window, by when they were
+    /// sent.
+    void check_limit()
+    {
+        std::vector<base::time_point> sent;
+        for (auto const& it : history_.calls)
+        {
+            if (it.key == limited_key() && it.kind == call_kind::booking && runs_of(it) > 0)
+                sent.push_back(it.started);
+        }
+        std::sort(sent.begin(), sent.end());
+        auto const limit = bounds_.rate * seconds(bounds_.quota_window) + bounds_.burst;
+        auto const most =
+            limit * (1 + bounds_.quota_excess) + bounds_.rate * seconds(bounds_.quota_slack);
+        std::size_t first = 0;
+        for (std::size_t i = 0; i < sent.size(); ++i)
+        {
+            while (sent[i] - sent[first] >= bounds_.quota_window)
+                ++first;
+            if (static_cast<double>(i - first + 1) > most)
+            {
+                report("limits over all instances", std::to_string(i - first + 1) +
+                                                        " bookings of the limited workspace ran "
+                                                        "in one window");
+                return;
+            }
+        }
+    }
+
     void check_versions()
     {
         for (auto const& run : history_.runs)
@@ -187,6 +226,12 @@
     return key;
 }
 
+std::string const& limited_key()
+{
+    static std::string const key = "key-c";
+    return key;
+}
+
 std::vector<violation> check_promises(soak_history const& history, promise_bounds const& bounds)
 {
     return checker(history, bounds).check();
--- a/tests/soak/promise_checker.hpp
+++ b/tests/soak/promise_checker.hpp
@@ -27,13 +27,23 @@
     base::duration configuration = std::chrono::milliseconds(3000);
     /// From a new version's naming to the last request that begins on an older one.
     base::duration version = std::chrono::milliseconds(8000);
+    /// The limit of the third key's workspace, in requests; its bookings cost one token each.
+    double rate = 10;
+    double burst = 10;
+    base::duration quota_window = std::chrono::seconds(8);
+    /// What may pass above the limit, as a part of it and as a time of the rate.
+    double quota_excess = 0.1;
+    base::duration quota_slack = std::chrono::milliseconds(3800);
     /// From a request's last byte to the close of its connection, if it was not read.
     base::duration loss_slack = std::chrono::milliseconds(200);
 
     bool operator==(promise_bounds const&) const = default;
 };
 
+/// The key that operators withdraw and grant again.
 std::string const& second_key();
+/// The key of a workspace with a limit.
+std::string const& limited_key();
 
 /// All violations of a history, in the order of the promises.
 std::vector<violation> check_promises(soak_history const& history, promise_bounds const& bounds);
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -17,6 +17,7 @@
 constexpr base::duration pause_without_gateway = 50ms;
 constexpr double stream_share = 0.5;
 constexpr double second_key_share = 0.2;
+constexpr double limited_key_share = 0.3;
 
 } // namespace
 
@@ -57,7 +58,7 @@
     in_call_ = true;
     call_.id = name_ + "-" + std::to_string(sent_++);
     call_.kind = random_.unit() < stream_share ? call_kind::stream : call_kind::booking;
-    call_.key = random_.unit() < second_key_share ? second_key() : "key-a";
+    call_.key = choose_key();
     call_.gateway = gateway_;
     call_.started = timers_.now();
     runtime::call_hooks hooks;
@@ -87,6 +88,16 @@
     connection_->call(make_request(), call_.id, std::move(hooks));
 }
 
+std::string soak_caller::choose_key()
+{
+    // Only bookings cost the limited workspace one token each.
+    auto const draw = random_.unit();
+    if (draw < second_key_share)
+        return second_key();
+    bool const limited = call_.kind == call_kind::booking && draw > 1 - limited_key_share;
+    return limited ? limited_key() : "key-a";
+}
+
 std::string soak_caller::make_request() const
 {
     bool const stream = call_.kind == call_kind::stream;
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -49,6 +49,7 @@
 private:
     void next_call();
     void send();
+    std::string choose_key();
     std::string make_request() const;
     void take_head(runtime::http_head const& head);
     void end_call(bool whole);
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -17,6 +17,7 @@
 
 constexpr char const* grace_seconds = "8";
 constexpr base::duration grace = 8s;
+constexpr char const* quota_window_seconds = "8";
 constexpr base::duration readiness_interval = 200ms;
 constexpr unsigned checks_before_unready = 2;
 // The entry of an upstream that no longer renews it lapses after this time.
@@ -105,6 +106,7 @@
                                  "--store-address",  to_string(local(it.store_link.port)),
                                  "--first-start",    first ? "true" : "false",
                                  "--grace-s",        grace_seconds,
+                                 "--quota-window-s", quota_window_seconds,
                                  "--log-lines",      "2000"});
     it.http = local(to_port(it.program->wait_for_field("name=started", "http")));
     it.ready = local(to_port(it.program->wait_for_field("name=started", "ready")));
--- a/tests/stand_ins/users_platform/main.cpp
+++ b/tests/stand_ins/users_platform/main.cpp
@@ -55,12 +55,15 @@
         json const tenant{{"name", "club"},   {"apiKeys", keys}, {"unit", "token"},
                           {"plainTokens", 1}, {"ratePerS", 0},   {"burst", 0},
                           {"isolated", true}};
+        json const limited{{"name", "small"},  {"apiKeys", {"key-c"}}, {"unit", "token"},
+                           {"plainTokens", 1}, {"ratePerS", 10},       {"burst", 10},
+                           {"isolated", false}};
         json const whole{{"version", version},
                          {"routes", {streams, bookings}},
                          {"services",
                           {{{"name", "pool"}, {"engine", {{"slots", 8}, {"kvTokens", 90000}}}},
                            {{"name", "desk"}}}},
-                         {"tenants", json::array({tenant})}};
+                         {"tenants", {tenant, limited}}};
         topics_.put(operator_topic, "config", whole.dump());
     }
 
--- a/tests/system/soak/promise_checker_test.cpp
+++ b/tests/system/soak/promise_checker_test.cpp
@@ -125,6 +125,23 @@
     EXPECT_EQ(broken_promises(history), promises{});
 }
 
+// Guards against a checker that misses a limit that instances exceed together.
+TEST(promise_checker, finds_more_bookings_in_one_window_than_the_limit_and_its_slack)
+{
+    soak_history history;
+    for (int i = 0; i < 138; ++i)
+    {
+        history.calls.push_back(served_booking("b" + std::to_string(i), 50ms * i));
+        history.calls.back().key = limited_key();
+        history.runs.push_back({"desk-4.0", "b" + std::to_string(i), 0, at(50ms * i)});
+    }
+    EXPECT_EQ(broken_promises(history), promises{"limits over all instances"});
+    // One fewer is within (10 * 8 + 10) * 1.1 + 38.
+    history.calls.pop_back();
+    history.runs.pop_back();
+    EXPECT_EQ(broken_promises(history), promises{});
+}
+
 // Guards against a checker that misses requests that begin on replaced weights.
 TEST(promise_checker, finds_a_run_on_replaced_weights)
 {
--- a/tests/system/users_platform_tool_test.cpp
+++ b/tests/system/users_platform_tool_test.cpp
@@ -102,7 +102,7 @@
     auto const out = run_tool({"status", "--store-address", store});
     EXPECT_EQ(out.code, 0) << out.output;
     for (char const* it :
-         {"Configuration version 1: 2 routes, 2 services, 1 workspaces", "Weights named: crew:1",
+         {"Configuration version 1: 2 routes, 2 services, 2 workspaces", "Weights named: crew:1",
           "last renewed by gateway-1#", "engine-0", "engine-1", "desk-0", "gateway-1  "})
         EXPECT_NE(out.output.find(it), std::string::npos) << it << "\n" << out.output;
 }
