Say that the process ended when its exit cuts a request

The line of such a request read request_abandoned, as if the caller had left. It is request_failed with its own reason now; the test failed before the change: no such reason in the log.

--- a/libraries/savorymount/gateway/flow_services.hpp
+++ b/libraries/savorymount/gateway/flow_services.hpp
@@ -22,6 +22,8 @@
     base::random_source& random;
     /// Called once when a request has ended.
     std::function<void(request_outcome const&)> ended;
+    /// The process ends now, whatever still runs.
+    bool process_ends = false;
 };
 
 } // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -328,6 +328,7 @@
     bool const done = server_.connections() == 0 && duty_.idle();
     if (!done && !time_is_up)
         return;
+    flows_.process_ends = true;
     peers_.tell_leaving();
     drain_timer_ = timers_.after(release_timeout, [this] { loop_->stop(); });
     duty_.release([this] { loop_->stop(); });
--- a/libraries/savorymount/gateway/request_flow.cpp
+++ b/libraries/savorymount/gateway/request_flow.cpp
@@ -288,7 +288,10 @@
 
 void request_flow::client_left()
 {
-    end(request_end::abandoned, 0, "the caller closed the connection");
+    if (services_.process_ends)
+        end(request_end::failed, 0, "the process ended before the answer was complete");
+    else
+        end(request_end::abandoned, 0, "the caller closed the connection");
 }
 
 void request_flow::refuse(refusal const& it)
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -59,6 +59,8 @@
 
     json state() { return client.request(store_, "GET", "/state").json(); }
 
+    process& platform() { return platform_; }
+
     runtime::http_headers headers(std::string const& id, std::string const& key) const
     {
         return {{"Host", "chat.example"},          {"X-Request-Id", id},
@@ -224,6 +226,26 @@
     EXPECT_TRUE(system.gateway(0).running());
 }
 
+// Guards against a request that the end of the process cuts and that looks as if its caller had
+// left.
+TEST(gateway, says_that_it_ended_before_an_answer_was_complete)
+{
+    platform_deployment system(1);
+    system.platform().send_signal(SIGSTOP);
+    auto const answer = system.prompt(0, "request-1");
+    // The request must be in the process before it drains.
+    system.client.run_until([&, until = system.client.loop().now() + std::chrono::milliseconds(300)]
+                            { return system.client.loop().now() > until; });
+    system.gateway(0).send_signal(SIGTERM);
+    system.client.wait({answer});
+    EXPECT_FALSE(answer->whole && answer->status == 200);
+    EXPECT_EQ(system.gateway(0).wait(), 0);
+    auto const log = system.gateway(0).output();
+    EXPECT_NE(log.find("reason=\"the process ended before the answer was complete\""),
+              std::string::npos)
+        << log;
+}
+
 // Guards against a shutdown that cuts a stream or stays in rotation.
 TEST(gateway, finishes_its_streams_after_sigterm)
 {
