--- a/libraries/savorymount/gateway/settings_reload.cpp
+++ b/libraries/savorymount/gateway/settings_reload.cpp
@@ -67,7 +67,8 @@
         return false;
     std::ostringstream text;
     text << in.rdbuf();
-    return std::exchange(last_, text.str()) != last_;
+    auto const before = std::exchange(last_, text.str());
+    return before != last_;
 }
 
 } // namespace savorymount::gateway
