--- a/tests/libraries/gateway/settings_reload_test.cpp
+++ b/tests/libraries/gateway/settings_reload_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <utility>
 
 namespace savorymount::gateway
 {
@@ -16,12 +17,19 @@
     declare_gateway_settings(parser);
     std::vector<std::string> words{"gateway"};
     for (auto const& [name, value] : flags)
-        words.push_back("--" + name + "=" + value);
+    {
+        std::string flag = "--";
+        flag += name;
+        flag += '=';
+        flag += value;
+        words.push_back(std::move(flag));
+    }
     for (char const* it : {"instance=one", "data-centre=liege", "http-listen=127.0.0.1:0",
                            "ready-listen=127.0.0.1:0", "metrics-listen=127.0.0.1:0",
                            "peer-listen=127.0.0.1:0", "store-address=127.0.0.1:1"})
         words.push_back(std::string("--") + it);
     std::vector<char const*> argv;
+    argv.reserve(words.size());
     for (auto const& it : words)
         argv.push_back(it.c_str());
     base::error reason;
@@ -41,7 +49,7 @@
 TEST(settings_reload, takes_what_may_change_and_names_every_difference)
 {
     auto const before = parsed({{"retry-ratio", "0.2"}, {"lease-ms", "3000"}});
-    auto const after = parsed({{"retry-ratio", "0.3"}, {"lease-ms", "4000"}});
+    auto after = parsed({{"retry-ratio", "0.3"}, {"lease-ms", "4000"}});
     settings_reload reload([&](base::error&) { return after; }, before);
     auto settings = settings_of(before);
     base::error reason;
