Give the stand-in's limited workspace a key that no test takes for unknown

The key key-c of the limited workspace is the one that a system test uses as unknown: gateway.applies_a_withdrawn_key_on_every_instance failed in the landing run with 200 instead of 401. The key is key-limited now; the test is unchanged.

--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -228,7 +228,7 @@
 
 std::string const& limited_key()
 {
-    static std::string const key = "key-c";
+    static std::string const key = "key-limited";
     return key;
 }
 
--- a/tests/stand_ins/users_platform/main.cpp
+++ b/tests/stand_ins/users_platform/main.cpp
@@ -55,8 +55,9 @@
         json const tenant{{"name", "club"},   {"apiKeys", keys}, {"unit", "token"},
                           {"plainTokens", 1}, {"ratePerS", 0},   {"burst", 0},
                           {"isolated", true}};
-        json const limited{{"name", "small"},  {"apiKeys", {"key-c"}}, {"unit", "token"},
-                           {"plainTokens", 1}, {"ratePerS", 10},       {"burst", 10},
+        json const limited{{"name", "small"},  {"apiKeys", {"key-limited"}},
+                           {"unit", "token"},  {"plainTokens", 1},
+                           {"ratePerS", 10},   {"burst", 10},
                            {"isolated", false}};
         json const whole{{"version", version},
                          {"routes", {streams, bookings}},
