--- a/tests/libraries/gateway/fleet_view_test.cpp
+++ b/tests/libraries/gateway/fleet_view_test.cpp
@@ -2,17 +2,15 @@
 
 #include <gtest/gtest.h>
 
+#include <tests/libraries/time_points.hpp>
+
 namespace savorymount::gateway
 {
 namespace
 {
 
 using namespace std::chrono_literals;
-
-base::time_point at(base::duration time)
-{
-    return base::time_point(100s + time);
-}
+using tests::at;
 
 membership::upstream_record engine(std::int64_t started_unix_ms)
 {
--- a/tests/libraries/limits/bucket_lease_test.cpp
+++ b/tests/libraries/limits/bucket_lease_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <tests/libraries/time_points.hpp>
+
 namespace savorymount::limits
 {
 namespace
@@ -9,11 +11,7 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-
-base::time_point at(base::duration since_start)
-{
-    return base::time_point(seconds(100)) + since_start;
-}
+using tests::at;
 
 template <typename Action>
 bool has(std::vector<lease_action> const& actions)
--- a/tests/libraries/limits/grant_account_test.cpp
+++ b/tests/libraries/limits/grant_account_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <tests/libraries/time_points.hpp>
+
 namespace savorymount::limits
 {
 namespace
@@ -10,11 +12,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using verdict = admission::verdict;
-
-base::time_point at(base::duration since_start)
-{
-    return base::time_point(seconds(100)) + since_start;
-}
+using tests::at;
 
 ask_for_grant only_ask(std::vector<grant_action> const& actions)
 {
--- a/tests/libraries/limits/overload_gate_test.cpp
+++ b/tests/libraries/limits/overload_gate_test.cpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <tests/libraries/time_points.hpp>
 
 namespace savorymount::limits
 {
@@ -11,11 +12,7 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-
-base::time_point at(base::duration since_start)
-{
-    return base::time_point(seconds(100)) + since_start;
-}
+using tests::at;
 
 // Guards against a flood that reaches the agents with each request.
 TEST(overload_gate, refuses_after_repeated_refusals_until_the_hint_ends)
--- a/tests/libraries/limits/shared_bucket_test.cpp
+++ b/tests/libraries/limits/shared_bucket_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <tests/libraries/seeded_property.hpp>
+#include <tests/libraries/time_points.hpp>
 #include <vector>
 
 namespace savorymount::limits
@@ -12,11 +13,7 @@
 {
 
 using namespace std::chrono_literals;
-
-base::time_point at(base::duration time)
-{
-    return base::time_point(100s + time);
-}
+using tests::at;
 
 // Guards against a workspace that gets more or less than its rate and burst at one instance.
 TEST(shared_bucket, admits_burst_and_rate)
--- a/tests/libraries/limits/workspace_bucket_test.cpp
+++ b/tests/libraries/limits/workspace_bucket_test.cpp
@@ -1,6 +1,8 @@
 #include "../seeded_property.hpp"
 #include <savorymount/limits/workspace_bucket.hpp>
 
+#include <tests/libraries/time_points.hpp>
+
 namespace savorymount::limits
 {
 namespace
@@ -9,11 +11,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using level = workspace_bucket::start_level;
-
-base::time_point at(base::duration since_start)
-{
-    return base::time_point(seconds(100)) + since_start;
-}
+using tests::at;
 
 // Guards against a takeover that hands out a second full burst.
 TEST(workspace_bucket, starts_at_requested_level)
--- a/tests/libraries/membership/peer_roster_test.cpp
+++ b/tests/libraries/membership/peer_roster_test.cpp
@@ -2,17 +2,15 @@
 
 #include <gtest/gtest.h>
 
+#include <tests/libraries/time_points.hpp>
+
 namespace savorymount::membership
 {
 namespace
 {
 
 using namespace std::chrono_literals;
-
-base::time_point at(base::duration time)
-{
-    return base::time_point(100s + time);
-}
+using tests::at;
 
 peer_report report(std::string const& instance, std::string const& incarnation,
                    std::uint64_t sequence)
--- a/tests/libraries/orders/wanted_weights_test.cpp
+++ b/tests/libraries/orders/wanted_weights_test.cpp
@@ -2,17 +2,15 @@
 
 #include <gtest/gtest.h>
 
+#include <tests/libraries/time_points.hpp>
+
 namespace savorymount::orders
 {
 namespace
 {
 
 using namespace std::chrono_literals;
-
-base::time_point at(base::duration time)
-{
-    return base::time_point(100s + time);
-}
+using tests::at;
 
 // Guards against an engine that is two versions behind being dated by the newest version: a hunted
 // day began requests on version 1 more than eight seconds after version 2, since version 3 had
--- a/tests/libraries/orders/weight_rollout_test.cpp
+++ b/tests/libraries/orders/weight_rollout_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <set>
+#include <tests/libraries/time_points.hpp>
 
 namespace savorymount::orders
 {
@@ -10,14 +11,10 @@
 {
 
 using namespace std::chrono_literals;
+using tests::at;
 
 constexpr std::uint64_t fence = 7;
 
-base::time_point at(base::duration time)
-{
-    return base::time_point(100s + time);
-}
-
 /// Engines on one version that do what they are ordered.
 struct fake_fleet
 {
--- a/tests/libraries/queueing/fair_queue_test.cpp
+++ b/tests/libraries/queueing/fair_queue_test.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <map>
 #include <string>
+#include <tests/libraries/time_points.hpp>
 #include <vector>
 
 namespace savorymount::queueing
@@ -15,11 +16,7 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-
-base::time_point at(base::duration since_start)
-{
-    return base::time_point(seconds(100)) + since_start;
-}
+using tests::at;
 
 queued_request request(std::string id, std::string workspace, std::uint64_t tokens,
                        double weight = 1)
--- a/tests/libraries/retries/retry_allowance_test.cpp
+++ b/tests/libraries/retries/retry_allowance_test.cpp
@@ -2,17 +2,15 @@
 
 #include <gtest/gtest.h>
 
+#include <tests/libraries/time_points.hpp>
+
 namespace savorymount::retries
 {
 namespace
 {
 
 using namespace std::chrono_literals;
-
-base::time_point at(base::duration time)
-{
-    return base::time_point(100s + time);
-}
+using tests::at;
 
 // Guards against instances that together repeat more often than the bounds of the service allow.
 TEST(retry_allowance, keeps_the_sum_of_all_instances_within_the_bounds)
--- a/tests/libraries/routing/engine_placement_test.cpp
+++ b/tests/libraries/routing/engine_placement_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <set>
+#include <tests/libraries/time_points.hpp>
 
 namespace savorymount::routing
 {
@@ -10,11 +11,7 @@
 {
 
 using namespace std::chrono_literals;
-
-base::time_point at(base::duration time)
-{
-    return base::time_point(100s + time);
-}
+using tests::at;
 
 membership::upstream_record engine(std::string const& id, std::string const& data_centre,
                                    std::uint64_t version = 1)
--- a/tests/libraries/routing/upstream_table_test.cpp
+++ b/tests/libraries/routing/upstream_table_test.cpp
@@ -2,17 +2,15 @@
 
 #include <gtest/gtest.h>
 
+#include <tests/libraries/time_points.hpp>
+
 namespace savorymount::routing
 {
 namespace
 {
 
 using namespace std::chrono_literals;
-
-base::time_point at(base::duration time)
-{
-    return base::time_point(100s + time);
-}
+using tests::at;
 
 membership::upstream_record upstream(std::string const& id, std::uint64_t version = 1)
 {
--- a/tests/libraries/runtime/log_budget_test.cpp
+++ b/tests/libraries/runtime/log_budget_test.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <fcntl.h>
+#include <tests/libraries/time_points.hpp>
 #include <unistd.h>
 
 namespace savorymount::runtime
@@ -12,11 +13,7 @@
 {
 
 using namespace std::chrono_literals;
-
-base::time_point at(base::duration time)
-{
-    return base::time_point(100s + time);
-}
+using tests::at;
 
 // Guards against a log that grows without bound under load, and against failures that are lost
 // among ordinary lines.
--- a/tests/libraries/runtime/log_sampler_test.cpp
+++ b/tests/libraries/runtime/log_sampler_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <tests/libraries/time_points.hpp>
 
 namespace savorymount::runtime
 {
@@ -10,11 +11,7 @@
 {
 
 using namespace std::chrono_literals;
-
-base::time_point at(base::duration time)
-{
-    return base::time_point(100s + time);
-}
+using tests::at;
 
 /// Offers `requests` in one second and returns how many are kept.
 int offer(log_sampler& sampler, base::duration from, int requests)
--- a/tests/soak/program/main.cpp
+++ b/tests/soak/program/main.cpp
@@ -1,25 +1,13 @@
-#include <savorymount/runtime/settings_parser.hpp>
-
-#include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <tests/soak/soak_run.hpp>
+#include <tests/stand_ins/stand_in.hpp>
 
 namespace
 {
 
 using namespace savorymount;
 
-std::int64_t number(runtime::parsed_settings const& settings, std::string const& name)
-{
-    base::error reason;
-    auto const out = runtime::parse_number(name, settings.text(name), 1, 1'000'000'000, reason);
-    if (out)
-        return *out;
-    std::cerr << reason.message << "\n";
-    std::exit(2);
-}
-
 /// Plays one seed and returns the exit code.
 int play(int argc, char const* const* argv)
 {
@@ -31,26 +19,19 @@
         .add("desks", "2", "plain upstreams")
         .add("callers", "10", "callers")
         .add("log-folder", "", "where logs go if a promise is broken");
-    base::error reason;
-    auto const settings = parser.parse(argc, argv, reason);
-    if (!settings)
+    auto const settings = stand_ins::parse_settings(argc, argv, parser);
+    auto const number = [&](char const* name)
     {
-        std::cerr << reason.message << "\n";
-        return 2;
-    }
-    if (settings->help)
-    {
-        std::cout << parser.help();
-        return 0;
-    }
+        return stand_ins::number(settings, name, 1);
+    };
     soak::soak_options options;
-    options.seed = static_cast<std::uint64_t>(number(*settings, "seed"));
-    options.length = std::chrono::seconds(number(*settings, "seconds"));
-    options.size.gateways = static_cast<std::size_t>(number(*settings, "gateways"));
-    options.size.engines = static_cast<std::size_t>(number(*settings, "engines"));
-    options.size.desks = static_cast<std::size_t>(number(*settings, "desks"));
-    options.callers = static_cast<std::size_t>(number(*settings, "callers"));
-    options.log_folder = settings->text("log-folder");
+    options.seed = static_cast<std::uint64_t>(number("seed"));
+    options.length = std::chrono::seconds(number("seconds"));
+    options.size.gateways = static_cast<std::size_t>(number("gateways"));
+    options.size.engines = static_cast<std::size_t>(number("engines"));
+    options.size.desks = static_cast<std::size_t>(number("desks"));
+    options.callers = static_cast<std::size_t>(number("callers"));
+    options.log_folder = settings.text("log-folder");
     auto const report = soak::run_soak(options);
     std::cout << "seed " << options.seed << ": " << report.steps << " steps, " << report.calls
               << " calls, " << report.answered << " answered, " << report.runs << " runs, "
--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -10,10 +10,19 @@
 
 constexpr std::uint64_t events_per_stream = 8;
 constexpr int status_ok = 200;
+constexpr int first_failure_status = 400;
 constexpr int status_unauthorized = 401;
 constexpr int status_too_many = 429;
-constexpr int status_unavailable = 503;
+constexpr int status_internal_error = 500;
 constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+
+/// Whether an answer of the gateway's own with this status says that the request did not run.
+bool promises_not_run(int status)
+{
+    bool const failure = status >= first_failure_status && status <= status_unavailable;
+    return failure && status != status_internal_error && status != status_bad_gateway;
+}
 
 double seconds(base::duration time)
 {
@@ -73,9 +82,7 @@
         auto const runs = runs_of(call);
         if (call.kind == call_kind::booking && runs > 1)
             report("at most once", call.id + " ran " + std::to_string(runs) + " times");
-        bool const refusal = call.status >= 400 && call.status <= status_unavailable &&
-                             call.status != status_bad_gateway && !call.stamped;
-        if (refusal && call.status != 500 && runs > 0)
+        if (promises_not_run(call.status) && !call.stamped && runs > 0)
             report("truthful refusals",
                    call.id + " was refused with " + std::to_string(call.status) + " and ran");
         bool const booked =
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -5,6 +5,8 @@
 #include <sstream>
 #include <tests/soak/promise_checker.hpp>
 #include <tests/soak/soak_deployment.hpp>
+#include <tests/system/support/gateway_arguments.hpp>
+#include <tests/system/support/output_line.hpp>
 #include <utility>
 
 namespace savorymount::soak
@@ -34,19 +36,10 @@
     return {"127.0.0.1", port};
 }
 
-std::uint16_t to_port(std::string const& text)
-{
-    return static_cast<std::uint16_t>(std::stoi(text.substr(text.rfind(':') + 1)));
-}
-
-/// The value behind `key=` in a line of output.
+/// The value behind `key=`; empty when there is none.
 std::string field(std::string const& line, std::string const& key)
 {
-    auto const start = line.find(" " + key + "=");
-    if (start == std::string::npos)
-        return "";
-    auto const value = start + key.size() + 2;
-    return line.substr(value, line.find(' ', value) - value);
+    return tests::value_in_line(line, key).value_or("");
 }
 
 std::uint64_t number_field(std::string const& line, std::string const& key)
@@ -67,7 +60,7 @@
       platform_(std::make_unique<tests::process>(
           "savorymount-users-platform-stand-in",
           std::vector<std::string>{"--engines", "0", "--desks", "0"})),
-      store_(local(to_port(platform_->wait_for_field("listening", "port")))),
+      store_(local(tests::port_of(platform_->wait_for_field("listening", "port")))),
       gateways_(size.gateways), upstreams_(size.upstreams())
 {
     for (std::size_t i = 0; i < upstreams_.size(); ++i)
@@ -89,8 +82,8 @@
     out.program = std::make_unique<tests::process>(
         "savorymount-fault-relay",
         std::vector<std::string>{"--target", "127.0.0.1:" + std::to_string(target)});
-    out.control = local(to_port(out.program->wait_for_field("listening", "port")));
-    out.port = to_port(out.program->wait_for_field("relaying", "port"));
+    out.control = local(tests::port_of(out.program->wait_for_field("listening", "port")));
+    out.port = tests::port_of(out.program->wait_for_field("relaying", "port"));
     return out;
 }
 
@@ -99,19 +92,12 @@
     auto& it = gateways_[index];
     it.program = std::make_unique<tests::process>(
         "savorymount-gateway",
-        std::vector<std::string>{"--instance",       "gateway-" + std::to_string(index),
-                                 "--data-centre",    "liege",
-                                 "--http-listen",    "127.0.0.1:0",
-                                 "--ready-listen",   "127.0.0.1:0",
-                                 "--metrics-listen", "127.0.0.1:0",
-                                 "--peer-listen",    "127.0.0.1:0",
-                                 "--store-address",  to_string(local(it.store_link.port)),
-                                 "--first-start",    first ? "true" : "false",
-                                 "--grace-s",        grace_seconds,
-                                 "--quota-window-s", quota_window_seconds,
-                                 "--log-lines",      "2000"});
-    it.http = local(to_port(it.program->wait_for_field("name=started", "http")));
-    it.ready = local(to_port(it.program->wait_for_field("name=started", "ready")));
+        tests::gateway_arguments("gateway-" + std::to_string(index),
+                                 to_string(local(it.store_link.port)), first,
+                                 {"--grace-s", grace_seconds, "--quota-window-s",
+                                  quota_window_seconds, "--log-lines", "2000"}));
+    it.http = local(tests::port_of(it.program->wait_for_field("name=started", "http")));
+    it.ready = local(tests::port_of(it.program->wait_for_field("name=started", "ready")));
     it.is_ready = false;
     it.ending = false;
 }
@@ -125,7 +111,7 @@
         "savorymount-users-upstream-stand-in",
         std::vector<std::string>{"--id", it.id, "--kind", it.engine ? "engine" : "desk",
                                  "--serve-port", std::to_string(it.port)});
-    it.port = to_port(it.program->wait_for_field("serving", "port"));
+    it.port = tests::port_of(it.program->wait_for_field("serving", "port"));
     if (!it.link.program)
         it.link = start_relay(it.port);
     list(it, "ready");
@@ -233,7 +219,7 @@
     case fault_kind::kill_gateway:
         return kill_gateway(step.target, step.length);
     case fault_kind::pause_gateway:
-        return pause_gateway(step.target, step.length);
+        return pause(*gateways_[step.target].program, gateways_[step.target].busy, step.length);
     case fault_kind::stop_gateway:
         return stop_gateway(step.target);
     case fault_kind::hang_up_gateway:
@@ -241,7 +227,7 @@
     case fault_kind::kill_upstream:
         return kill_upstream(step.target, step.length);
     case fault_kind::pause_upstream:
-        return pause_upstream(step.target, step.length);
+        return pause(*upstreams_[step.target].program, upstreams_[step.target].busy, step.length);
     case fault_kind::drain_upstream:
         return drain_upstream(step.target);
     case fault_kind::delay_upstream_link:
@@ -293,18 +279,18 @@
           });
 }
 
-void soak_deployment::pause_gateway(std::size_t index, base::duration length)
+void soak_deployment::pause(tests::process& program, bool& busy, base::duration length)
 {
-    auto& it = gateways_[index];
-    if (std::exchange(it.busy, true))
+    if (std::exchange(busy, true))
         return;
-    it.program->send_signal(SIGSTOP);
+    program.send_signal(SIGSTOP);
     disturbed(length);
+    // The program is not replaced while it is busy.
     later(length,
-          [this, index]
+          [&program, &busy]
           {
-              gateways_[index].program->send_signal(SIGCONT);
-              gateways_[index].busy = false;
+              program.send_signal(SIGCONT);
+              busy = false;
           });
 }
 
@@ -366,21 +352,6 @@
           });
 }
 
-void soak_deployment::pause_upstream(std::size_t index, base::duration length)
-{
-    auto& it = upstreams_[index];
-    if (std::exchange(it.busy, true))
-        return;
-    it.program->send_signal(SIGSTOP);
-    disturbed(length);
-    later(length,
-          [this, index]
-          {
-              upstreams_[index].program->send_signal(SIGCONT);
-              upstreams_[index].busy = false;
-          });
-}
-
 void soak_deployment::drain_upstream(std::size_t index)
 {
     auto& it = upstreams_[index];
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -86,12 +86,12 @@
     void collect_output(std::string const& id, std::string const& text);
 
     void kill_gateway(std::size_t index, base::duration length);
-    void pause_gateway(std::size_t index, base::duration length);
+    /// Stops a program for a while unless a step is at work on it.
+    void pause(tests::process& program, bool& busy, base::duration length);
     void hang_up_gateway(std::size_t index);
     void stop_gateway(std::size_t index);
     void await_exit(std::size_t index, base::time_point since);
     void kill_upstream(std::size_t index, base::duration length);
-    void pause_upstream(std::size_t index, base::duration length);
     void drain_upstream(std::size_t index);
     void finish_drain(std::size_t index);
     void disturb_upstream_link(std::size_t index, nlohmann::json const& fault,
--- a/tests/stand_ins/stand_in.hpp
+++ b/tests/stand_ins/stand_in.hpp
@@ -108,12 +108,13 @@
                           });
 }
 
-/// Whole-number settings of a stand-in; ends the process with 2 on any other text.
-inline std::int64_t number(runtime::parsed_settings const& settings, std::string const& name)
+/// A whole-number setting, `least` or above; ends the process with 2 on any other text.
+inline std::int64_t number(runtime::parsed_settings const& settings, std::string const& name,
+                           std::int64_t least = 0)
 {
     base::error reason;
     auto const out =
-        runtime::parse_number(name, settings.text(name), 0, std::int64_t{1} << 40, reason);
+        runtime::parse_number(name, settings.text(name), least, std::int64_t{1} << 40, reason);
     if (out)
         return *out;
     std::cerr << reason.message << "\n";
@@ -126,6 +127,26 @@
     return std::chrono::milliseconds(number(settings, name));
 }
 
+/// The settings of the command line. Ends the process with 0 after `--help`, and with 2 on a wrong
+/// setting.
+inline runtime::parsed_settings parse_settings(int argc, char const* const* argv,
+                                               runtime::settings_parser const& parser)
+{
+    base::error reason;
+    auto out = parser.parse(argc, argv, reason);
+    if (!out)
+    {
+        std::cerr << reason.message << "\n";
+        std::exit(2);
+    }
+    if (out->help)
+    {
+        std::cout << parser.help();
+        std::exit(0);
+    }
+    return std::move(*out);
+}
+
 /// Parses the settings, serves HTTP on `--port` of `--host` and runs until SIGTERM. `make` builds
 /// the handler and may print further lines once the first line is printed.
 inline int run(int argc, char const* const* argv, runtime::settings_parser& parser,
@@ -134,23 +155,13 @@
 {
     parser.add("host", "127.0.0.1", "IPv4 number to listen on")
         .add("port", "0", "port to listen on; 0 lets the kernel choose");
+    auto const settings = parse_settings(argc, argv, parser);
     base::error reason;
-    auto const settings = parser.parse(argc, argv, reason);
-    if (!settings)
-    {
-        std::cerr << reason.message << "\n";
-        return 2;
-    }
-    if (settings->help)
-    {
-        std::cout << parser.help();
-        return 0;
-    }
     runtime::event_loop loop;
     exchange_handler handler;
     runtime::http_server server(loop, {}, [&handler](exchange_ptr const& it) { handler(it); });
     auto const port = server.listen(
-        {settings->text("host"), static_cast<std::uint16_t>(number(*settings, "port"))}, reason);
+        {settings.text("host"), static_cast<std::uint16_t>(number(settings, "port"))}, reason);
     if (!port)
     {
         std::cerr << reason.message << "\n";
@@ -158,7 +169,7 @@
     }
     loop.on_termination([&loop] { loop.stop(); });
     std::cout << "listening port=" << *port << std::endl;
-    handler = make(loop, *settings);
+    handler = make(loop, settings);
     loop.run();
     return 0;
 }
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -2,6 +2,8 @@
 
 #include <csignal>
 #include <set>
+#include <tests/system/support/gateway_arguments.hpp>
+#include <tests/system/support/output_line.hpp>
 #include <tests/system/support/process.hpp>
 #include <tests/system/support/test_client.hpp>
 
@@ -12,18 +14,13 @@
 
 using nlohmann::json;
 
-std::uint16_t port_of(std::string const& address)
-{
-    return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
-}
-
 /// The stand-in of the users' platform and some gateways, all as processes of their own.
 class platform_deployment
 {
 public:
     explicit platform_deployment(std::size_t gateways)
         : platform_("savorymount-users-platform-stand-in", {"--port", "0"}),
-          store_{"127.0.0.1", port_of(":" + platform_.wait_for_field("listening", "port"))}
+          store_{"127.0.0.1", port_of(platform_.wait_for_field("listening", "port"))}
     {
         for (std::size_t i = 0; i < gateways; ++i)
             start_gateway(i);
@@ -33,10 +30,7 @@
     {
         auto const name = "gateway-" + std::to_string(index);
         process started("savorymount-gateway",
-                        {"--instance", name, "--data-centre", "liege", "--http-listen",
-                         "127.0.0.1:0", "--ready-listen", "127.0.0.1:0", "--metrics-listen",
-                         "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--store-address",
-                         to_string(store_), "--first-start", "true", "--grace-s", "8"});
+                        gateway_arguments(name, to_string(store_), true, {"--grace-s", "8"}));
         http_.push_back({"127.0.0.1", port_of(started.wait_for_field("name=started", "http"))});
         ready_.push_back({"127.0.0.1", port_of(started.wait_for_field("name=started", "ready"))});
         gateways_.push_back(std::move(started));
--- a/tests/system/soak/promise_checker_test.cpp
+++ b/tests/system/soak/promise_checker_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <tests/libraries/time_points.hpp>
 #include <tests/soak/promise_checker.hpp>
 
 namespace savorymount::soak
@@ -8,11 +9,7 @@
 {
 
 using namespace std::chrono_literals;
-
-base::time_point at(base::duration time)
-{
-    return base::time_point(100s + time);
-}
+using tests::at;
 
 std::string events(int first, int last)
 {
--- a/tests/system/support/process.cpp
+++ b/tests/system/support/process.cpp
@@ -7,6 +7,7 @@
 #include <sstream>
 #include <stdexcept>
 #include <sys/wait.h>
+#include <tests/system/support/output_line.hpp>
 #include <tests/system/support/process.hpp>
 #include <thread>
 #include <unistd.h>
@@ -33,12 +34,7 @@
     auto const end = text.find('\n', start);
     if (end == std::string::npos)
         return std::nullopt;
-    auto const line = text.substr(start, end - start) + " ";
-    auto const field = line.find(key + "=");
-    if (field == std::string::npos)
-        return std::nullopt;
-    auto const value = field + key.size() + 1;
-    return line.substr(value, line.find(' ', value) - value);
+    return value_in_line(text.substr(start, end - start), key);
 }
 
 } // namespace
--- a/tests/system/users_platform_tool_test.cpp
+++ b/tests/system/users_platform_tool_test.cpp
@@ -2,6 +2,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <tests/system/support/gateway_arguments.hpp>
 #include <tests/system/support/process.hpp>
 
 namespace savorymount::tests
@@ -93,11 +94,7 @@
 {
     process platform("savorymount-users-platform-stand-in", {});
     auto const store = "127.0.0.1:" + platform.wait_for_field("listening", "port");
-    process gateway("savorymount-gateway",
-                    {"--instance", "gateway-1", "--data-centre", "liege", "--http-listen",
-                     "127.0.0.1:0", "--ready-listen", "127.0.0.1:0", "--metrics-listen",
-                     "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--store-address", store,
-                     "--first-start", "true"});
+    process gateway("savorymount-gateway", gateway_arguments("gateway-1", store, true));
     gateway.wait_for_field("name=duty_acquired", "fence");
     auto const out = run_tool({"status", "--store-address", store});
     EXPECT_EQ(out.code, 0) << out.output;
