Keep the process alive when a callback throws

Cause: an exception that left a callback passed through libevent's C code and ended the process with all its requests.

Change: timers, deferred calls, signals, datagrams and HTTP requests run under a guard that logs event 107, counts it and drops what the callback worked on.

--- a/libraries/savorymount/gateway/gateway_metrics.cpp
+++ b/libraries/savorymount/gateway/gateway_metrics.cpp
@@ -1,4 +1,5 @@
 #include <savorymount/gateway/gateway_metrics.hpp>
+#include <savorymount/runtime/callback_guard.hpp>
 
 #include <algorithm>
 #include <map>
@@ -136,6 +137,10 @@
         .gauge("savorymount_store_age_seconds",
                "Age of the newest answer of the platform's store; negative before the first.")
         .set(to_seconds(age));
+    metrics_
+        .gauge("savorymount_callback_failures",
+               "Unexpected errors that each ended one callback since the process started.")
+        .set(static_cast<double>(runtime::callback_failures()));
     auto& peers = cluster_.peer_table();
     metrics_.gauge("savorymount_instances", "Known instances, this one included.")
         .set(static_cast<double>(peers.instance_count()));
--- a/libraries/savorymount/runtime/datagram_socket.cpp
+++ b/libraries/savorymount/runtime/datagram_socket.cpp
@@ -1,3 +1,4 @@
+#include <savorymount/runtime/callback_guard.hpp>
 #include <savorymount/runtime/datagram_socket.hpp>
 
 #include <arpa/inet.h>
@@ -79,7 +80,8 @@
         auto const n = recv(socket_, buffer.data(), buffer.size(), MSG_DONTWAIT);
         if (n < 0)
             return;
-        hook_(std::string_view(buffer.data(), static_cast<std::size_t>(n)));
+        std::string_view const bytes(buffer.data(), static_cast<std::size_t>(n));
+        run_guarded("datagram", [&] { hook_(bytes); });
     }
 }
 
--- a/libraries/savorymount/runtime/event_loop.cpp
+++ b/libraries/savorymount/runtime/event_loop.cpp
@@ -1,3 +1,4 @@
+#include <savorymount/runtime/callback_guard.hpp>
 #include <savorymount/runtime/event_loop.hpp>
 
 #include <kj/debug.h>
@@ -76,7 +77,7 @@
         {
             std::unique_ptr<std::function<void()>> const it(
                 static_cast<std::function<void()>*>(argument));
-            (*it)();
+            run_guarded("deferred", *it);
         },
         owned, &now);
 }
@@ -85,15 +86,16 @@
 {
     termination_hook_ = std::move(hook);
     for (int const number : {SIGTERM, SIGINT})
-        watch_signal(number, [](evutil_socket_t, short, void* self)
-                     { static_cast<event_loop*>(self)->termination_hook_(); });
+        watch_signal(
+            number, [](evutil_socket_t, short, void* self)
+            { run_guarded("termination", static_cast<event_loop*>(self)->termination_hook_); });
 }
 
 void event_loop::on_hang_up(std::function<void()> hook)
 {
     hang_up_hook_ = std::move(hook);
     watch_signal(SIGHUP, [](evutil_socket_t, short, void* self)
-                 { static_cast<event_loop*>(self)->hang_up_hook_(); });
+                 { run_guarded("hang-up", static_cast<event_loop*>(self)->hang_up_hook_); });
 }
 
 void event_loop::watch_signal(int number, event_callback_fn callback)
--- a/libraries/savorymount/runtime/http_server.cpp
+++ b/libraries/savorymount/runtime/http_server.cpp
@@ -1,3 +1,4 @@
+#include <savorymount/runtime/callback_guard.hpp>
 #include <savorymount/runtime/http_server.hpp>
 
 #include <event2/listener.h>
@@ -16,6 +17,7 @@
 
 constexpr int pending_connections = 1024;
 constexpr int bad_request_status = 400;
+constexpr int internal_error_status = 500;
 
 constexpr ev_uint16_t all_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                                     EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
@@ -128,7 +130,10 @@
         exchange->respond(bad_request_status, {}, "");
         return;
     }
-    server->handler_(exchange);
+    if (run_guarded("http request", [&] { server->handler_(exchange); }))
+        return;
+    exchange->close_connection_afterwards();
+    exchange->respond(internal_error_status, {}, "");
 }
 
 } // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -23,6 +23,9 @@
 inline constexpr log_event settings_unreadable{
     106, log_level::warning, "settings_unreadable",
     "The changed settings can't be read; those in force are kept."};
+inline constexpr log_event callback_failed{
+    107, log_level::error, "callback_failed",
+    "An unexpected error ended one callback; what it worked on was dropped."};
 inline constexpr log_event configuration_adopted{200, log_level::info, "configuration_adopted",
                                                  "A newer configuration version is in force here."};
 inline constexpr log_event configuration_rejected{
@@ -113,6 +116,7 @@
                                 log_lines_dropped,
                                 setting_changed,
                                 settings_unreadable,
+                                callback_failed,
                                 configuration_adopted,
                                 configuration_rejected,
                                 snapshot_appended,
--- a/libraries/savorymount/runtime/timer_service.cpp
+++ b/libraries/savorymount/runtime/timer_service.cpp
@@ -1,3 +1,4 @@
+#include <savorymount/runtime/callback_guard.hpp>
 #include <savorymount/runtime/timer_service.hpp>
 
 #include <utility>
@@ -46,7 +47,7 @@
             // returns.
             auto const it = static_cast<subscription::state*>(argument)->self.lock();
             if (it)
-                it->hook();
+                run_guarded("timer", it->hook);
         },
         owned.get());
     timeval const interval{static_cast<time_t>(delay.count() / 1'000'000),
