Use only a disconnected share of quotas after a suspension

Cause: an instance that was suspended for longer than 10 s removed all its peers at the first tick and used the whole quota; a shorter pause left the bucket full although the others had used it meanwhile. Requests that waited in the event loop were admitted before the tick noticed anything.

Change: cluster_state::observe_time notices the pause at each decision. The peers count as silent until their next report and are not removed for the silence of the pause; a bucket keeps half of its share of the burst. Reports with values that are not finite, negative or far out of range are rejected when they are decoded.

Ruled out: assuming the full rate for the pause, since the reports that follow tell the true use and it would count twice.

After: the tests pass, for pauses of 1.5, 5 and 30 s.

--- a/libraries/savorymount/gateway/admission.cpp
+++ b/libraries/savorymount/gateway/admission.cpp
@@ -101,6 +101,7 @@
 bool admit(base::time_point now, cluster_state& cluster, caller_request const& request,
            std::string const& body, admitted_request& out, refusal& refused)
 {
+    cluster.observe_time(now);
     out.deployment = cluster.deployment();
     if (!out.deployment)
     {
--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -21,6 +21,8 @@
 constexpr base::duration crash_quarantine_time = 60s;
 // A crash is reported repeatedly for this long, so that a lost datagram does not matter.
 constexpr base::duration crash_report_time = 3s;
+// The process runs at least every 50 ms unless it or its machine was suspended.
+constexpr base::duration max_time_between_runs = 1s;
 constexpr double initial_fill_after_restart = 0.3;
 // Ratio of the poll interval to the maximum drain time. Large deployments poll less often to limit
 // the load on the store.
@@ -161,6 +163,7 @@
 
 void cluster_state::apply_report(base::time_point now, membership::peer_report const& report)
 {
+    observe_time(now);
     if (!peer_table_.apply_report(now, report))
         return;
     if (!report.partial)
@@ -210,8 +213,21 @@
                     max_poll_interval);
 }
 
+void cluster_state::observe_time(base::time_point now)
+{
+    bool const resumed = last_run_at_ && now - *last_run_at_ > max_time_between_runs;
+    last_run_at_ = now;
+    if (!resumed)
+        return;
+    resumed_at_ = now;
+    peer_table_.process_resumed(now);
+    for (auto& [workspace, bucket] : buckets_)
+        bucket.process_resumed(now);
+}
+
 void cluster_state::tick(base::time_point now)
 {
+    observe_time(now);
     peer_table_.remove_expired(now);
     upstreams_.expire(now);
     auto const instances = peer_table_.instance_count();
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -84,6 +84,13 @@
     /// report has only crashes.
     membership::peer_report make_report(base::time_point now, std::uint64_t sequence, bool partial);
 
+    /// Notes that the process runs. After a longer pause, for example a suspended machine, what it
+    /// knew of its peers no longer permits anything. Call it before a decision that depends on
+    /// them.
+    void observe_time(base::time_point now);
+    /// When the process ran again after the last such pause; empty if there was none.
+    std::optional<base::time_point> resumed_at() const { return resumed_at_; }
+
     /// Expires old entries and updates the shares that depend on the number of instances.
     void tick(base::time_point now);
 
@@ -106,6 +113,9 @@
     retries::crash_quarantine quarantine_;
     std::map<std::string, retries::retry_quota> retry_quotas_;
     std::map<std::string, limits::shared_bucket> buckets_;
+    /// When the process last made a decision; see `observe_time`.
+    std::optional<base::time_point> last_run_at_;
+    std::optional<base::time_point> resumed_at_;
     std::optional<base::time_point> store_responded_at_;
     std::optional<base::time_point> store_failed_at_;
     bool cache_store_reachable_ = false;
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -144,7 +144,7 @@
             capnp::PackedMessageReader message(in, options);
             out = read_report(message.getRoot<wire::PeerReport>());
         });
-    if (failure != nullptr)
+    if (failure != nullptr || !membership::is_plausible(*out))
         return std::nullopt;
     return out;
 }
--- a/libraries/savorymount/limits/shared_bucket.cpp
+++ b/libraries/savorymount/limits/shared_bucket.cpp
@@ -60,6 +60,15 @@
     silent_ = std::min(silent, instances_ - 1);
 }
 
+void shared_bucket::process_resumed(base::time_point now)
+{
+    refill(now);
+    auto const instances = static_cast<double>(instances_);
+    if (instances_ > 1)
+        level_ = std::min(level_, limit_.burst * disconnected_fraction / instances);
+    silent_ = instances_ - 1;
+}
+
 bucket_decision shared_bucket::admit(base::time_point now, double tokens)
 {
     if (limit_.rate <= 0)
--- a/libraries/savorymount/limits/shared_bucket.hpp
+++ b/libraries/savorymount/limits/shared_bucket.hpp
@@ -55,6 +55,10 @@
     /// Sets the number of instances that share the bucket, and how many of them send no reports.
     void set_instances(base::time_point now, std::size_t instances, std::size_t silent);
 
+    /// The local process did not run for a while. What the other instances admitted meanwhile is
+    /// unknown, so the bucket keeps only what a disconnected instance may use.
+    void process_resumed(base::time_point now);
+
     /// Debits `tokens` if the limit allows it.
     bucket_decision admit(base::time_point now, double tokens);
 
--- /dev/null
+++ b/libraries/savorymount/membership/peer_report.cpp
@@ -0,0 +1,51 @@
+#include <savorymount/membership/peer_report.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <string_view>
+
+namespace savorymount::membership
+{
+namespace
+{
+
+constexpr std::size_t max_name_bytes = 256;
+constexpr std::chrono::milliseconds max_uptime = std::chrono::hours(24 * 365 * 10);
+// Far above any rate times any uptime, and still exact as a sum of doubles.
+constexpr double max_tokens = 1e15;
+constexpr std::uint32_t max_requests = 1'000'000;
+
+bool is_name(std::string_view text)
+{
+    return !text.empty() && text.size() <= max_name_bytes;
+}
+
+bool is_token_count(double value)
+{
+    return std::isfinite(value) && value >= 0 && value <= max_tokens;
+}
+
+bool is_usage(std::pair<std::string const, routing::upstream_use> const& it)
+{
+    return is_name(it.first) && it.second.requests <= max_requests &&
+           is_token_count(it.second.tokens);
+}
+
+} // namespace
+
+bool is_plausible(peer_report const& report)
+{
+    bool const has_names = is_name(report.instance) && is_name(report.incarnation) &&
+                           report.address.size() <= max_name_bytes;
+    bool const has_uptime = report.uptime >= report.uptime.zero() && report.uptime <= max_uptime;
+    if (!has_names || !has_uptime)
+        return false;
+    auto const& totals = report.admitted_tokens;
+    bool const has_totals =
+        std::all_of(totals.begin(), totals.end(),
+                    [](auto const& it) { return is_name(it.first) && is_token_count(it.second); });
+    auto const& use = report.upstream_use;
+    return has_totals && std::all_of(use.begin(), use.end(), is_usage);
+}
+
+} // namespace savorymount::membership
--- a/libraries/savorymount/membership/peer_report.hpp
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -64,4 +64,9 @@
     bool operator==(peer_report const&) const = default;
 };
 
+/// Whether the values of a decoded report can come from an instance of this deployment: counts and
+/// totals are finite and not negative, and times and names have a usual size. Other reports must
+/// not reach the decisions, which add and compare these values.
+bool is_plausible(peer_report const& report);
+
 } // namespace savorymount::membership
--- a/libraries/savorymount/membership/peer_table.cpp
+++ b/libraries/savorymount/membership/peer_table.cpp
@@ -56,6 +56,13 @@
     return true;
 }
 
+void peer_table::process_resumed(base::time_point now)
+{
+    auto const silent = now - options_.silent_after - base::duration(1);
+    for (auto& [instance, it] : peers_)
+        it.last_seen_at = silent;
+}
+
 void peer_table::remove_expired(base::time_point now)
 {
     for (auto it = peers_.begin(); it != peers_.end();)
--- a/libraries/savorymount/membership/peer_table.hpp
+++ b/libraries/savorymount/membership/peer_table.hpp
@@ -52,6 +52,10 @@
     /// report has already arrived. An instance that reports its shutdown is removed immediately.
     bool apply_report(base::time_point now, peer_report const& report);
 
+    /// The local process did not run for a while and may have missed reports. All instances count
+    /// as silent until their next report, and none is removed for the silence so far.
+    void process_resumed(base::time_point now);
+
     /// Removes the instances whose last report is older than `remove_after`.
     void remove_expired(base::time_point now);
 
--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -57,6 +57,51 @@
     EXPECT_EQ(cluster.part_locations().cached_prefix_length(at(2500ms), parts, "engine-1"), 2U);
 }
 
+/// The number of tokens that one instance admits immediately, in requests of 10.
+double admitted_at_once(cluster_state& cluster, base::time_point now)
+{
+    cluster.observe_time(now);
+    double out = 0;
+    while (cluster.bucket("club")->admit(now, 10).admitted)
+        out += 10;
+    return out;
+}
+
+// Guards against an instance that was suspended and then admits the whole quota, because it takes
+// its peers for gone or knows nothing of what they admitted meanwhile. The requests are decided
+// before the first periodic tick, as they are when they waited in the event loop.
+TEST(cluster_state, uses_only_a_disconnected_share_after_the_process_was_suspended)
+{
+    gateway_settings settings;
+    settings.instance = "local";
+    settings.first_start = true;
+    settings.quota_window = 8s;
+    for (base::duration const pause : {1500ms, 5000ms, 30000ms})
+    {
+        cluster_state cluster(settings, at(0s));
+        configuration::deployment data;
+        data.version = 1;
+        auto& workspace = data.workspaces.emplace_back();
+        workspace.name = "club";
+        workspace.rate = 1000;
+        workspace.burst = 2000;
+        cluster.apply_deployment(at(0s), data);
+        membership::peer_report report;
+        report.incarnation = "1";
+        for (char const* peer : {"a", "b", "c"})
+        {
+            report.instance = peer;
+            cluster.apply_report(at(100ms), report);
+        }
+        for (base::duration time{}; time < 200ms; time += 50ms)
+            cluster.tick(at(time));
+        // A disconnected instance may use half of its share of the burst.
+        EXPECT_LE(admitted_at_once(cluster, at(200ms) + pause), 2000 * 0.5 / 4 + 10);
+        cluster.tick(at(200ms) + pause);
+        EXPECT_EQ(cluster.peer_table().instance_count(), 4U);
+    }
+}
+
 // Guards against polling the list too rarely to notice a draining upstream in time, and against a
 // configuration that counts as outdated between two reads.
 TEST(cluster_state, polls_the_upstream_list_within_half_of_the_drain_time)
--- a/tests/libraries/gateway/peer_report_codec_test.cpp
+++ b/tests/libraries/gateway/peer_report_codec_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+#include <vector>
+
 namespace savorymount::gateway
 {
 namespace
@@ -48,5 +51,34 @@
     }
 }
 
+// Guards against values that no instance reports, and that would spoil every sum they are part of.
+TEST(peer_report_codec, rejects_reports_with_implausible_values)
+{
+    std::vector<void (*)(membership::peer_report&)> const changes{
+        [](auto& it) { it.admitted_tokens["club"] = std::numeric_limits<double>::quiet_NaN(); },
+        [](auto& it) { it.admitted_tokens["club"] = std::numeric_limits<double>::infinity(); },
+        [](auto& it) { it.admitted_tokens["club"] = -1; },
+        [](auto& it) { it.admitted_tokens["club"] = 1e300; },
+        [](auto& it) {
+            it.upstream_use["engine"] = {1, -5};
+        },
+        [](auto& it) {
+            it.upstream_use["engine"] = {4'000'000'000, 5};
+        },
+        [](auto& it) {
+            it.upstream_use[std::string(5000, 'x')] = {1, 5};
+        },
+        [](auto& it) { it.uptime = std::chrono::milliseconds(std::int64_t{1} << 62); },
+        [](auto& it) { it.instance.clear(); },
+        [](auto& it) { it.incarnation = std::string(10'000, 'x'); },
+    };
+    for (std::size_t i = 0; i < changes.size(); ++i)
+    {
+        auto report = sample_report();
+        changes[i](report);
+        EXPECT_FALSE(decode_peer_report(encode_peer_report(report))) << i;
+    }
+}
+
 } // namespace
 } // namespace savorymount::gateway
--- a/tests/libraries/membership/peer_table_test.cpp
+++ b/tests/libraries/membership/peer_table_test.cpp
@@ -36,6 +36,20 @@
     EXPECT_EQ(table.instance_count(), 2U);
 }
 
+// Guards against an instance that was suspended for longer than the removal time and then takes
+// all others for gone: it would use their share of every limit.
+TEST(peer_table, keeps_the_others_after_the_local_process_was_suspended)
+{
+    peer_table table("local", {});
+    table.apply_report(at(0s), make_report("a", "1", 1));
+    table.process_resumed(at(60s));
+    table.remove_expired(at(60s));
+    EXPECT_EQ(table.instance_count(), 2U);
+    EXPECT_EQ(table.silent_count(at(60s)), 1U);
+    table.apply_report(at(60100ms), make_report("a", "1", 2));
+    EXPECT_EQ(table.silent_count(at(60100ms)), 0U);
+}
+
 // Guards against sending no reports to a peer until the store lists it.
 TEST(peer_table, adds_a_peer_from_its_report)
 {
