Answer requests that the kernel accepted before a planned stop

Cause: close_idle freed the listener, which resets the connections that wait in the kernel, and closed kept connections whose next request had arrived but was not read.

A request whose handling throws drops only its own connection.

Before (both parts taken out): the kept connection was closed and its second request unanswered. After: all 21 requests are answered.

--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -1,3 +1,4 @@
+#include <savorymount/runtime/callback_guard.hpp>
 #include <savorymount/runtime/connection_socket.hpp>
 #include <savorymount/runtime/inbound_connection.hpp>
 
@@ -39,7 +40,8 @@
                [this]
                {
                    complete_ = true;
-               }})
+               }}),
+      opened_at_(timers.now())
 {
     watch_for_silence(socket, client_silence);
     bufferevent_setcb(buffer_, handle_read, handle_write, handle_event, this);
@@ -104,6 +106,15 @@
     return buffer_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(buffer_));
 }
 
+bool inbound_connection::has_unread_input() const
+{
+    if (buffer_ == nullptr)
+        return false;
+    char first_byte = 0;
+    auto const n = recv(bufferevent_getfd(buffer_), &first_byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n > 0 || evbuffer_get_length(bufferevent_get_input(buffer_)) > 0;
+}
+
 void inbound_connection::close()
 {
     if (phase_ == phase::closed)
@@ -121,14 +132,15 @@
 void inbound_connection::handle_read(bufferevent*, void* self)
 {
     auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
-    keep->read_input();
+    if (!run_guarded("caller input", [&] { keep->read_input(); }))
+        run_guarded("caller end", [&] { keep->close(); });
 }
 
 void inbound_connection::handle_write(bufferevent*, void* self)
 {
     auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
     if (auto const hook = std::exchange(keep->drained_, nullptr))
-        hook();
+        run_guarded("caller output", hook);
     if (keep->phase_ == phase::lingering)
         shutdown(bufferevent_getfd(keep->buffer_), SHUT_WR);
 }
@@ -136,7 +148,7 @@
 void inbound_connection::handle_event(bufferevent*, short, void* self)
 {
     auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
-    keep->close();
+    run_guarded("caller end", [&] { keep->close(); });
 }
 
 void inbound_connection::read_input()
--- a/libraries/savorymount/runtime/inbound_connection.hpp
+++ b/libraries/savorymount/runtime/inbound_connection.hpp
@@ -64,6 +64,9 @@
     /// Whether a request awaits its response.
     bool busy() const { return phase_ == phase::responding; }
     bool idle() const { return phase_ == phase::waiting; }
+    base::time_point opened_at() const { return opened_at_; }
+    /// Whether bytes of a request have arrived that were not read yet.
+    bool has_unread_input() const;
     void close();
 
 private:
@@ -98,6 +101,7 @@
     configuration::client_limits limits_;
     bufferevent* buffer_;
     http_message_reader reader_;
+    base::time_point opened_at_;
     phase phase_ = phase::waiting;
     http_request request_;
     bool complete_ = false;
--- a/libraries/savorymount/runtime/inbound_server.cpp
+++ b/libraries/savorymount/runtime/inbound_server.cpp
@@ -52,20 +52,37 @@
     return ntohs(name.sin_port);
 }
 
-void inbound_server::close_idle()
+void inbound_server::close_idle(base::duration min_age)
 {
     if (listener_ != nullptr)
+    {
+        accept_pending();
         evconnlistener_free(std::exchange(listener_, nullptr));
+    }
     std::vector<std::shared_ptr<inbound_connection>> idle;
     for (auto const& it : connections_)
     {
-        if (it.second->idle())
+        bool const is_old = timers_.now() - it.second->opened_at() >= min_age;
+        if (is_old && it.second->idle() && !it.second->has_unread_input())
             idle.push_back(it.second);
     }
     for (auto const& it : idle)
         it->close();
 }
 
+void inbound_server::accept_pending()
+{
+    // Closing the listener resets the connections that the kernel has accepted already.
+    for (;;)
+    {
+        auto const socket = accept4(evconnlistener_get_fd(listener_), nullptr, nullptr,
+                                    SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket < 0)
+            return;
+        accept(socket);
+    }
+}
+
 std::size_t inbound_server::busy_connections() const
 {
     return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
--- a/libraries/savorymount/runtime/inbound_server.hpp
+++ b/libraries/savorymount/runtime/inbound_server.hpp
@@ -33,8 +33,9 @@
 
     /// From now on each connection ends after its next response.
     void drain() { draining_ = true; }
-    /// Closes the listening socket and the connections that have no request.
-    void close_idle();
+    /// Closes the listening socket, and the connections without a request that have been open for
+    /// `min_age`; the first request of a new connection may be on its way. Call it repeatedly.
+    void close_idle(base::duration min_age);
 
     std::size_t busy_connections() const;
     std::size_t connections() const { return connections_.size(); }
@@ -42,6 +43,8 @@
 private:
     static void handle_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self);
     void accept(evutil_socket_t socket);
+    /// Accepts the connections that wait in the kernel.
+    void accept_pending();
 
     event_loop& loop_;
     timer_service& timers_;
--- a/tests/libraries/runtime/inbound_server_test.cpp
+++ b/tests/libraries/runtime/inbound_server_test.cpp
@@ -1,12 +1,16 @@
+#include <savorymount/runtime/callback_guard.hpp>
 #include <savorymount/runtime/inbound_server.hpp>
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
+#include <cerrno>
 #include <functional>
+#include <stdexcept>
 #include <string>
+#include <sys/socket.h>
+#include <tests/libraries/runtime/raw_client.hpp>
+#include <unistd.h>
+#include <vector>
 
 namespace savorymount::runtime
 {
@@ -14,58 +18,7 @@
 {
 
 using namespace std::chrono_literals;
-
-/// A client that writes given bytes and collects what comes back.
-class raw_client
-{
-public:
-    raw_client(event_loop& loop, std::uint16_t port)
-        : buffer_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
-    {
-        sockaddr_in name{};
-        name.sin_family = AF_INET;
-        name.sin_port = htons(port);
-        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bufferevent_setcb(buffer_, read, nullptr, event, this);
-        bufferevent_enable(buffer_, EV_READ | EV_WRITE);
-        bufferevent_socket_connect(buffer_, reinterpret_cast<sockaddr*>(&name), sizeof(name));
-    }
-
-    ~raw_client()
-    {
-        if (buffer_ != nullptr)
-            bufferevent_free(buffer_);
-    }
-
-    raw_client(raw_client const&) = delete;
-    raw_client& operator=(raw_client const&) = delete;
-
-    void send(std::string const& bytes) { bufferevent_write(buffer_, bytes.data(), bytes.size()); }
-    void leave() { bufferevent_free(std::exchange(buffer_, nullptr)); }
-
-    std::string received;
-    bool closed = false;
-    std::function<void()> changed;
-
-private:
-    static void read(bufferevent* buffer, void* self)
-    {
-        auto& client = *static_cast<raw_client*>(self);
-        std::string bytes(evbuffer_get_length(bufferevent_get_input(buffer)), '\0');
-        bufferevent_read(buffer, bytes.data(), bytes.size());
-        client.received += bytes;
-        client.changed();
-    }
-
-    static void event(bufferevent*, short what, void* self)
-    {
-        auto& client = *static_cast<raw_client*>(self);
-        client.closed = client.closed || (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
-        client.changed();
-    }
-
-    bufferevent* buffer_;
-};
+using tests::raw_client;
 
 class inbound_server_test : public testing::Test
 {
@@ -240,10 +193,71 @@
     run_until(client, [&] { return client.closed; });
     EXPECT_NE(client.received.find("Connection: close"), std::string::npos);
     EXPECT_TRUE(client.received.ends_with("/2|"));
-    server.close_idle();
+    server.close_idle(0s);
     run_until(idle, [&] { return idle.closed; });
     EXPECT_EQ(server.busy_connections(), 0U);
 }
 
+// Guards against requests that are cut off by a planned stop because the process has not read them
+// yet: the kernel has accepted their connections, or their bytes.
+TEST_F(inbound_server_test, answers_requests_that_the_kernel_accepted_before_the_stop)
+{
+    raw_client kept(loop, port);
+    kept.send("GET /kept HTTP/1.1\r\nHost: h\r\n\r\n");
+    run_until(kept, [&] { return kept.received.ends_with("/kept|"); });
+    server.drain();
+    // Blocking sockets of their own: the loop does not run, as in a process that has no time.
+    auto const connect_and_send = [&](std::string const& target)
+    {
+        int const socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in name{};
+        name.sin_family = AF_INET;
+        name.sin_port = htons(port);
+        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(connect(socket, reinterpret_cast<sockaddr*>(&name), sizeof(name)), 0);
+        auto const request = "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+        EXPECT_EQ(write(socket, request.data(), request.size()), ssize_t(request.size()));
+        return socket;
+    };
+    std::vector<int> sockets;
+    for (int i = 0; i < 20; ++i)
+        sockets.push_back(connect_and_send("/new-" + std::to_string(i)));
+    kept.write_now("GET /again HTTP/1.1\r\nHost: h\r\n\r\n");
+    server.close_idle(0s);
+    run_until(kept, [&] { return kept.closed; });
+    EXPECT_TRUE(kept.received.ends_with("/again|")) << kept.received;
+    for (int i = 0; i < 20; ++i)
+    {
+        char answer[512] = {};
+        auto const socket = sockets[static_cast<std::size_t>(i)];
+        auto n = recv(socket, answer, sizeof(answer), MSG_DONTWAIT);
+        while (n < 0 && errno == EAGAIN)
+        {
+            event_base_loop(loop.base(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+            n = recv(socket, answer, sizeof(answer), MSG_DONTWAIT);
+        }
+        EXPECT_NE(std::string(answer).find("/new-" + std::to_string(i) + "|"), std::string::npos)
+            << i << " " << n;
+        close(socket);
+    }
+}
+
+// Guards against an unexpected exception that ends the process, or that ends other requests.
+TEST_F(inbound_server_test, drops_only_the_connection_whose_request_cannot_be_handled)
+{
+    on_request = [](auto const& client, http_request const& it)
+    {
+        if (it.head.target == "/broken")
+            throw std::runtime_error("unexpected");
+        client->respond(200, {}, it.head.target + "|");
+    };
+    auto const failures = callback_failures();
+    EXPECT_EQ(answer_to("GET /broken HTTP/1.1\r\nHost: h\r\n\r\n"), "");
+    EXPECT_EQ(callback_failures(), failures + 1);
+    raw_client client(loop, port);
+    client.send("GET /sound HTTP/1.1\r\nHost: h\r\n\r\n");
+    run_until(client, [&] { return client.received.ends_with("/sound|"); });
+}
+
 } // namespace
 } // namespace savorymount::runtime
