Bound what an upstream may send, and start running work again only on evidence

Causes: bodies and events were collected without a bound; interim responses, skipped responses and chunk extensions were read for as long as they came; a stream that only dripped bytes lived until the route's timeout; an exception in a hook ended the process; a request or an order was sent when its connection opened, however long the process had been suspended before; a late response to an earlier call to an engine was taken for the response to the next one.

Change: outbound_connection counts the bytes of a call that belong to no body; response_memory bounds bodies, events and both over all requests; stall_detector notices bytes that complete no event, in proportion to the stream's own pace. Silence alone never moves a stream, and a gateway that was suspended does not hold its own pause against an upstream. Orders and requests ask for permission when their connection is open. Calls to engines carry an id.

Limits are settings: response-body-kib, response-event-kib, response-memory-kib, response-overhead-kib.

--- a/libraries/savorymount/configuration/deployment.hpp
+++ b/libraries/savorymount/configuration/deployment.hpp
@@ -47,6 +47,8 @@
     base::duration timeout{};
     /// Time to the answer, or to a stream's first event, that callers expect.
     base::duration target_latency{};
+    /// Longest pause between two events of a stream that callers expect; 0 if none is declared.
+    base::duration target_event_gap{};
     /// 0 is the most urgent.
     std::int32_t priority = 0;
     std::vector<service_share> shares;
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -19,6 +19,8 @@
 constexpr base::duration load_balancer_removal_delay = 2800ms;
 // Time reserved before SIGKILL to report the shutdown and release the leader lease.
 constexpr base::duration shutdown_margin = 700ms;
+// The first request of a new connection arrives within this time.
+constexpr base::duration new_connection_time = 500ms;
 constexpr base::duration drain_check_interval = 50ms;
 constexpr base::duration release_timeout = 200ms;
 constexpr base::duration announce_retry_delay = 300ms;
@@ -38,6 +40,13 @@
     return out;
 }
 
+runtime::outbound_options connection_options(gateway_settings const& settings)
+{
+    runtime::outbound_options out;
+    out.max_overhead_bytes = settings.max_response_overhead_bytes;
+    return out;
+}
+
 } // namespace
 
 std::unique_ptr<gateway> gateway::make(gateway_settings const& settings, base::error& reason)
@@ -56,15 +65,17 @@
       random_(std::hash<std::string>()(settings.instance + settings.incarnation)),
       cluster_(settings, timers_.now()), metrics_(cluster_),
       request_log_(settings.log_lines_per_second),
-      pool_(*loop_, timers_), context_{timers_,
-                                       pool_,
-                                       cluster_,
-                                       platform_,
-                                       random_,
-                                       [this](request_outcome const& it)
-                                       {
-                                           request_ended(it);
-                                       }},
+      pool_(*loop_, timers_, connection_options(settings)),
+      responses_(settings.responses), context_{timers_,
+                                               pool_,
+                                               cluster_,
+                                               platform_,
+                                               random_,
+                                               responses_,
+                                               [this](request_outcome const& it)
+                                               {
+                                                   request_ended(it);
+                                               }},
       server_(*loop_, timers_,
               [this](auto client, runtime::http_request&& request)
               { handle_request(std::move(client), std::move(request)); }),
@@ -329,8 +340,7 @@
     auto const drain_duration = timers_.now() - *draining_since_;
     if (drain_duration < load_balancer_removal_delay)
         return;
-    if (!std::exchange(idle_connections_closed_, true))
-        server_.close_idle();
+    server_.close_idle(new_connection_time);
     bool const grace_period_over =
         drain_duration > cluster_.settings().shutdown_grace_period - shutdown_margin;
     bool const done = server_.connections() == 0 && rollout_leader_.idle();
--- a/libraries/savorymount/gateway/gateway.hpp
+++ b/libraries/savorymount/gateway/gateway.hpp
@@ -70,6 +70,7 @@
     gateway_metrics metrics_;
     request_log request_log_;
     runtime::outbound_pool pool_;
+    response_memory responses_;
     gateway_context context_;
     runtime::inbound_server server_;
     runtime::http_server ready_server_;
@@ -81,7 +82,6 @@
     bool store_available_ = false;
     bool upstreams_known_ = false;
     std::optional<base::time_point> draining_since_;
-    bool idle_connections_closed_ = false;
     std::optional<settings_reload> settings_reload_;
     settings_file_watch settings_file_;
     runtime::timer_service::subscription settings_timer_;
--- a/libraries/savorymount/gateway/gateway_context.hpp
+++ b/libraries/savorymount/gateway/gateway_context.hpp
@@ -4,6 +4,7 @@
 #include <savorymount/gateway/cluster_state.hpp>
 #include <savorymount/gateway/platform_adapter.hpp>
 #include <savorymount/gateway/request_outcome.hpp>
+#include <savorymount/gateway/response_memory.hpp>
 #include <savorymount/runtime/outbound_pool.hpp>
 #include <savorymount/runtime/timer_service.hpp>
 
@@ -20,6 +21,7 @@
     cluster_state& cluster;
     platform_adapter& platform;
     base::random_source& random;
+    response_memory& responses;
     /// Called once at the end of each request.
     std::function<void(request_outcome const&)> request_ended;
     /// The process exits now and cuts off the requests that still run.
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -16,6 +16,8 @@
 constexpr base::duration overload_retry_delay = 120ms;
 // A repeatable request is retried if no response starts within this ratio of its timeout.
 constexpr double stall_timeout_ratio = 0.3;
+// After a suspension, responses that have arrived meanwhile are read within this time.
+constexpr base::duration time_to_catch_up = 100ms;
 constexpr base::duration min_stall_timeout = 300ms;
 // Reading from the upstream pauses when this much is buffered for a slow caller.
 constexpr std::size_t max_client_buffer_bytes = std::size_t{256} * 1024;
@@ -42,7 +44,8 @@
                                  std::shared_ptr<runtime::inbound_connection> client,
                                  runtime::http_request request)
     : context_(context), client_(std::move(client)), http_request_(std::move(request)),
-      arrived_at_(context.timers.now())
+      arrived_at_(context.timers.now()), suspension_checked_at_(arrived_at_),
+      failure_response_memory_(context.responses)
 {
 }
 
@@ -100,7 +103,8 @@
         outcome_.weight_version = placed.request.engine->expected_weight_version;
     ++outcome_.attempts;
     bool const streaming = admitted_->route->kind == configuration::repeat_rule::streaming;
-    attempt_ = std::make_shared<upstream_attempt>(context_, std::move(placed), streaming);
+    attempt_ = std::make_shared<upstream_attempt>(context_, std::move(placed), streaming,
+                                                  admitted_->route->target_event_gap);
     start_stall_timer();
     auto const self = shared_from_this();
     attempt_callbacks callbacks;
@@ -198,8 +202,7 @@
     bool const failed = attempt_->head().status >= first_server_error_status;
     if (failed && is_repeatable(admitted_->route->kind, admitted_->route->resumable))
     {
-        failure_response_head_ = attempt_->head();
-        failure_response_body_ = attempt_->body();
+        keep_failure_response();
         handle_failure_after_send(attempt_failure::failure_response,
                                   "the upstream responded with a server error");
         return;
@@ -207,6 +210,15 @@
     deliver_response(attempt_->head(), attempt_->body());
 }
 
+void gateway_request::keep_failure_response()
+{
+    // Without memory for it, the caller gets a failure of the gateway instead.
+    if (!failure_response_memory_.resize(attempt_->body().size()))
+        return;
+    failure_response_head_ = attempt_->head();
+    failure_response_body_ = attempt_->body();
+}
+
 void gateway_request::handle_failure_after_send(attempt_failure failure, std::string const& reason)
 {
     may_have_run_ = true;
@@ -231,13 +243,19 @@
     auto const stall_timeout = base::duration(static_cast<std::int64_t>(
         static_cast<double>(admitted_->timeout.count()) * stall_timeout_ratio));
     stall_timer_ = context_.timers.after(std::max(stall_timeout, min_stall_timeout),
-                                         [self = shared_from_this()] { self->handle_stall(); });
+                                         [self = shared_from_this()] { self->check_stall(); });
 }
 
-void gateway_request::handle_stall()
+void gateway_request::check_stall()
 {
     if (!attempt_ || attempt_->response_started())
         return;
+    // Only silence while this process ran says anything about the upstream.
+    if (was_suspended())
+    {
+        start_stall_timer();
+        return;
+    }
     auto updated_history = history();
     updated_history.attempts_sent += 1;
     if (may_retry(attempt_failure::outcome_unknown, updated_history))
@@ -245,6 +263,16 @@
                                   "the upstream sent no response in time");
 }
 
+bool gateway_request::was_suspended()
+{
+    auto const now = context_.timers.now();
+    context_.cluster.observe_time(now);
+    auto const resumed_at = context_.cluster.resumed_at();
+    bool const since_last_check = resumed_at && *resumed_at > suspension_checked_at_;
+    suspension_checked_at_ = now;
+    return since_last_check;
+}
+
 void gateway_request::retry_or_give_up(attempt_failure failure, std::string const& reason)
 {
     auto const self = shared_from_this();
@@ -283,6 +311,13 @@
 
 void gateway_request::handle_timeout()
 {
+    // A response that is ready is delivered, also late.
+    if (was_suspended())
+    {
+        timeout_timer_ = context_.timers.after(time_to_catch_up, [self = shared_from_this()]
+                                               { self->handle_timeout(); });
+        return;
+    }
     auto const reason = "the time limit was reached";
     bool const nothing_sent = !may_have_run_ && !attempt_;
     if (streaming_)
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -33,10 +33,14 @@
     void handle_attempt_result(attempt_result result, std::string const& reason);
     void handle_stream_end();
     void handle_response();
+    void keep_failure_response();
     /// The attempt may have executed the request but gave no response for the caller.
     void handle_failure_after_send(attempt_failure failure, std::string const& reason);
+    /// Starts to watch an attempt that may be repeated.
     void start_stall_timer();
-    void handle_stall();
+    void check_stall();
+    /// Whether the process was suspended since the last call, or since the request arrived.
+    bool was_suspended();
     /// Retries on another upstream if that is allowed, and gives up otherwise.
     void retry_or_give_up(attempt_failure failure, std::string const& reason);
     void give_up(std::string const& reason);
@@ -61,6 +65,7 @@
     std::optional<admitted_request> admitted_;
     std::string service_;
     base::time_point arrived_at_;
+    base::time_point suspension_checked_at_;
     std::shared_ptr<upstream_attempt> attempt_;
     std::set<std::string> tried_upstreams_;
     std::uint32_t attempts_sent_ = 0;
@@ -72,6 +77,7 @@
     /// A failure response of an upstream, delivered if no retry succeeds.
     std::optional<runtime::http_head> failure_response_head_;
     std::string failure_response_body_;
+    response_memory::share failure_response_memory_;
     bool finished_ = false;
     request_outcome outcome_;
     runtime::timer_service::subscription timeout_timer_;
--- a/libraries/savorymount/gateway/gateway_settings.cpp
+++ b/libraries/savorymount/gateway/gateway_settings.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr std::int64_t max_time_ms = 600'000;
+constexpr std::int64_t max_size_kib = 1024 * 1024;
 
 /// Parses settings one by one and records whether all of them are valid.
 class settings_reader
@@ -39,6 +40,12 @@
         return std::chrono::milliseconds(number(name, 1, max_time_ms));
     }
 
+    /// A size that is set in KiB, in bytes.
+    std::size_t kibibytes(std::string const& name)
+    {
+        return static_cast<std::size_t>(number(name, 1, max_size_kib)) * 1024;
+    }
+
     double decimal(std::string const& name, double min, double max)
     {
         return value_or_default(runtime::parse_decimal(name, text(name), min, max, reason_));
@@ -97,6 +104,13 @@
         .add("loading-at-once", "0",
              "engines that may load weights at the same time; 0 derives it from the number of "
              "engines")
+        .add("response-body-kib", "4096", "largest body of a response that is no stream, KiB")
+        .add("response-event-kib", "256", "largest event of a stream, KiB")
+        .add("response-memory-kib", "24576",
+             "memory for bodies and incomplete events of all requests, KiB")
+        .add("response-overhead-kib", "256",
+             "heads, interim responses, trailers, chunk extensions and responses to other requests "
+             "that one call may receive, KiB")
         .add("log-lines", "200", "log lines per second");
 }
 
@@ -130,6 +144,9 @@
         static_cast<std::int64_t>(std::llround(reader.decimal("quota-window-s", 0, 3600) * 1000)));
     out.max_concurrent_loads =
         static_cast<std::size_t>(reader.number("loading-at-once", 0, 10'000));
+    out.responses = {reader.kibibytes("response-body-kib"), reader.kibibytes("response-event-kib"),
+                     reader.kibibytes("response-memory-kib")};
+    out.max_response_overhead_bytes = reader.kibibytes("response-overhead-kib");
     out.log_lines_per_second = static_cast<std::size_t>(reader.number("log-lines", 1, 100'000));
     if (!reader.is_valid())
         return std::nullopt;
--- a/libraries/savorymount/gateway/gateway_settings.hpp
+++ b/libraries/savorymount/gateway/gateway_settings.hpp
@@ -2,6 +2,7 @@
 
 #include <savorymount/base/error.hpp>
 #include <savorymount/base/time.hpp>
+#include <savorymount/gateway/response_memory.hpp>
 #include <savorymount/retries/retry_quota.hpp>
 #include <savorymount/runtime/settings_parser.hpp>
 
@@ -39,6 +40,9 @@
     base::duration quota_window{};
     /// Engines that may load weights at the same time; 0 derives it from the number of engines.
     std::size_t max_concurrent_loads = 0;
+    response_limits responses;
+    /// Bytes of a response that belong to no body, for example heads and interim responses.
+    std::size_t max_response_overhead_bytes = 0;
     /// Log lines per second; half of them are reserved for failures.
     std::size_t log_lines_per_second = 0;
 };
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -79,8 +79,9 @@
     std::function<void(member_record const&, std::function<void(append_outcome)>)>
         announce_instance;
 
+    /// `may_send` tells at the moment of sending whether this instance is still the leader.
     std::function<void(orders::weight_order const&, std::string const& leader,
-                       std::function<void(orders::order_outcome)>)>
+                       std::function<bool()> may_send, std::function<void(orders::order_outcome)>)>
         send_order;
     std::function<void(std::string const& address,
                        std::function<void(std::optional<orders::order_report>)>)>
--- a/libraries/savorymount/gateway/rollout_leader.cpp
+++ b/libraries/savorymount/gateway/rollout_leader.cpp
@@ -181,7 +181,11 @@
 void rollout_leader::send_order(orders::weight_order const& order)
 {
     lease_.record_action(timers_.now());
-    platform_.send_order(order, cluster_.settings().instance,
+    auto const still_leader = [this, fencing_token = order.fencing_token]
+    {
+        return lease_.fencing_token(timers_.now()) == fencing_token;
+    };
+    platform_.send_order(order, cluster_.settings().instance, still_leader,
                          [this, order](orders::order_outcome outcome)
                          { handle_order_outcome(order, outcome); });
 }
--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -13,6 +13,9 @@
 constexpr base::duration rejection_backoff = 40ms;
 constexpr base::duration busy_engine_backoff = 80ms;
 constexpr base::duration misdirected_backoff = 3s;
+// An older choice of the upstream is not used: the process may have been suspended, and the
+// upstream may drain or load other weights by now.
+constexpr base::duration max_placement_age = 500ms;
 
 bool is_success(int status)
 {
@@ -21,8 +24,10 @@
 
 } // namespace
 
-upstream_attempt::upstream_attempt(gateway_context& context, placed_request placed, bool streaming)
-    : context_(context), placement_(std::move(placed)), streaming_(streaming)
+upstream_attempt::upstream_attempt(gateway_context& context, placed_request placed, bool streaming,
+                                   base::duration target_event_gap)
+    : context_(context), placement_(std::move(placed)), streaming_(streaming),
+      stall_detector_(target_event_gap), memory_(context.responses)
 {
 }
 
@@ -33,7 +38,8 @@
     if (request.prompt)
         model_ = request.prompt->model;
     auto const& upstream = placement_.upstream;
-    context_.cluster.upstreams().request_sent(context_.timers.now(), upstream.id, placement_.size);
+    placed_at_ = context_.timers.now();
+    context_.cluster.upstreams().request_sent(placed_at_, upstream.id, placement_.size);
     base::error reason;
     auto const address = runtime::parse_address("upstream", upstream.address, reason);
     if (!address)
@@ -66,6 +72,10 @@
     {
         self->handle_failure(kind, text);
     };
+    out.may_send = [self]
+    {
+        return self->context_.timers.now() - self->placed_at_ <= max_placement_age;
+    };
     out.answers = [self, request_id](runtime::http_head const& head)
     {
         auto const id = self->context_.platform.decode_response_metadata(head).request_id;
@@ -110,11 +120,32 @@
 {
     context_.cluster.upstreams().response_progressed(context_.timers.now(), placement_.upstream.id);
     if (is_stream_response())
+    {
         handle_stream_bytes(bytes);
-    else
+        return;
+    }
+    auto const limit = context_.responses.limits().max_body_bytes;
+    if (reserve_memory(body_.size() + bytes.size(), limit, body_too_large))
         body_ += bytes;
 }
 
+bool upstream_attempt::reserve_memory(std::size_t bytes, std::size_t limit,
+                                      std::string (*too_large)(response_limits const&))
+{
+    auto const& limits = context_.responses.limits();
+    if (bytes > limit)
+    {
+        connection_->reject_response(too_large(limits));
+        return false;
+    }
+    if (!memory_.resize(bytes))
+    {
+        connection_->reject_response(responses_too_large(limits));
+        return false;
+    }
+    return true;
+}
+
 void upstream_attempt::handle_stream_bytes(std::string_view bytes)
 {
     if (!response_started_)
@@ -130,6 +161,21 @@
             return;
         callback(it);
     }
+    if (connection_)
+        check_incomplete_event(!events.empty());
+}
+
+void upstream_attempt::check_incomplete_event(bool event_completed)
+{
+    auto const now = context_.timers.now();
+    auto const pending_bytes = event_splitter_.pending().size();
+    if (event_completed)
+        stall_detector_.event_completed(now);
+    if (pending_bytes > 0)
+        stall_detector_.bytes_arrived(now);
+    if (stall_detector_.stalled(now))
+        connection_->reject_response("the upstream sends bytes that complete no event");
+    reserve_memory(pending_bytes, context_.responses.limits().max_event_bytes, event_too_large);
 }
 
 void upstream_attempt::handle_end()
--- a/libraries/savorymount/gateway/upstream_attempt.hpp
+++ b/libraries/savorymount/gateway/upstream_attempt.hpp
@@ -5,6 +5,7 @@
 #include <savorymount/gateway/placement.hpp>
 #include <savorymount/runtime/outbound_connection.hpp>
 #include <savorymount/streams/event_splitter.hpp>
+#include <savorymount/streams/stall_detector.hpp>
 
 #include <functional>
 #include <memory>
@@ -43,7 +44,10 @@
 class upstream_attempt final : public std::enable_shared_from_this<upstream_attempt>
 {
 public:
-    upstream_attempt(gateway_context& context, placed_request placed, bool streaming);
+    /// `target_event_gap` is the longest pause between two events of a stream that the route aims
+    /// for.
+    upstream_attempt(gateway_context& context, placed_request placed, bool streaming,
+                     base::duration target_event_gap);
 
     /// `request` and `body` must outlive the attempt.
     void start(caller_request const& request, std::string const& body, attempt_callbacks callbacks);
@@ -66,6 +70,11 @@
     void handle_head(runtime::http_head const& head);
     void handle_body(std::string_view bytes);
     void handle_stream_bytes(std::string_view bytes);
+    void check_incomplete_event(bool event_completed);
+    /// Whether the response may occupy `bytes` of memory; ends the call otherwise. `too_large` is
+    /// the reason if `bytes` exceeds `limit`.
+    bool reserve_memory(std::size_t bytes, std::size_t limit,
+                        std::string (*too_large)(response_limits const&));
     void handle_end();
     void handle_failure(runtime::call_failure kind, std::string const& reason);
     void record_rejection();
@@ -78,6 +87,7 @@
     gateway_context& context_;
     placed_request placement_;
     bool streaming_;
+    base::time_point placed_at_{};
     std::string model_;
     attempt_callbacks callbacks_;
     std::unique_ptr<runtime::outbound_connection> connection_;
@@ -85,6 +95,8 @@
     response_metadata metadata_;
     std::string body_;
     streams::event_splitter event_splitter_;
+    streams::stall_detector stall_detector_;
+    response_memory::share memory_;
     bool response_started_ = false;
     /// The response lacks a request id or the upstream's stamp.
     bool untrusted_ = false;
--- a/libraries/savorymount/runtime/outbound_client.cpp
+++ b/libraries/savorymount/runtime/outbound_client.cpp
@@ -32,10 +32,15 @@
         it->answer.status = head.status;
         it->answer.headers = head.headers;
     };
-    hooks.body = [it](std::string_view bytes)
+    hooks.body = [it, limit = request.max_body_bytes](std::string_view bytes)
     {
         it->answer.body += bytes;
+        if (it->answer.body.size() > limit)
+            it->connection->reject_response("the response is longer than " + std::to_string(limit) +
+                                            " bytes");
     };
+    hooks.answers = request.answers;
+    hooks.may_send = request.may_send;
     hooks.done = [this, it, key]
     {
         pool_.give_back(key, std::move(it->connection));
--- a/libraries/savorymount/runtime/outbound_client.hpp
+++ b/libraries/savorymount/runtime/outbound_client.hpp
@@ -21,8 +21,12 @@
     http_headers headers;
     std::string body;
     base::duration timeout = std::chrono::seconds(1);
-
-    bool operator==(outbound_request const&) const = default;
+    /// A longer body ends the request with `unknown_outcome`.
+    std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
+    /// Whether a response with this head answers this request; others are skipped. Optional.
+    std::function<bool(http_head const&)> answers = nullptr;
+    /// Whether the request may still be sent when its connection is open. Optional.
+    std::function<bool()> may_send = nullptr;
 };
 
 /// Sends small requests over kept connections. `done` is called once, from the loop, with the
--- a/libraries/savorymount/runtime/outbound_connection.cpp
+++ b/libraries/savorymount/runtime/outbound_connection.cpp
@@ -1,3 +1,4 @@
+#include <savorymount/runtime/callback_guard.hpp>
 #include <savorymount/runtime/connection_socket.hpp>
 #include <savorymount/runtime/outbound_connection.hpp>
 
@@ -17,6 +18,8 @@
 
 // Bytes read ahead of a paused reader.
 constexpr std::size_t read_ahead_bytes = std::size_t{64} * 1024;
+// A chunk of one byte takes six bytes; this leaves room for a short chunk extension.
+constexpr std::size_t max_overhead_per_body_byte = 16;
 
 std::optional<base::duration> parse_idle_time(http_headers const& headers)
 {
@@ -39,11 +42,7 @@
       buffer_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
       reader_(http_message_kind::response, options_.max_header_bytes,
               {[this](http_head const& head) { take_head(head); },
-               [this](std::string_view bytes)
-               {
-                   if (!skipping_ && hooks_.body)
-                       hooks_.body(bytes);
-               },
+               [this](std::string_view bytes) { take_body(bytes); },
                [this]
                {
                    complete_ = true;
@@ -78,6 +77,9 @@
     hooks_ = std::move(hooks);
     in_call_ = true;
     skipping_ = false;
+    received_bytes_ = 0;
+    body_bytes_ = 0;
+    rejection_.clear();
     if (broken_)
     {
         connect_timer_ = timers_.after(base::duration::zero(),
@@ -103,7 +105,8 @@
 
 void outbound_connection::handle_read(bufferevent*, void* self)
 {
-    static_cast<outbound_connection*>(self)->read_input();
+    auto& it = *static_cast<outbound_connection*>(self);
+    it.run_or_fail([&it] { it.read_input(); });
 }
 
 void outbound_connection::handle_event(bufferevent*, short what, void* self)
@@ -111,16 +114,41 @@
     auto& it = *static_cast<outbound_connection*>(self);
     if ((what & BEV_EVENT_CONNECTED) != 0)
     {
-        it.connected_ = true;
-        it.connect_timer_ = {};
-        watch_for_silence(bufferevent_getfd(it.buffer_), it.options_.silence);
+        it.run_or_fail([&it] { it.handle_connected(); });
         return;
     }
     bool const in_good_order = (what & BEV_EVENT_EOF) != 0;
     auto const reason = in_good_order
                             ? std::string("the upstream closed the connection")
                             : std::string(evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
-    it.peer_closed(in_good_order, reason);
+    it.run_or_fail([&] { it.peer_closed(in_good_order, reason); });
+}
+
+void outbound_connection::run_or_fail(std::function<void()> const& callback)
+{
+    auto const alive = alive_;
+    if (run_guarded("upstream input", callback) || !*alive)
+        return;
+    if (in_call_)
+        run_guarded("upstream end",
+                    [this] { fail(call_failure::malformed, "the response could not be handled"); });
+    else
+        broken_ = true;
+}
+
+void outbound_connection::handle_connected()
+{
+    connect_timer_ = {};
+    if (in_call_ && hooks_.may_send && !hooks_.may_send())
+    {
+        // Nothing was written yet: libevent writes after this callback.
+        auto* const output = bufferevent_get_output(buffer_);
+        evbuffer_drain(output, evbuffer_get_length(output));
+        fail(call_failure::not_sent, "the permission to send ended before the connection was open");
+        return;
+    }
+    connected_ = true;
+    watch_for_silence(bufferevent_getfd(buffer_), options_.silence);
 }
 
 void outbound_connection::read_input()
@@ -146,6 +174,12 @@
             return;
         }
         evbuffer_drain(input, *consumed);
+        received_bytes_ += *consumed;
+        if (auto const rejection = rejection_reason(); !rejection.empty())
+        {
+            fail(call_failure::malformed, rejection);
+            return;
+        }
         if (!std::exchange(complete_, false))
             continue;
         take_end();
@@ -163,6 +197,28 @@
         hooks_.head(head);
 }
 
+void outbound_connection::take_body(std::string_view bytes)
+{
+    if (skipping_)
+        return;
+    body_bytes_ += bytes.size();
+    if (hooks_.body)
+        hooks_.body(bytes);
+}
+
+std::string outbound_connection::rejection_reason() const
+{
+    if (!rejection_.empty())
+        return rejection_;
+    auto const overhead = received_bytes_ - body_bytes_;
+    auto const allowed = options_.max_overhead_bytes + body_bytes_ * max_overhead_per_body_byte;
+    if (overhead <= allowed)
+        return {};
+    return "the upstream sent " + std::to_string(overhead) +
+           " bytes besides the body of its response; at most " + std::to_string(allowed) +
+           " are accepted (response-overhead-kib)";
+}
+
 void outbound_connection::take_end()
 {
     if (std::exchange(skipping_, false))
--- a/libraries/savorymount/runtime/outbound_connection.hpp
+++ b/libraries/savorymount/runtime/outbound_connection.hpp
@@ -38,6 +38,9 @@
     std::function<void(call_failure, std::string const& reason)> failed;
     /// Whether a response with this head answers this call; others are skipped. Optional.
     std::function<bool(http_head const&)> answers;
+    /// Whether the request may still be sent, asked when a new connection is open. The process may
+    /// have been suspended since `call`. Without permission the call fails as `not_sent`. Optional.
+    std::function<bool()> may_send;
 };
 
 struct outbound_options
@@ -47,6 +50,10 @@
     /// How long sent bytes may stay unacknowledged.
     base::duration silence = std::chrono::milliseconds(1500);
     std::size_t max_header_bytes = std::size_t{32} * 1024;
+    /// Bytes of one call that belong to no body of its response: heads, interim responses, chunk
+    /// sizes and extensions, trailers, and whole responses to other requests. A body allows some
+    /// more in proportion to its size, since it may come in small chunks.
+    std::size_t max_overhead_bytes = std::size_t{256} * 1024;
 };
 
 /// One connection to an upstream or to the store. It carries one call at a time.
@@ -62,6 +69,10 @@
     /// may destroy this object.
     void call(std::string head, std::string_view body, call_hooks hooks);
 
+    /// For the `body` hook: ends the call as malformed, with this reason, after the hook returns.
+    /// The connection carries no further call.
+    void reject_response(std::string reason) { rejection_ = std::move(reason); }
+
     /// Stops or resumes reading, so that a slow reader holds the sender back.
     void pause_reading(bool paused);
 
@@ -79,10 +90,16 @@
     static void handle_read(bufferevent*, void* self);
     static void handle_event(bufferevent*, short what, void* self);
 
+    /// Runs a callback. If it throws, the call fails, since its state is unknown.
+    void run_or_fail(std::function<void()> const& callback);
     void read_input();
     void take_head(http_head const& head);
+    void take_body(std::string_view bytes);
     void take_end();
+    /// Why the response read so far may not go on; empty if it may.
+    std::string rejection_reason() const;
     void fail(call_failure kind, std::string const& reason);
+    void handle_connected();
     void peer_closed(bool in_good_order, std::string const& reason);
     void end_idle();
 
@@ -97,6 +114,11 @@
     bool broken_ = false;
     bool keep_alive_ = true;
     bool complete_ = false;
+    /// Bytes that this call received, and those of them that were delivered as the body.
+    std::size_t received_bytes_ = 0;
+    std::size_t body_bytes_ = 0;
+    /// Set by `reject_response`.
+    std::string rejection_;
     base::time_point idle_since_{};
     std::optional<base::duration> announced_idle_time_;
     std::function<void()> idle_end_;
--- a/libraries/savorymount/runtime/outbound_pool.cpp
+++ b/libraries/savorymount/runtime/outbound_pool.cpp
@@ -30,7 +30,7 @@
         if (fresh(*connection))
             return connection;
     }
-    outbound_options options;
+    auto options = options_;
     options.address = address;
     return std::make_unique<outbound_connection>(loop_, timers_, options);
 }
--- a/libraries/savorymount/runtime/outbound_pool.hpp
+++ b/libraries/savorymount/runtime/outbound_pool.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace savorymount::runtime
@@ -15,7 +16,11 @@
 class outbound_pool
 {
 public:
-    outbound_pool(event_loop& loop, timer_service& timers) : loop_(loop), timers_(timers) {}
+    /// `options` holds for all connections, except for the address.
+    outbound_pool(event_loop& loop, timer_service& timers, outbound_options options = {})
+        : loop_(loop), timers_(timers), options_(std::move(options))
+    {
+    }
 
     /// An idle connection that the upstream surely still keeps, or a new one.
     std::unique_ptr<outbound_connection> take(std::string const& upstream,
@@ -32,6 +37,7 @@
 
     event_loop& loop_;
     timer_service& timers_;
+    outbound_options options_;
     std::unordered_map<std::string, std::vector<std::unique_ptr<outbound_connection>>> idle_;
 };
 
--- a/tests/libraries/runtime/outbound_connection_test.cpp
+++ b/tests/libraries/runtime/outbound_connection_test.cpp
@@ -67,6 +67,7 @@
         {
             return find_header(it.headers, "X-Request-Id") != "other";
         };
+        hooks.may_send = may_send;
         connection->call("GET / HTTP/1.1\r\nHost: a\r\n\r\n", "", std::move(hooks));
         loop.run();
         out.reusable = connection->reusable();
@@ -76,6 +77,7 @@
     event_loop loop;
     timer_service timers{loop};
     std::unique_ptr<outbound_connection> connection;
+    std::function<bool()> may_send;
 };
 
 // Guards against a late answer to an earlier request that is delivered as the answer to this one,
@@ -175,6 +177,25 @@
     EXPECT_EQ(call(*address).failure, call_failure::not_sent);
 }
 
+// Guards against a request that leaves after its permission has run out, because the process was
+// suspended while the connection was opened.
+TEST_F(outbound_connection_test, sends_nothing_when_the_permission_ended_before_it_was_connected)
+{
+    scripted_server server(loop, {own_answer}, afterwards::keep);
+    may_send = []
+    {
+        return false;
+    };
+    auto const result = call(server.address());
+    EXPECT_EQ(result.failure, call_failure::not_sent);
+    EXPECT_FALSE(result.reusable);
+    may_send = []
+    {
+        return true;
+    };
+    EXPECT_EQ(call(server.address()).body, "yes");
+}
+
 // Guards against an interim answer that is taken for the answer.
 TEST_F(outbound_connection_test, skips_interim_answers)
 {
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -69,6 +69,11 @@
         return client.start(http_[gateway], "POST", "/p/chat", headers(id, key), "text of " + id);
     }
 
+    std::shared_ptr<caller_answer> start_booking(std::size_t gateway, std::string const& id)
+    {
+        return client.start(http_[gateway], "POST", "/b/slot", headers(id, "key-a"), "{}");
+    }
+
     caller_answer book(std::size_t gateway, std::string const& id, std::string const& key = "key-a")
     {
         return client.request(http_[gateway], "POST", "/b/slot", headers(id, key), "{}");
@@ -240,6 +245,60 @@
         << log;
 }
 
+// Guards against requests that a planned stop of several instances under load cuts off before the
+// processes have read them.
+TEST(gateway, answers_what_the_kernel_accepted_before_a_planned_stop)
+{
+    platform_deployment system(3);
+    for (std::size_t i = 0; i < 3; ++i)
+        system.gateway(i).send_signal(SIGSTOP);
+    std::vector<std::shared_ptr<caller_answer>> answers;
+    for (std::size_t n = 0; n < 60; ++n)
+        answers.push_back(system.prompt(n % 3, "request-" + std::to_string(n)));
+    // The requests must be in the kernel before the processes see the signal.
+    system.client.run_until([&, until = system.client.loop().now() + std::chrono::milliseconds(300)]
+                            { return system.client.loop().now() > until; });
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        system.gateway(i).send_signal(SIGTERM);
+        system.gateway(i).send_signal(SIGCONT);
+    }
+    system.client.wait(answers);
+    for (auto const& it : answers)
+        EXPECT_EQ(it->body, whole_stream()) << it->status;
+    for (std::size_t i = 0; i < 3; ++i)
+        EXPECT_EQ(system.gateway(i).wait(), 0);
+}
+
+// Guards against running work that is started again, or given up, because its upstream or the
+// gateway was silent for some seconds.
+TEST(gateway, keeps_running_work_through_a_pause)
+{
+    platform_deployment system(1);
+    int n = 0;
+    for (process* const paused : {&system.platform(), &system.gateway(0)})
+    {
+        for (int const pause_ms : {500, 2500})
+        {
+            auto const id = "request-" + std::to_string(++n);
+            auto const answer = system.prompt(0, id);
+            auto const booking = system.start_booking(0, "booking-" + std::to_string(n));
+            system.client.run_until([&] { return !answer->body.empty(); });
+            paused->send_signal(SIGSTOP);
+            usleep(static_cast<useconds_t>(pause_ms) * 1000);
+            paused->send_signal(SIGCONT);
+            system.client.wait({answer, booking});
+            EXPECT_EQ(answer->body, whole_stream()) << pause_ms;
+            EXPECT_EQ(booking->status, 200) << pause_ms;
+            auto const state = system.state();
+            int runs = 0;
+            for (char const* it : {"engine-0", "engine-1"})
+                runs += state[it]["executions"].value(id, 0);
+            EXPECT_EQ(runs, 1) << pause_ms;
+        }
+    }
+}
+
 // Guards against a shutdown that cuts a stream or stays in rotation.
 TEST(gateway, finishes_its_streams_after_sigterm)
 {
