--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -16,8 +16,6 @@
 constexpr base::duration store_failure_window = 2500ms;
 // Age of a weight version that is found at startup, since the time of its publication is unknown.
 constexpr base::duration assumed_version_age = 3s;
-// How long a peer's reported use of upstreams is counted.
-constexpr base::duration peer_usage_lifetime = 2s;
 constexpr base::duration crash_quarantine_time = 60s;
 // A crash is reported repeatedly for this long, so that a lost datagram does not matter.
 constexpr base::duration crash_report_time = 3s;
@@ -43,7 +41,8 @@
 } // namespace
 
 cluster_state::cluster_state(gateway_settings const& settings, base::time_point now)
-    : settings_(settings), started_at_(now), peer_table_(settings.instance, {}),
+    : settings_(settings), started_at_(now),
+      peer_table_(settings.instance, {.local_data_centre = settings.data_centre}),
       quarantine_(retries::crash_quarantine_options{.quarantine_duration = crash_quarantine_time})
 {
 }
@@ -161,11 +160,11 @@
     }
 }
 
-void cluster_state::apply_report(base::time_point now, membership::peer_report const& report)
+bool cluster_state::apply_report(base::time_point now, membership::peer_report const& report)
 {
     observe_time(now);
     if (!peer_table_.apply_report(now, report))
-        return;
+        return false;
     if (!report.partial)
         apply_full_report(now, report);
     for (auto const& it : report.weight_loads)
@@ -180,6 +179,7 @@
     }
     for (auto const& it : report.crashes)
         quarantine_.record_crash(now, it.request_digest, it.upstream);
+    return true;
 }
 
 membership::peer_report cluster_state::make_report(base::time_point now, std::uint64_t sequence,
@@ -188,6 +188,7 @@
     membership::peer_report out;
     out.instance = settings_.instance;
     out.incarnation = settings_.incarnation;
+    out.data_centre = settings_.data_centre;
     out.sequence = sequence;
     out.partial = partial;
     out.uptime = std::chrono::duration_cast<std::chrono::milliseconds>(now - started_at_);
@@ -241,7 +242,7 @@
     }
     for (auto const& [instance, peer] : peer_table_.peers())
     {
-        if (now - peer.last_seen_at > peer_usage_lifetime)
+        if (peer_table_.is_silent(now, peer))
             upstreams_.set_peer_use(instance, {});
     }
 }
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -77,8 +77,8 @@
     void record_sent_parts(base::time_point now, std::vector<std::uint64_t> const& digests,
                            std::string const& engine);
 
-    /// Applies a report of another instance.
-    void apply_report(base::time_point now, membership::peer_report const& report);
+    /// Applies a report of another instance. Returns false if it is not newer than what is known.
+    bool apply_report(base::time_point now, membership::peer_report const& report);
 
     /// The report of this instance to the others; the caller adds the weight loads. A partial
     /// report has only crashes.
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -87,13 +87,16 @@
                      {[this](base::time_point now) { return rollout_leader_.loads(now); },
                       [this](base::time_point now) { return rollout_leader_.lease_offset(now); },
                       [this](base::time_point now, std::uint64_t offset)
+                      { rollout_leader_.leader_reported(now, offset); },
+                      [this](membership::store_update const& it)
                       {
-                          rollout_leader_.leader_reported(now, offset);
+                          platform_.apply_store_update(it);
                       }}),
       rollout_leader_(timers_, cluster_, platform_, random_,
                       {[this] { peer_exchange_.send_partial_report(); },
                        [this](std::vector<member_record> const& it)
                        { peer_exchange_.update_members(it); },
+                       [this] { return peer_exchange_.reads_store(); },
                        [this](bool is_leader)
                        {
                            metrics_.leadership_changed(is_leader);
@@ -219,7 +222,15 @@
     {
         store_failed(it);
     };
-    platform_.follow(std::move(callbacks), [this] { return cluster_.upstream_poll_interval(); });
+    callbacks.store_read = [this](membership::store_update it)
+    {
+        peer_exchange_.send_store_update(std::move(it));
+    };
+    platform_.follow(std::move(callbacks), {[this] { return cluster_.upstream_poll_interval(); },
+                                            [this]
+                                            {
+                                                return peer_exchange_.reads_store();
+                                            }});
 }
 
 void gateway::store_responded()
--- a/libraries/savorymount/gateway/peer_exchange.cpp
+++ b/libraries/savorymount/gateway/peer_exchange.cpp
@@ -2,6 +2,7 @@
 #include <savorymount/gateway/peer_report_codec.hpp>
 #include <savorymount/runtime/log_events.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace savorymount::gateway
@@ -12,6 +13,8 @@
 using namespace std::chrono_literals;
 
 constexpr base::duration tick_interval = 50ms;
+// Keeps a datagram of relayed reports well below the largest size of a datagram.
+constexpr std::size_t max_reports_per_datagram = 12;
 
 } // namespace
 
@@ -42,21 +45,68 @@
 {
     auto const now = timers_.now();
     for (auto const& it : members)
-        cluster_.peer_table().register_peer(now, it.instance, it.incarnation, it.address);
+        cluster_.peer_table().register_peer(now, it.instance, it.incarnation, it.address,
+                                            it.data_centre);
+    update_routes(now);
+}
+
+void peer_exchange::update_routes(base::time_point now)
+{
+    bool const was_relay = routes_.local_is_relay;
+    routes_ = membership::find_report_routes(now, cluster_.peer_table());
+    if (routes_.local_is_relay == was_relay)
+        return;
+    relay_buffer_.clear();
+    runtime::log(routes_.local_is_relay ? runtime::log_events::relay_started
+                                        : runtime::log_events::relay_ended,
+                 {{"data_centre", cluster_.settings().data_centre}});
 }
 
 void peer_exchange::send_periodic_report()
 {
     auto const now = timers_.now();
-    if (now - last_report_at_ < membership::report_interval(cluster_.peer_table().instance_count()))
-        return;
-    last_report_at_ = now;
-    send(cluster_.make_report(now, ++sequence_, false));
+    if (now - last_report_at_ >= cluster_.peer_table().local_report_interval())
+    {
+        last_report_at_ = now;
+        update_routes(now);
+        auto report = cluster_.make_report(now, ++sequence_, false);
+        complete(report);
+        if (routes_.local_is_relay)
+            relay_buffer_.record(report);
+        send_to(routes_.neighbours, encode_peer_report(report));
+    }
+    if (routes_.local_is_relay && now - last_relay_at_ >= membership::relay_interval)
+        send_relayed_reports(now);
+}
+
+void peer_exchange::send_relayed_reports(base::time_point now)
+{
+    last_relay_at_ = now;
+    auto reports = relay_buffer_.take();
+    for (std::size_t first = 0; first < reports.size(); first += max_reports_per_datagram)
+    {
+        auto const last = std::min(first + max_reports_per_datagram, reports.size());
+        auto datagram = cluster_.make_report(now, ++sequence_, true);
+        complete(datagram);
+        for (std::size_t i = first; i < last; ++i)
+            datagram.relayed.push_back(std::move(reports[i]));
+        send_to(routes_.remote_relays, encode_peer_report(datagram));
+    }
 }
 
 void peer_exchange::send_partial_report()
 {
-    send(cluster_.make_report(timers_.now(), ++sequence_, true));
+    broadcast(cluster_.make_report(timers_.now(), ++sequence_, true));
+}
+
+void peer_exchange::send_store_update(membership::store_update update)
+{
+    if (!routes_.local_is_relay)
+        return;
+    auto report = cluster_.make_report(timers_.now(), ++sequence_, true);
+    complete(report);
+    report.store_updates.push_back(std::move(update));
+    send_to(routes_.neighbours, encode_peer_report(report));
 }
 
 void peer_exchange::send_shutdown_report()
@@ -64,21 +114,31 @@
     auto report = cluster_.make_report(timers_.now(), ++sequence_, false);
     report.leaving = true;
     // Sent twice, since a datagram may be lost.
-    send(report);
-    send(std::move(report));
+    broadcast(report);
+    broadcast(std::move(report));
 }
 
-void peer_exchange::send(membership::peer_report report)
+void peer_exchange::broadcast(membership::peer_report report)
+{
+    complete(report);
+    auto const bytes = encode_peer_report(report);
+    send_to(routes_.neighbours, bytes);
+    send_to(routes_.remote_relays, bytes);
+}
+
+void peer_exchange::complete(membership::peer_report& report) const
 {
     report.address = to_string(address_);
     report.weight_loads = callbacks_.loads(timers_.now());
     report.lease_offset = callbacks_.leader_lease_offset(timers_.now());
-    auto const bytes = encode_peer_report(report);
+}
+
+void peer_exchange::send_to(std::vector<std::string> const& addresses, std::string_view bytes) const
+{
     base::error ignored;
-    for (auto const& [instance, peer] : cluster_.peer_table().peers())
+    for (auto const& it : addresses)
     {
-        auto const address = runtime::parse_address("peer", peer.address, ignored);
-        if (address)
+        if (auto const address = runtime::parse_address("peer", it, ignored))
             socket_.send(*address, bytes);
     }
 }
@@ -93,9 +153,35 @@
         return;
     }
     auto const now = timers_.now();
-    cluster_.apply_report(now, *report);
-    if (report->lease_offset && report->instance != cluster_.settings().instance)
-        callbacks_.leader_reported(now, *report->lease_offset);
+    bool const is_own = report->instance == cluster_.settings().instance;
+    if (is_own || !cluster_.apply_report(now, *report))
+        return;
+    note_leader(now, *report);
+    for (auto const& it : report->relayed)
+    {
+        if (cluster_.apply_report(now, it))
+            note_leader(now, it);
+    }
+    bool const is_local = report->data_centre == cluster_.settings().data_centre;
+    if (is_local)
+    {
+        for (auto const& it : report->store_updates)
+            callbacks_.store_updated(it);
+    }
+    if (!routes_.local_is_relay)
+        return;
+    if (is_local && report->leaving)
+        relay_buffer_.forget(report->instance);
+    else if (is_local)
+        relay_buffer_.record(*report);
+    else if (!is_local)
+        send_to(routes_.neighbours, bytes);
+}
+
+void peer_exchange::note_leader(base::time_point now, membership::peer_report const& report)
+{
+    if (report.lease_offset)
+        callbacks_.leader_reported(now, *report.lease_offset);
 }
 
 } // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/peer_exchange.hpp
+++ b/libraries/savorymount/gateway/peer_exchange.hpp
@@ -3,6 +3,8 @@
 #include <savorymount/gateway/cluster_state.hpp>
 #include <savorymount/gateway/platform_adapter.hpp>
 #include <savorymount/membership/peer_report.hpp>
+#include <savorymount/membership/relay_buffer.hpp>
+#include <savorymount/membership/report_routes.hpp>
 #include <savorymount/runtime/datagram_socket.hpp>
 #include <savorymount/runtime/timer_service.hpp>
 
@@ -22,9 +24,12 @@
     std::function<std::optional<std::uint64_t>(base::time_point)> leader_lease_offset;
     /// Another instance reported that it is the leader, with the log offset of its lease record.
     std::function<void(base::time_point, std::uint64_t)> leader_reported;
+    /// The relay of the data centre read the platform's store.
+    std::function<void(membership::store_update const&)> store_updated;
 };
 
-/// Exchanges reports with the other instances over UDP.
+/// Exchanges reports with the other instances over UDP, in a large deployment through one relay
+/// for each data centre (see `membership::report_routes`).
 class peer_exchange
 {
 public:
@@ -39,13 +44,24 @@
 
     /// Sends a partial report with weight loads and crashes immediately.
     void send_partial_report();
+    /// Passes on what this instance read from the platform's store, if it is the relay.
+    void send_store_update(membership::store_update update);
+    /// Whether this instance reads the platform's store for its data centre or only for itself.
+    /// False if another one does.
+    bool reads_store() const { return !routes_.uses_relays || routes_.local_is_relay; }
     /// Sends the final report, which marks this instance as leaving.
     void send_shutdown_report();
 
 private:
     void send_periodic_report();
-    void send(membership::peer_report report);
+    void complete(membership::peer_report& report) const;
+    void update_routes(base::time_point now);
+    void send_relayed_reports(base::time_point now);
+    /// Sends to the neighbours, and to the relays of the other data centres.
+    void broadcast(membership::peer_report report);
+    void send_to(std::vector<std::string> const& addresses, std::string_view bytes) const;
     void receive(std::string_view bytes);
+    void note_leader(base::time_point now, membership::peer_report const& report);
 
     runtime::timer_service& timers_;
     cluster_state& cluster_;
@@ -54,6 +70,9 @@
     runtime::network_address address_;
     std::uint64_t sequence_ = 0;
     base::time_point last_report_at_{};
+    base::time_point last_relay_at_{};
+    membership::report_routes routes_;
+    membership::relay_buffer relay_buffer_;
     runtime::timer_service::subscription tick_timer_;
 };
 
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -78,9 +78,54 @@
                });
 }
 
+std::string_view text_of(capnp::Data::Reader in)
+{
+    return {reinterpret_cast<char const*>(in.begin()), in.size()};
+}
+
+void write_store_update(wire::StoreUpdate::Builder out, membership::store_update const& update)
+{
+    out.setTopic(update.topic);
+    out.setBegin(update.begin);
+    out.setEnd(update.end);
+    out.setIncomplete(update.incomplete);
+    write_list(out.initRecords(count(update.records)), update.records,
+               [](wire::StoreRecord::Builder to, membership::store_record const& it)
+               {
+                   to.setKey(it.key);
+                   to.setDeleted(!it.value);
+                   to.setOffset(it.offset);
+                   auto const value = it.value.value_or("");
+                   to.setValue(
+                       kj::arrayPtr(reinterpret_cast<kj::byte const*>(value.data()), value.size()));
+               });
+}
+
+membership::store_update read_store_update(wire::StoreUpdate::Reader in)
+{
+    membership::store_update out;
+    out.topic = in.getTopic().cStr();
+    out.begin = in.getBegin();
+    out.end = in.getEnd();
+    out.incomplete = in.getIncomplete();
+    for (auto const it : in.getRecords())
+    {
+        membership::store_record record{it.getKey().cStr(), std::nullopt, it.getOffset()};
+        if (!it.getDeleted())
+            record.value = std::string(text_of(it.getValue()));
+        out.records.push_back(std::move(record));
+    }
+    return out;
+}
+
 membership::peer_report read_report(wire::PeerReport::Reader in)
 {
     membership::peer_report out;
+    out.data_centre = in.getDataCentre().cStr();
+    for (auto const it : in.getRelayed())
+        out.relayed.push_back(read_report(it));
+    for (auto const it : in.getStoreUpdates())
+        out.store_updates.push_back(read_store_update(it));
     out.instance = in.getInstance().cStr();
     out.incarnation = in.getIncarnation().cStr();
     out.address = in.getAddress().cStr();
@@ -109,15 +154,12 @@
     return out;
 }
 
-} // namespace
-
-std::string encode_peer_report(membership::peer_report const& report)
+void write_report(wire::PeerReport::Builder root, membership::peer_report const& report)
 {
-    capnp::MallocMessageBuilder message;
-    auto root = message.initRoot<wire::PeerReport>();
     root.setInstance(report.instance);
     root.setIncarnation(report.incarnation);
     root.setAddress(report.address);
+    root.setDataCentre(report.data_centre);
     root.setLeaving(report.leaving);
     root.setPartial(report.partial);
     root.setUptimeMilliseconds(static_cast<std::uint64_t>(report.uptime.count()));
@@ -125,6 +167,17 @@
     root.setHoldsDuty(report.lease_offset.has_value());
     root.setDutyOffset(report.lease_offset.value_or(0));
     write_lists(root, report);
+    write_list(root.initStoreUpdates(count(report.store_updates)), report.store_updates,
+               write_store_update);
+    write_list(root.initRelayed(count(report.relayed)), report.relayed, write_report);
+}
+
+} // namespace
+
+std::string encode_peer_report(membership::peer_report const& report)
+{
+    capnp::MallocMessageBuilder message;
+    write_report(message.initRoot<wire::PeerReport>(), report);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     auto const bytes = out.getArray();
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -4,6 +4,7 @@
 #include <savorymount/configuration/deployment.hpp>
 #include <savorymount/gateway/append_outcome.hpp>
 #include <savorymount/gateway/caller_request.hpp>
+#include <savorymount/membership/store_update.hpp>
 #include <savorymount/membership/upstream_record.hpp>
 #include <savorymount/orders/leader_lease.hpp>
 #include <savorymount/orders/weight_rollout.hpp>
@@ -30,6 +31,17 @@
     /// A read of the store succeeded or failed.
     std::function<void()> store_responded;
     std::function<void(base::error const& reason)> store_failed;
+    /// A read of a topic succeeded; for the other instances of the data centre.
+    std::function<void(membership::store_update)> store_read;
+};
+
+/// How an instance follows the platform's store.
+struct store_follow_options
+{
+    /// Delay before the next read of the upstreams.
+    std::function<base::duration()> upstream_poll_interval;
+    /// Whether this instance reads the store itself although updates of another one arrive.
+    std::function<bool()> reads_store;
 };
 
 /// The announcement of a gateway instance in the platform's store.
@@ -68,9 +80,10 @@
 struct platform_adapter
 {
     /// Reports the configuration, the weight versions and the upstreams, and every later change.
-    /// `upstream_poll_interval` returns the delay before the next read of the upstreams.
-    std::function<void(platform_events, std::function<base::duration()> upstream_poll_interval)>
-        follow;
+    std::function<void(platform_events, store_follow_options)> follow;
+    /// Applies what another instance read. Nothing is read while such updates arrive, unless
+    /// `reads_store` holds.
+    std::function<void(membership::store_update const&)> apply_store_update;
 
     std::function<void(std::function<void(std::optional<membership_page>)>)> read_membership;
     std::function<void(orders::conditional_lease_append const&,
--- a/libraries/savorymount/gateway/rollout_leader.cpp
+++ b/libraries/savorymount/gateway/rollout_leader.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint64_t membership_read_jitter_ms = 200;
 // While reports of the leader arrive, the others read the store only to find new instances.
 constexpr base::duration max_membership_read_interval = 4s;
+// With a relay in the data centre, new instances become known through their reports.
+constexpr base::duration membership_read_interval_beside_relay = 20s;
 // Lost reports that are tolerated before the leader counts as silent.
 constexpr int max_lost_reports = 2;
 // How long an engine gets no new requests after the last report that it drains.
@@ -68,7 +70,7 @@
 
 bool rollout_leader::leader_reported_recently(base::time_point now) const
 {
-    auto const interval = membership::report_interval(cluster_.peer_table().instance_count());
+    auto const interval = cluster_.peer_table().report_delay();
     return leader_reported_at_ && now - *leader_reported_at_ < interval * (max_lost_reports + 1);
 }
 
@@ -81,8 +83,12 @@
 void rollout_leader::read_membership_if_due()
 {
     auto const now = timers_.now();
+    bool const leaves_it_to_relay = !is_leader_ && !callbacks_.reads_store();
     bool const other_instance_leads = !is_leader_ && leader_reported_recently(now);
-    if (other_instance_leads && now - membership_read_at_ < max_membership_read_interval)
+    auto const pause = leaves_it_to_relay     ? membership_read_interval_beside_relay
+                       : other_instance_leads ? max_membership_read_interval
+                                              : base::duration::zero();
+    if (now - membership_read_at_ < pause)
         membership_timer_ =
             timers_.after(membership_check_interval, [this] { read_membership_if_due(); });
     else
--- a/libraries/savorymount/gateway/rollout_leader.hpp
+++ b/libraries/savorymount/gateway/rollout_leader.hpp
@@ -21,6 +21,9 @@
     std::function<void()> loads_changed;
     /// The announced instances were read from the platform's store.
     std::function<void(std::vector<member_record> const&)> members_read;
+    /// Whether this instance reads the store for itself or its data centre. The others leave the
+    /// leader lease to those that do, and seldom look for new instances.
+    std::function<bool()> reads_store;
     /// This instance became the leader or lost the leadership.
     std::function<void(bool is_leader)> leadership_changed;
 };
--- a/libraries/savorymount/membership/peer_report.cpp
+++ b/libraries/savorymount/membership/peer_report.cpp
@@ -31,6 +31,11 @@
            is_token_count(it.second.tokens);
 }
 
+bool is_plausible_relayed(peer_report const& report)
+{
+    return report.relayed.empty() && report.store_updates.empty() && is_plausible(report);
+}
+
 } // namespace
 
 bool is_plausible(peer_report const& report)
@@ -45,7 +50,11 @@
         std::all_of(totals.begin(), totals.end(),
                     [](auto const& it) { return is_name(it.first) && is_token_count(it.second); });
     auto const& use = report.upstream_use;
-    return has_totals && std::all_of(use.begin(), use.end(), is_usage);
+    bool const has_use = std::all_of(use.begin(), use.end(), is_usage);
+    bool const has_data_centre = report.data_centre.size() <= max_name_bytes;
+    auto const& relayed = report.relayed;
+    return has_totals && has_use && has_data_centre &&
+           std::all_of(relayed.begin(), relayed.end(), is_plausible_relayed);
 }
 
 } // namespace savorymount::membership
--- a/libraries/savorymount/membership/peer_report.hpp
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <savorymount/base/time.hpp>
+#include <savorymount/membership/store_update.hpp>
 #include <savorymount/routing/upstream_table.hpp>
 
 #include <cstdint>
@@ -60,6 +61,12 @@
     std::vector<crash_notice> crashes;
     /// Digests of shared prompt parts in requests that were sent to an engine, by engine.
     std::map<std::string, std::vector<std::uint64_t>> assigned_prefixes;
+    /// Data centre of the sender; empty if it did not tell.
+    std::string data_centre;
+    /// Reports of other instances of the sender's data centre, which it passes on.
+    std::vector<peer_report> relayed;
+    /// What the sender read from the platform's store, for its data centre.
+    std::vector<store_update> store_updates;
 
     bool operator==(peer_report const&) const = default;
 };
--- a/libraries/savorymount/membership/peer_table.hpp
+++ b/libraries/savorymount/membership/peer_table.hpp
@@ -12,9 +12,9 @@
 
 struct peer_table_options
 {
-    /// An instance counts as silent if its last report is older than this.
-    /// FIXME: With 50 instances or more the report interval exceeds this, so that all other
-    ///        instances count as silent.
+    std::string local_data_centre;
+    /// An instance counts as silent if its last report is older than this, or than the time in
+    /// which several reports should have arrived, if that is longer.
     base::duration silent_after = std::chrono::milliseconds(1000);
     /// An instance is removed if its last report is older than this.
     base::duration remove_after = std::chrono::seconds(10);
@@ -24,6 +24,9 @@
 /// the total traffic of all reports grows linearly with that number instead of with its square.
 base::duration report_interval(std::size_t instance_count);
 
+/// Time between two exchanges of reports between data centres.
+inline constexpr base::duration relay_interval = std::chrono::milliseconds(500);
+
 /// The other instances of the gateway, with their addresses and the times of their last reports.
 class peer_table
 {
@@ -33,20 +36,26 @@
         /// `IP:port`, from the store or the peer's own reports.
         std::string address;
         std::string incarnation;
+        /// Empty if it is not known.
+        std::string data_centre;
+        /// Of the last report, and of the last one that was not partial.
         std::uint64_t sequence = 0;
+        std::uint64_t full_sequence = 0;
         /// Time of the last report, or of the registration if there was none yet.
         base::time_point last_seen_at{};
         bool has_reported = false;
     };
 
     peer_table(std::string local_instance, peer_table_options options)
-        : local_instance_(std::move(local_instance)), options_(options)
+        : local_instance_(std::move(local_instance)), options_(std::move(options))
     {
+        count_groups();
     }
 
     /// Adds an instance that the store lists. An incarnation that was removed is not added again.
     void register_peer(base::time_point now, std::string const& instance,
-                       std::string const& incarnation, std::string const& address);
+                       std::string const& incarnation, std::string const& address,
+                       std::string const& data_centre = {});
 
     /// Applies a report. Returns false if the local instance sent it, or if the same or a newer
     /// report has already arrived. An instance that reports its shutdown is removed immediately.
@@ -62,15 +71,36 @@
     /// Number of instances, including the local one.
     std::size_t instance_count() const { return peers_.size() + 1; }
     std::size_t silent_count(base::time_point now) const;
+    bool is_silent(base::time_point now, peer const& it) const;
+
+    std::string const& local_instance() const { return local_instance_; }
+    std::string const& local_data_centre() const { return options_.local_data_centre; }
+    /// Whether the peer is in another data centre.
+    bool is_remote(peer const& it) const;
+    /// Whether the deployment is so large that reports between data centres pass through relays.
+    bool uses_relays() const;
+    /// Time between two reports of the local instance.
+    base::duration local_report_interval() const;
+    /// Time until all instances have a report of the local one.
+    base::duration report_delay() const;
 
     std::map<std::string, peer> const& peers() const { return peers_; }
 
 private:
+    /// Number of instances that get the reports of an instance of the data centre directly.
+    std::size_t report_group_size(std::string const& data_centre) const;
+    /// Call it after a change of `peers_`.
+    void count_groups();
+
     std::string local_instance_;
     peer_table_options options_;
     std::map<std::string, peer> peers_;
+    /// Last incarnation that reported its shutdown, by instance. Relayed reports of it may follow.
+    std::map<std::string, std::string> left_incarnations_;
     /// Last removed incarnation by instance, because the store continues to list it.
     std::map<std::string, std::string> removed_incarnations_;
+    /// Number of instances by data centre, including the local one.
+    std::map<std::string, std::size_t> group_sizes_;
 };
 
 } // namespace savorymount::membership
--- a/libraries/savorymount/routing/upstream_table.cpp
+++ b/libraries/savorymount/routing/upstream_table.cpp
@@ -21,9 +21,7 @@
 
 double upstream_state::active_requests(base::time_point now) const
 {
-    double known_requests = local_use.requests;
-    for (auto const& it : peer_use)
-        known_requests += it.second.requests;
+    double const known_requests = static_cast<double>(local_use.requests) + total_peer_use.requests;
     if (now - load_reported_at > load_report_lifetime)
         return known_requests;
     return std::max(known_requests, static_cast<double>(load.running + load.waiting));
@@ -31,10 +29,7 @@
 
 double upstream_state::tokens_in_use() const
 {
-    double out = local_use.tokens;
-    for (auto const& it : peer_use)
-        out += it.second.tokens;
-    return out;
+    return local_use.tokens + total_peer_use.tokens;
 }
 
 std::uint64_t upstream_state::weight_version(std::string const& model) const
@@ -231,14 +226,34 @@
 void upstream_table::set_peer_use(std::string const& peer,
                                   std::map<std::string, upstream_use> const& use)
 {
-    for (auto& [id, state] : states_)
+    auto& used = used_by_peer_[peer];
+    for (auto const& id : used)
     {
-        auto const it = use.find(id);
-        if (it == use.end())
-            state.peer_use.erase(peer);
-        else
-            state.peer_use[peer] = it->second;
+        if (!use.contains(id))
+            change_peer_use(id, peer, {});
     }
+    used.clear();
+    for (auto const& [id, it] : use)
+    {
+        change_peer_use(id, peer, it);
+        used.push_back(id);
+    }
+    if (used.empty())
+        used_by_peer_.erase(peer);
+}
+
+void upstream_table::change_peer_use(std::string const& id, std::string const& peer,
+                                     upstream_use const& use)
+{
+    auto* const state = find(id);
+    if (state == nullptr)
+        return;
+    auto& known = state->peer_use[peer];
+    state->total_peer_use.requests += use.requests - known.requests;
+    state->total_peer_use.tokens += use.tokens - known.tokens;
+    known = use;
+    if (use == upstream_use{})
+        state->peer_use.erase(peer);
 }
 
 std::map<std::string, upstream_use> upstream_table::local_use() const
--- a/libraries/savorymount/routing/upstream_table.hpp
+++ b/libraries/savorymount/routing/upstream_table.hpp
@@ -50,6 +50,8 @@
     double local_prefill_tokens = 0;
     /// Use last reported by the other instances, by instance.
     std::map<std::string, upstream_use> peer_use;
+    /// Sum of `peer_use`.
+    upstream_use total_peer_use;
 
     server_load load;
     base::time_point load_reported_at{};
@@ -139,7 +141,11 @@
     std::map<std::string, upstream_state> const& all() const { return states_; }
 
 private:
+    void change_peer_use(std::string const& id, std::string const& peer, upstream_use const& use);
+
     std::map<std::string, upstream_state> states_;
+    /// The upstreams that each peer reported to use.
+    std::map<std::string, std::vector<std::string>> used_by_peer_;
 };
 
 /// Whether requests wait for a response and the upstream has sent nothing for too long.
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -59,6 +59,11 @@
 inline constexpr log_event peer_rejected{
     402, log_level::warning, "peer_rejected",
     "A peer did not prove the shared secret or sent malformed data."};
+inline constexpr log_event relay_started{
+    403, log_level::info, "relay_started",
+    "This instance exchanges reports with other data centres and reads the store for its own."};
+inline constexpr log_event relay_ended{404, log_level::info, "relay_ended",
+                                       "Another instance is the relay of this data centre."};
 inline constexpr log_event upstream_unhealthy{500, log_level::warning, "upstream_unhealthy",
                                               "The upstream does not answer its load report."};
 inline constexpr log_event upstream_healthy{501, log_level::info, "upstream_healthy",
@@ -130,6 +135,8 @@
                                 peer_connected,
                                 peer_lost,
                                 peer_rejected,
+                                relay_started,
+                                relay_ended,
                                 upstream_unhealthy,
                                 upstream_healthy,
                                 upstream_crashed,
--- a/libraries/savorymount/wire/peer_report.capnp
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -30,6 +30,31 @@
   # The sender holds the duty to order weights, by the record at this offset of the store's topic.
   holdsDuty @12 :Bool;
   dutyOffset @13 :UInt64;
+  # Data centre of the sender.
+  dataCentre @14 :Text;
+  # Reports of other instances of the sender's data centre, for the other data centres.
+  relayed @15 :List(PeerReport);
+  # What the sender read from the store, for the other instances of its data centre.
+  storeUpdates @16 :List(StoreUpdate);
+}
+
+struct StoreUpdate {
+  topic @0 :Text;
+  # The update covers the offsets from `begin` to before `end`.
+  begin @1 :UInt64;
+  end @2 :UInt64;
+  # Only records that change something; the others in the range repeat what was known.
+  records @3 :List(StoreRecord);
+  # Records were left out because they are too large for a datagram.
+  incomplete @4 :Bool;
+}
+
+struct StoreRecord {
+  key @0 :Text;
+  value @1 :Data;
+  # The record deletes the key.
+  deleted @2 :Bool;
+  offset @3 :UInt64;
 }
 
 struct EngineReads {
--- a/libraries/savorymount/wire/peer_report.capnp.h
+++ b/libraries/savorymount/wire/peer_report.capnp.h
@@ -17,6 +17,8 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(9af7a34d82ae9c48);
+CAPNP_DECLARE_SCHEMA(ed196174270fe5d5);
+CAPNP_DECLARE_SCHEMA(af07bc0e981535fb);
 CAPNP_DECLARE_SCHEMA(b6c272478f1866fc);
 CAPNP_DECLARE_SCHEMA(c2360e543272b3d4);
 CAPNP_DECLARE_SCHEMA(aea40766791c1e11);
@@ -37,7 +39,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 4, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 4, 11)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StoreUpdate {
+  StoreUpdate() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ed196174270fe5d5, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StoreRecord {
+  StoreRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(af07bc0e981535fb, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -174,6 +206,15 @@
 
   inline  ::uint64_t getDutyOffset() const;
 
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline bool hasRelayed() const;
+  inline  ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>::Reader getRelayed() const;
+
+  inline bool hasStoreUpdates() const;
+  inline  ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>::Reader getStoreUpdates() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -276,6 +317,27 @@
   inline  ::uint64_t getDutyOffset();
   inline void setDutyOffset( ::uint64_t value);
 
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline bool hasRelayed();
+  inline  ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>::Builder getRelayed();
+  inline void setRelayed( ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>::Builder initRelayed(unsigned int size);
+  inline void adoptRelayed(::capnp::Orphan< ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>> disownRelayed();
+
+  inline bool hasStoreUpdates();
+  inline  ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>::Builder getStoreUpdates();
+  inline void setStoreUpdates( ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>::Builder initStoreUpdates(unsigned int size);
+  inline void adoptStoreUpdates(::capnp::Orphan< ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>> disownStoreUpdates();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -302,6 +364,213 @@
 };
 #endif  // !CAPNP_LITE
 
+class StoreUpdate::Reader {
+public:
+  typedef StoreUpdate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTopic() const;
+  inline  ::capnp::Text::Reader getTopic() const;
+
+  inline  ::uint64_t getBegin() const;
+
+  inline  ::uint64_t getEnd() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+  inline bool getIncomplete() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoreUpdate::Builder {
+public:
+  typedef StoreUpdate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTopic();
+  inline  ::capnp::Text::Builder getTopic();
+  inline void setTopic( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTopic(unsigned int size);
+  inline void adoptTopic(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTopic();
+
+  inline  ::uint64_t getBegin();
+  inline void setBegin( ::uint64_t value);
+
+  inline  ::uint64_t getEnd();
+  inline void setEnd( ::uint64_t value);
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+  inline bool getIncomplete();
+  inline void setIncomplete(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoreUpdate::Pipeline {
+public:
+  typedef StoreUpdate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StoreRecord::Reader {
+public:
+  typedef StoreRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
+
+  inline bool getDeleted() const;
+
+  inline  ::uint64_t getOffset() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoreRecord::Builder {
+public:
+  typedef StoreRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+
+  inline bool getDeleted();
+  inline void setDeleted(bool value);
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoreRecord::Pipeline {
+public:
+  typedef StoreRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class EngineReads::Reader {
 public:
   typedef EngineReads Reads;
@@ -1126,6 +1395,314 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerReport::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerReport::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerReport::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerReport::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PeerReport::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasRelayed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasRelayed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getRelayed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getRelayed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setRelayed( ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initRelayed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptRelayed(
+    ::capnp::Orphan< ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownRelayed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::PeerReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasStoreUpdates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasStoreUpdates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getStoreUpdates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getStoreUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setStoreUpdates( ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initStoreUpdates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptStoreUpdates(
+    ::capnp::Orphan< ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownStoreUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline bool StoreUpdate::Reader::hasTopic() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoreUpdate::Builder::hasTopic() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StoreUpdate::Reader::getTopic() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StoreUpdate::Builder::getTopic() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StoreUpdate::Builder::setTopic( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StoreUpdate::Builder::initTopic(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StoreUpdate::Builder::adoptTopic(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StoreUpdate::Builder::disownTopic() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StoreUpdate::Reader::getBegin() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StoreUpdate::Builder::getBegin() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StoreUpdate::Builder::setBegin( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StoreUpdate::Reader::getEnd() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StoreUpdate::Builder::getEnd() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StoreUpdate::Builder::setEnd( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoreUpdate::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoreUpdate::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>::Reader StoreUpdate::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>::Builder StoreUpdate::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StoreUpdate::Builder::setRecords( ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>::Builder StoreUpdate::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StoreUpdate::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>> StoreUpdate::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StoreRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StoreUpdate::Reader::getIncomplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool StoreUpdate::Builder::getIncomplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void StoreUpdate::Builder::setIncomplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoreRecord::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoreRecord::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StoreRecord::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StoreRecord::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StoreRecord::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StoreRecord::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StoreRecord::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StoreRecord::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StoreRecord::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoreRecord::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader StoreRecord::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder StoreRecord::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StoreRecord::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder StoreRecord::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StoreRecord::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> StoreRecord::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StoreRecord::Reader::getDeleted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool StoreRecord::Builder::getDeleted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StoreRecord::Builder::setDeleted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StoreRecord::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StoreRecord::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StoreRecord::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EngineReads::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
