--- a/tests/libraries/gateway/peer_report_codec_test.cpp
+++ b/tests/libraries/gateway/peer_report_codec_test.cpp
@@ -51,6 +51,22 @@
     }
 }
 
+// Guards against relayed reports and store updates that are lost or changed on the way, and against
+// reports that are nested without end.
+TEST(peer_report_codec, round_trips_relayed_reports_and_store_updates)
+{
+    auto report = sample_report();
+    report.data_centre = "dc";
+    report.relayed = {sample_report(), sample_report()};
+    report.store_updates = {
+        {"topic", 5, 9, {{"key", std::string("a\0b", 3), 7}, {"gone", std::nullopt, 8}}, true}};
+    auto const decoded = decode_peer_report(encode_peer_report(report));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(*decoded, report);
+    report.relayed[0].relayed = {sample_report()};
+    EXPECT_FALSE(decode_peer_report(encode_peer_report(report)));
+}
+
 // Guards against values that no instance reports, and that would spoil every sum they are part of.
 TEST(peer_report_codec, rejects_reports_with_implausible_values)
 {
--- /dev/null
+++ b/tests/platform/topic_follower_test.cpp
@@ -0,0 +1,144 @@
+#include "platform/topic_follower.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <tests/libraries/runtime/scripted_server.hpp>
+
+namespace savorymount::platform
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using tests::scripted_server;
+
+std::string big_endian(std::uint64_t value)
+{
+    std::string out;
+    for (int shift = 56; shift >= 0; shift -= 8)
+        out += static_cast<char>(value >> shift & 0xff);
+    return out;
+}
+
+std::string answer(std::string const& body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string snapshot(std::uint64_t end)
+{
+    return answer(R"({"items":[],"more":false,"end":)" + std::to_string(end) + "}");
+}
+
+/// A read that returns the given records up to `end`.
+std::string page(std::uint64_t end, std::string const& records = "")
+{
+    return answer(big_endian(end) + big_endian(0) + records);
+}
+
+class topic_follower_test : public testing::Test
+{
+protected:
+    void follow(std::vector<std::string> answers)
+    {
+        server = std::make_unique<scripted_server>(loop, std::move(answers),
+                                                   scripted_server::afterwards::keep);
+        store = std::make_unique<store_client>(client, server->address());
+        topic_callbacks callbacks;
+        callbacks.on_record = [this](keyed_record const& it)
+        {
+            records[it.key] = it.value.value_or("deleted");
+        };
+        callbacks.on_response = [this]
+        {
+            ++responses;
+        };
+        callbacks.on_error = [](base::error const&) {
+        };
+        callbacks.on_page = [this](std::uint64_t, record_page const&)
+        {
+            ++reads;
+        };
+        follower = std::make_unique<topic_follower>(
+            timers, *store,
+            topic_options{"keyed.test", {}, {}, [this] { return reads_store; }, 600s}, callbacks);
+        follower->start();
+    }
+
+    void run_for(base::duration time)
+    {
+        auto const timer = timers.after(time, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    /// Runs until `count` reads have returned; a hang ends with the test's own limit.
+    void run_until_reads(int count)
+    {
+        while (reads < count)
+            event_base_loop(loop.base(), EVLOOP_ONCE);
+    }
+
+    runtime::event_loop loop;
+    runtime::timer_service timers{loop};
+    runtime::outbound_client client{loop, timers};
+    std::unique_ptr<scripted_server> server;
+    std::unique_ptr<store_client> store;
+    std::unique_ptr<topic_follower> follower;
+    std::map<std::string, std::string> records;
+    int responses = 0;
+    int reads = 0;
+    bool reads_store = false;
+};
+
+// Guards against an instance that reads the store although another one reads it for the data
+// centre, and against records of that one that are lost.
+TEST_F(topic_follower_test, reads_nothing_while_updates_arrive)
+{
+    follow({snapshot(10), page(10), page(10)});
+    run_until_reads(1);
+    follower->apply_update(
+        {"keyed.test", 10, 14, {{"a", "1", 11}, {"b", std::nullopt, 13}}, false});
+    run_for(200ms);
+    EXPECT_EQ(reads, 1);
+    EXPECT_EQ(records, (std::map<std::string, std::string>{{"a", "1"}, {"b", "deleted"}}));
+    // The same update from a second relay changes nothing.
+    follower->apply_update({"keyed.test", 10, 14, {{"a", "1", 11}}, false});
+    EXPECT_EQ(records.at("a"), "1");
+}
+
+// Guards against a lost update whose records are never read.
+TEST_F(topic_follower_test, reads_the_store_after_a_gap)
+{
+    auto const record = serialize_record("missed", "2");
+    follow({snapshot(10), page(10), page(14, record + serialize_record("a", "3")), page(14)});
+    run_until_reads(1);
+    follower->apply_update({"keyed.test", 10, 11, {}, false});
+    follower->apply_update({"keyed.test", 12, 14, {{"late", "x", 13}}, false});
+    run_until_reads(2);
+    EXPECT_EQ(records.at("missed"), "2");
+}
+
+// Guards against a change that was too large for an update and is never read.
+TEST_F(topic_follower_test, reads_the_store_when_an_update_is_incomplete)
+{
+    follow({snapshot(10), page(10), page(11, serialize_record("config", "large")), page(11)});
+    run_until_reads(1);
+    follower->apply_update({"keyed.test", 10, 11, {}, true});
+    run_until_reads(2);
+    EXPECT_EQ(records.at("config"), "large");
+}
+
+// Guards against a data centre that no longer reads the store because its relay changed.
+TEST_F(topic_follower_test, reads_the_store_when_this_instance_becomes_the_relay)
+{
+    follow({snapshot(10), page(10), page(12), page(12), page(12)});
+    run_until_reads(1);
+    follower->apply_update({"keyed.test", 10, 12, {}, false});
+    reads_store = true;
+    run_until_reads(2);
+    EXPECT_EQ(responses, 4);
+}
+
+} // namespace
+} // namespace savorymount::platform
