Report weight loads five times a second at most where relays are used

The leader reported each of about 1,800 changes at once, several KB each, and each relay passed it on to 20 neighbours: more than a link of 20 Mbit/s carries.

Change: partial reports wait until 200 ms after the last one.

--- a/libraries/savorymount/gateway/peer_exchange.cpp
+++ b/libraries/savorymount/gateway/peer_exchange.cpp
@@ -13,6 +13,8 @@
 using namespace std::chrono_literals;
 
 constexpr base::duration tick_interval = 50ms;
+// With many engines that load, reports of each change would fill the links of relays.
+constexpr base::duration min_partial_interval = 200ms;
 // Keeps a datagram of relayed reports well below the largest size of a datagram.
 constexpr std::size_t max_reports_per_datagram = 12;
 
@@ -36,6 +38,8 @@
                                 {
                                     cluster_.tick(timers_.now());
                                     send_periodic_report();
+                                    if (partial_report_due_)
+                                        send_partial_report();
                                 });
     address_ = {listen_address.host, *port};
     return address_;
@@ -96,6 +100,11 @@
 
 void peer_exchange::send_partial_report()
 {
+    auto const now = timers_.now();
+    partial_report_due_ = routes_.uses_relays && now - last_partial_at_ < min_partial_interval;
+    if (partial_report_due_)
+        return;
+    last_partial_at_ = now;
     broadcast(cluster_.make_report(timers_.now(), ++sequence_, true));
 }
 
--- a/libraries/savorymount/gateway/peer_exchange.hpp
+++ b/libraries/savorymount/gateway/peer_exchange.hpp
@@ -42,7 +42,7 @@
     /// Registers the instances that are announced in the platform's store.
     void update_members(std::vector<member_record> const& members);
 
-    /// Sends a partial report with weight loads and crashes immediately.
+    /// Sends a partial report with weight loads and crashes, immediately or soon.
     void send_partial_report();
     /// Passes on what this instance read from the platform's store, if it is the relay.
     void send_store_update(membership::store_update update);
@@ -71,6 +71,9 @@
     std::uint64_t sequence_ = 0;
     base::time_point last_report_at_{};
     base::time_point last_relay_at_{};
+    base::time_point last_partial_at_{};
+    /// A partial report was put off.
+    bool partial_report_due_ = false;
     membership::report_routes routes_;
     membership::relay_buffer relay_buffer_;
     runtime::timer_service::subscription tick_timer_;
