Admit within a quota what the other instances cannot have used unseen

With 103 instances one could admit one request in half a second, and only if the rest of the limit held half of that for every instance; the delay of reports was assumed to be 0.5 s.

Change: shared_bucket estimates what the others can have admitted without a report so far, from what was reported lately, sooner by the own data centre, and from the delay in force. What is left beyond that is free for all; below it the shares decide as before, without growth. quota-overshoot-tokens says how far a workspace may exceed its limit meanwhile.

Ruled out: the demand at the own instance as a sign of a sudden rise.

Every request's last line now tells the tokens that it was charged.

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -33,9 +33,10 @@
 constexpr std::size_t min_instances = 4;
 
 limits::rate_limit rate_limit_of(configuration::workspace_account const& account,
-                                 base::duration window)
+                                 gateway_settings const& settings)
 {
-    return {static_cast<double>(account.rate), static_cast<double>(account.burst), window};
+    return {static_cast<double>(account.rate), static_cast<double>(account.burst),
+            settings.quota_window, settings.quota_overshoot_tokens};
 }
 
 } // namespace
@@ -53,7 +54,7 @@
         return false;
     for (auto const& it : data.workspaces)
     {
-        auto const limit = rate_limit_of(it, settings_.quota_window);
+        auto const limit = rate_limit_of(it, settings_);
         auto const initial_fill = settings_.first_start ? 1.0 : initial_fill_after_restart;
         auto const [bucket, added] = buckets_.try_emplace(it.name, now, limit, initial_fill);
         if (!added)
@@ -69,7 +70,7 @@
     if (!deployment_)
         return;
     for (auto const& it : deployment_->data().workspaces)
-        buckets_.at(it.name).set_limit(now, rate_limit_of(it, settings_.quota_window));
+        buckets_.at(it.name).set_limit(now, rate_limit_of(it, settings_));
 }
 
 void cluster_state::upstream_listed(base::time_point now, membership::upstream_record record)
@@ -147,10 +148,12 @@
 
 void cluster_state::apply_full_report(base::time_point now, membership::peer_report const& report)
 {
+    bool const is_direct =
+        !peer_table_.uses_relays() || report.data_centre == settings_.data_centre;
     for (auto const& [workspace, total] : report.admitted_tokens)
     {
         if (auto* const it = bucket(workspace))
-            it->apply_report(now, report.incarnation, now - report.uptime, total);
+            it->apply_report(now, report.incarnation, now - report.uptime, total, is_direct);
     }
     upstreams_.set_peer_use(report.instance, report.upstream_use);
     for (auto const& [engine, digests] : report.assigned_prefixes)
@@ -234,7 +237,10 @@
     auto const instances = peer_table_.instance_count();
     auto const silent = peer_table_.silent_count(now);
     for (auto& [workspace, bucket] : buckets_)
+    {
         bucket.set_instances(now, instances, silent);
+        bucket.set_reporting(peer_table_.direct_count(), peer_table_.report_delay());
+    }
     for (auto& [service, quota] : retry_quotas_)
     {
         quota.set_options(settings_.retries);
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -375,6 +375,8 @@
     stall_timer_ = {};
     client_->on_gone(nullptr);
     finish_attempt(result == request_end::answered);
+    if (admitted_ && result != request_end::refused)
+        outcome_.requested_tokens = admitted_->charged_tokens;
     outcome_.id = caller_request_.id;
     outcome_.end = result;
     outcome_.status = status;
--- a/libraries/savorymount/gateway/gateway_settings.cpp
+++ b/libraries/savorymount/gateway/gateway_settings.cpp
@@ -101,6 +101,10 @@
         .add("retry-window-s", "10", "window of the two settings above, seconds")
         .add("quota-window-s", "0",
              "seconds over which a workspace's rate and burst are counted; 0 means every interval")
+        .add(
+            "quota-overshoot-tokens", "0",
+            "tokens by which a workspace may exceed its limit while reports between many instances "
+            "are on the way")
         .add("loading-at-once", "0",
              "engines that may load weights at the same time; 0 derives it from the number of "
              "engines")
@@ -142,6 +146,7 @@
         static_cast<std::int64_t>(std::llround(reader.decimal("retry-window-s", 1, 3600) * 1000)));
     out.quota_window = std::chrono::milliseconds(
         static_cast<std::int64_t>(std::llround(reader.decimal("quota-window-s", 0, 3600) * 1000)));
+    out.quota_overshoot_tokens = reader.decimal("quota-overshoot-tokens", 0, 1e12);
     out.max_concurrent_loads =
         static_cast<std::size_t>(reader.number("loading-at-once", 0, 10'000));
     out.responses = {reader.kibibytes("response-body-kib"), reader.kibibytes("response-event-kib"),
--- a/libraries/savorymount/gateway/gateway_settings.hpp
+++ b/libraries/savorymount/gateway/gateway_settings.hpp
@@ -38,6 +38,8 @@
     /// Interval over which a workspace's rate and burst are enforced; 0 enforces them over every
     /// interval.
     base::duration quota_window{};
+    /// Tokens by which a workspace may exceed its limit while reports are on the way.
+    double quota_overshoot_tokens = 0;
     /// Engines that may load weights at the same time; 0 derives it from the number of engines.
     std::size_t max_concurrent_loads = 0;
     response_limits responses;
--- a/libraries/savorymount/limits/shared_bucket.cpp
+++ b/libraries/savorymount/limits/shared_bucket.cpp
@@ -17,14 +17,18 @@
 // Up to this number of instances, reports arrive before the instances together can exceed the limit
 // by much, so none is restricted to a share of the remaining limit.
 constexpr std::size_t max_instances_without_shares = 8;
-// Maximum time until the other instances have received a report of a request.
-constexpr base::duration max_report_delay = 500ms;
+constexpr base::duration min_report_delay = 500ms;
+// Times over which the use by all other instances, and by those that report directly, is estimated.
+// The direct ones tell sooner of a sudden rise.
+constexpr base::duration recent_others_window = 2s;
+constexpr base::duration recent_direct_window = 1s;
+// The other instances may admit this many times what such an estimate says.
+constexpr double plausible_growth = 1.5;
+// The rest of the allowed overshoot covers requests that are admitted on shares.
+constexpr double usable_overshoot = 0.4;
 // A single request is admitted if the remaining limit would suffice for the same request at this
 // fraction of the instances.
-constexpr double min_served_fraction = 0.5;
-// Factor by which the share of an instance may exceed its recent share, so that shares can shift
-// between instances.
-constexpr double share_growth_factor = 1.5;
+constexpr double min_served_fraction = 0.8;
 
 double seconds(base::duration time)
 {
@@ -35,8 +39,9 @@
 
 shared_bucket::shared_bucket(base::time_point now, rate_limit const& limit, double initial_fraction)
     : limit_(limit), usage_(limit.window), local_usage_(limit.window),
-      unreported_(max_report_delay), level_(limit.burst * initial_fraction), created_at_(now),
-      refilled_at_(now)
+      unreported_(min_report_delay), recent_others_(recent_others_window),
+      recent_direct_(recent_direct_window), report_delay_(min_report_delay),
+      level_(limit.burst * initial_fraction), created_at_(now), refilled_at_(now)
 {
     // Earlier usage is unknown; assume that the rate was fully used.
     if (initial_fraction < 1)
@@ -53,6 +58,13 @@
     level_ = std::min(level_, limit_.burst);
 }
 
+void shared_bucket::set_reporting(std::size_t direct_instances, base::duration report_delay)
+{
+    direct_instances_ = std::max<std::size_t>(direct_instances, 1);
+    report_delay_ = std::max(report_delay, min_report_delay);
+    unreported_.set_length(report_delay_);
+}
+
 void shared_bucket::set_instances(base::time_point now, std::size_t instances, std::size_t silent)
 {
     refill(now);
@@ -83,6 +95,7 @@
     debit(now, tokens);
     local_usage_.add(now, tokens);
     unreported_.add(now, tokens);
+    recent_direct_.add(now, tokens);
     admitted_total_ += tokens;
     return {};
 }
@@ -96,7 +109,7 @@
     if (used > max_used)
         return {false, usage_.time_until_at_most(now, max_used)};
     if (!within_local_share(now, window_limit() - used, needed))
-        return {false, max_report_delay};
+        return {false, report_delay_};
     return {};
 }
 
@@ -104,16 +117,26 @@
 {
     if (instances_ <= max_instances_without_shares)
         return true;
+    auto const slack = limit_.overshoot * usable_overshoot;
+    if (tokens + expected_unseen(now) <= remaining + slack)
+        return true;
     auto const count = static_cast<double>(instances_);
     auto const unreported = unreported_.used(now);
     if (unreported <= 0 && tokens * count * min_served_fraction <= remaining)
         return true;
     auto const total_used = std::max(usage_.used(now), 1.0);
-    auto const share =
-        std::clamp(share_growth_factor * local_usage_.used(now) / total_used, 1 / count, 1.0);
+    auto const share = std::clamp(local_usage_.used(now) / total_used, 1 / count, 1.0);
     return unreported + tokens <= (remaining + unreported) * share;
 }
 
+double shared_bucket::expected_unseen(base::time_point now)
+{
+    auto const groups = static_cast<double>(instances_) / static_cast<double>(direct_instances_);
+    auto const others_rate = recent_others_.used(now) / seconds(recent_others_window);
+    auto const direct_rate = recent_direct_.used(now) / seconds(recent_direct_window);
+    return std::max(others_rate, direct_rate * groups) * plausible_growth * seconds(report_delay_);
+}
+
 bucket_decision shared_bucket::check_bucket(double tokens) const
 {
     // A request above the burst is admitted when the bucket is full.
@@ -144,13 +167,17 @@
 }
 
 void shared_bucket::apply_report(base::time_point now, std::string const& incarnation,
-                                 base::time_point process_started, double total)
+                                 base::time_point process_started, double total, bool direct)
 {
     refill(now);
     auto const [last_total, first_report] = last_totals_.try_emplace(incarnation, 0.0);
     if (first_report && process_started < created_at_)
         last_total->second = total;
-    debit(now, total - last_total->second);
+    auto const admitted = total - last_total->second;
+    debit(now, admitted);
+    recent_others_.add(now, admitted);
+    if (direct)
+        recent_direct_.add(now, admitted);
     level_ = std::min(level_, limit_.burst);
     last_total->second = total;
 }
--- a/libraries/savorymount/limits/shared_bucket.hpp
+++ b/libraries/savorymount/limits/shared_bucket.hpp
@@ -19,6 +19,8 @@
     /// Length of the sliding window in which at most rate * window + burst tokens are admitted. 0
     /// makes the limit a token bucket, which holds for intervals of any length.
     base::duration window{};
+    /// Tokens by which all instances together may exceed the limit while reports are on the way.
+    double overshoot = 0;
 
     bool operator==(rate_limit const&) const = default;
 };
@@ -55,6 +57,10 @@
     /// Sets the number of instances that share the bucket, and how many of them send no reports.
     void set_instances(base::time_point now, std::size_t instances, std::size_t silent);
 
+    /// Sets how many instances report directly to this one, itself included, and the time until a
+    /// report has reached all instances.
+    void set_reporting(std::size_t direct_instances, base::duration report_delay);
+
     /// The local process did not run for a while. What the other instances admitted meanwhile is
     /// unknown, so the bucket keeps only what a disconnected instance may use.
     void process_resumed(base::time_point now);
@@ -70,9 +76,9 @@
 
     /// Applies the total that another process reported. `incarnation` identifies that process,
     /// which started at `process_started`. What it admitted before this bucket was created is not
-    /// debited.
+    /// debited. `direct` tells that the process reports directly to this one.
     void apply_report(base::time_point now, std::string const& incarnation,
-                      base::time_point process_started, double total);
+                      base::time_point process_started, double total, bool direct = true);
 
     /// Tokens available now; negative when too many were used.
     double level(base::time_point now);
@@ -83,6 +89,8 @@
     double window_limit() const;
     bucket_decision check_window(base::time_point now, double tokens);
     bool within_local_share(base::time_point now, double remaining, double tokens);
+    /// Tokens that the other instances may have admitted without a report so far.
+    double expected_unseen(base::time_point now);
     bucket_decision check_bucket(double tokens) const;
     void debit(base::time_point now, double tokens);
 
@@ -92,6 +100,11 @@
     /// instances may not have received a report.
     usage_window local_usage_;
     usage_window unreported_;
+    /// What was admitted lately: by all other instances, and by the direct ones and this one.
+    usage_window recent_others_;
+    usage_window recent_direct_;
+    std::size_t direct_instances_ = 1;
+    base::duration report_delay_;
     double level_;
     base::time_point created_at_;
     base::time_point refilled_at_;
--- a/libraries/savorymount/limits/usage_window.hpp
+++ b/libraries/savorymount/limits/usage_window.hpp
@@ -14,6 +14,8 @@
     explicit usage_window(base::duration length) : length_(length) {}
 
     base::duration length() const { return length_; }
+    /// Usage that a shorter window no longer covers is dropped.
+    void set_length(base::duration length) { length_ = length; }
 
     /// Adds tokens used now; a negative number returns tokens.
     void add(base::time_point now, double tokens);
--- a/libraries/savorymount/membership/peer_table.hpp
+++ b/libraries/savorymount/membership/peer_table.hpp
@@ -81,6 +81,8 @@
     bool uses_relays() const;
     /// Time between two reports of the local instance.
     base::duration local_report_interval() const;
+    /// Number of instances that report directly to the local one, itself included.
+    std::size_t direct_count() const { return report_group_size(options_.local_data_centre); }
     /// Time until all instances have a report of the local one.
     base::duration report_delay() const;
 
--- a/tests/libraries/limits/shared_bucket_test.cpp
+++ b/tests/libraries/limits/shared_bucket_test.cpp
@@ -1,8 +1,11 @@
 #include <savorymount/base/random_source.hpp>
 #include <savorymount/limits/shared_bucket.hpp>
+#include <savorymount/membership/peer_table.hpp>
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <deque>
 #include <tests/libraries/seeded_property.hpp>
 #include <tests/libraries/time_points.hpp>
 #include <vector>
@@ -18,7 +21,7 @@
 // Guards against a workspace that gets more or less than its rate and burst at one instance.
 TEST(shared_bucket, admits_burst_and_rate)
 {
-    shared_bucket bucket(at(0s), {100, 50, {}}, 1);
+    shared_bucket bucket(at(0s), {100, 50, {}, 0}, 1);
     EXPECT_TRUE(bucket.admit(at(0s), 50).admitted);
     auto const refused = bucket.admit(at(0s), 20);
     EXPECT_FALSE(refused.admitted);
@@ -29,7 +32,7 @@
 // Guards against a request that is refused forever because it is larger than the burst.
 TEST(shared_bucket, admits_a_request_above_the_burst_when_it_is_full)
 {
-    shared_bucket bucket(at(0s), {100, 50, {}}, 1);
+    shared_bucket bucket(at(0s), {100, 50, {}, 0}, 1);
     EXPECT_TRUE(bucket.admit(at(0s), 500).admitted);
     EXPECT_FALSE(bucket.admit(at(1s), 1).admitted);
     EXPECT_DOUBLE_EQ(bucket.level(at(5s)), 50);
@@ -38,7 +41,7 @@
 // Guards against loss of the tokens of a request that did not run.
 TEST(shared_bucket, refunds_tokens_of_a_request_that_did_not_run)
 {
-    shared_bucket bucket(at(0s), {100, 50, {}}, 1);
+    shared_bucket bucket(at(0s), {100, 50, {}, 0}, 1);
     ASSERT_TRUE(bucket.admit(at(0s), 30).admitted);
     bucket.refund(at(0s), 30);
     EXPECT_DOUBLE_EQ(bucket.admitted_total(), 0);
@@ -48,7 +51,7 @@
 // Guards against a wrong debit when an instance restarts and its total starts at zero.
 TEST(shared_bucket, debits_reports_of_each_process_separately)
 {
-    shared_bucket bucket(at(0s), {100, 1000, {}}, 1);
+    shared_bucket bucket(at(0s), {100, 1000, {}, 0}, 1);
     bucket.apply_report(at(0s), "a#1", at(0s), 300);
     bucket.apply_report(at(0s), "a#2", at(0s), 100);
     bucket.apply_report(at(0s), "a#2", at(0s), 100);
@@ -60,7 +63,7 @@
 // all requests for four seconds.
 TEST(shared_bucket, ignores_tokens_admitted_before_its_creation)
 {
-    shared_bucket bucket(at(100s), {100, 1000, {}}, 1);
+    shared_bucket bucket(at(100s), {100, 1000, {}, 0}, 1);
     bucket.apply_report(at(100s), "older", at(10s), 957'611);
     EXPECT_DOUBLE_EQ(bucket.level(at(100s)), 1000);
     bucket.apply_report(at(100s), "older", at(10s), 957'811);
@@ -72,7 +75,7 @@
 // Guards against a disconnected instance that uses the rate of all instances.
 TEST(shared_bucket, disconnected_instance_refills_at_part_of_its_share)
 {
-    shared_bucket bucket(at(0s), {100, 100, {}}, 0);
+    shared_bucket bucket(at(0s), {100, 100, {}, 0}, 0);
     bucket.set_instances(at(0s), 4, 3);
     EXPECT_NEAR(bucket.level(at(4s)), 50, 0.1);
     bucket.set_instances(at(4s), 4, 1);
@@ -83,7 +86,7 @@
 // limit in any window.
 TEST(shared_bucket, limit_applies_to_every_interval_of_window_length)
 {
-    shared_bucket bucket(at(0s), {100, 50, 8s}, 1);
+    shared_bucket bucket(at(0s), {100, 50, 8s, 0}, 1);
     EXPECT_TRUE(bucket.admit(at(0s), 850).admitted);
     auto const refused = bucket.admit(at(1s), 1);
     EXPECT_FALSE(refused.admitted);
@@ -100,7 +103,7 @@
     double admitted = 0;
     for (std::size_t i = 0; i < count; ++i)
     {
-        shared_bucket bucket(at(0s), {1000, 0, 8s}, 1);
+        shared_bucket bucket(at(0s), {1000, 0, 8s, 0}, 1);
         bucket.set_instances(at(0s), count, 0);
         bucket.apply_report(at(0s), "other", at(0s), 7000);
         for (int n = 0; n < 50; ++n)
@@ -114,7 +117,7 @@
 // against one that admits nothing.
 TEST(shared_bucket, assumes_usage_at_the_rate_before_its_creation)
 {
-    shared_bucket bucket(at(0s), {100, 50, 8s}, 0.3);
+    shared_bucket bucket(at(0s), {100, 50, 8s, 0}, 0.3);
     double admitted = 0;
     for (base::duration time{}; time < 4s; time += 100ms)
         admitted += bucket.admit(at(time), 20).admitted ? 20 : 0;
@@ -125,10 +128,10 @@
 // Guards against a lowered limit that refuses all requests until the window has passed.
 TEST(shared_bucket, admits_at_the_lower_rate_after_the_limit_was_lowered)
 {
-    shared_bucket bucket(at(0s), {100, 0, 8s}, 1);
+    shared_bucket bucket(at(0s), {100, 0, 8s, 0}, 1);
     for (base::duration time{}; time < 8s; time += 100ms)
         bucket.admit(at(time), 10);
-    bucket.set_limit(at(8s), {10, 0, 8s});
+    bucket.set_limit(at(8s), {10, 0, 8s, 0});
     double admitted = 0;
     for (base::duration time = 8s; time < 12s; time += 100ms)
         admitted += bucket.admit(at(time), 1).admitted ? 1 : 0;
@@ -154,7 +157,7 @@
                 std::vector<int> incarnations(count, 0);
                 for (std::size_t i = 0; i < count; ++i)
                 {
-                    buckets.emplace_back(at(0s), rate_limit{rate, burst, limit_window}, 1);
+                    buckets.emplace_back(at(0s), rate_limit{rate, burst, limit_window, 0}, 1);
                     buckets.back().set_instances(at(0s), count, 0);
                 }
                 auto const lost_percent = *rc::gen::inRange(0U, 50U);
@@ -196,5 +199,151 @@
             });
 }
 
+/// A workspace whose requests arrive at many instances of five data centres. Reports reach the own
+/// data centre after an interval, and the others with the next exchange between relays.
+class quota_simulation
+{
+public:
+    quota_simulation(std::size_t instances, double rate, std::uint64_t seed)
+        : rate_(rate), report_interval_(membership::report_interval((instances + 4) / 5)),
+          random_(seed)
+    {
+        for (std::size_t i = 0; i < instances; ++i)
+        {
+            buckets_.emplace_back(at(0s), rate_limit{rate, rate, window, overshoot}, 1);
+            buckets_.back().set_instances(at(0s), instances, 0);
+            buckets_.back().set_reporting((instances + 4) / 5,
+                                          report_interval_ + membership::relay_interval);
+            // Some instances get several times the requests of others.
+            weights_.push_back(0.3 + random_.uniform_real() * 1.4);
+            total_weight_ += weights_.back();
+        }
+        reported_.resize(instances);
+    }
+
+    /// Plays some time with a demand in multiples of the rate.
+    void play(base::duration time, double demand)
+    {
+        for (auto const end = now_ + time; now_ < end; now_ += step)
+        {
+            requests_due_ += demand * rate_ * 0.02 / request_tokens;
+            for (; requests_due_ >= 1; requests_due_ -= 1)
+                request();
+            if (now_ >= next_report_)
+                report_to_data_centre();
+            if (now_ >= next_exchange_)
+                exchange_between_data_centres();
+            while (now_ - admitted_[oldest_].first > window)
+                in_window_ -= admitted_[oldest_++].second;
+            most_in_window = std::max(most_in_window, in_window_);
+        }
+    }
+
+    static constexpr base::duration window = 8s;
+    static constexpr double overshoot = 110'000;
+    double most_in_window = 0;
+    double asked = 0;
+    double refused = 0;
+
+private:
+    void request()
+    {
+        auto pick = random_.uniform_real() * total_weight_;
+        std::size_t i = 0;
+        while (i + 1 < weights_.size() && pick >= weights_[i])
+            pick -= weights_[i++];
+        ++asked;
+        if (!buckets_[i].admit(at(now_), request_tokens).admitted)
+        {
+            ++refused;
+            return;
+        }
+        admitted_.emplace_back(now_, request_tokens);
+        in_window_ += request_tokens;
+    }
+
+    void report_to_data_centre()
+    {
+        next_report_ = now_ + report_interval_;
+        for (std::size_t i = 0; i < buckets_.size(); ++i)
+            reported_[i] = buckets_[i].admitted_total();
+        deliver_reports(true);
+    }
+
+    void exchange_between_data_centres()
+    {
+        next_exchange_ = now_ + membership::relay_interval;
+        deliver_reports(false);
+    }
+
+    void deliver_reports(bool within_data_centre)
+    {
+        for (std::size_t from = 0; from < buckets_.size(); ++from)
+        {
+            for (std::size_t to = 0; to < buckets_.size(); ++to)
+            {
+                bool const is_local = from % 5 == to % 5;
+                if (from != to && is_local == within_data_centre)
+                    buckets_[to].apply_report(at(now_), std::to_string(from), at(0s),
+                                              reported_[from], is_local);
+            }
+        }
+    }
+
+    static constexpr base::duration step = 20ms;
+    static constexpr double request_tokens = 9'200;
+    double rate_;
+    base::duration report_interval_;
+    base::random_source random_;
+    std::vector<shared_bucket> buckets_;
+    std::vector<double> weights_;
+    std::vector<double> reported_;
+    double total_weight_ = 0;
+    double requests_due_ = 0;
+    base::duration now_{};
+    base::duration next_report_{};
+    base::duration next_exchange_{};
+    std::deque<std::pair<base::duration, double>> admitted_{{0s, 0}};
+    std::size_t oldest_ = 0;
+    double in_window_ = 0;
+};
+
+// Guards against refusals of requests that are within the limit, because an instance may admit only
+// a small share of what is left. The load: 25 to 103 instances, a quiet workspace of any size.
+TEST(shared_bucket, refuses_little_of_a_workspace_within_its_limit)
+{
+    for (std::size_t const instances : {25U, 103U})
+    {
+        for (double const rate : {30'000, 143'000, 400'000})
+        {
+            quota_simulation run(instances, rate, 11);
+            run.play(200s, 0.7);
+            EXPECT_LT(run.refused, run.asked * 0.01) << instances << " " << rate;
+        }
+    }
+}
+
+// Guards against many instances that together admit far more than the limit before they hear of
+// each other. The load: a workspace that suddenly sends up to ten
+// times what it sent before.
+TEST(shared_bucket, keeps_a_sudden_rise_of_demand_near_the_limit)
+{
+    for (std::size_t const instances : {25U, 103U})
+    {
+        for (double const rate : {30'000, 143'000, 400'000})
+        {
+            for (double const demand : {2.1, 4.2, 7.0})
+            {
+                quota_simulation run(instances, rate, 13);
+                run.play(12s, 0.7);
+                run.play(12s, demand);
+                auto const limit = rate * 8 + rate;
+                EXPECT_LE(run.most_in_window, limit * 1.1 + quota_simulation::overshoot)
+                    << instances << " " << rate << " " << demand;
+            }
+        }
+    }
+}
+
 } // namespace
 } // namespace savorymount::limits
--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -1,4 +1,5 @@
 #include "platform/topic_follower.hpp"
+#include "platform/update_splitter.hpp"
 
 #include <gtest/gtest.h>
 
@@ -140,5 +141,34 @@
     EXPECT_EQ(responses, 4);
 }
 
+// Guards against a page with many changes that every instance has to read from the store, and
+// against records or offsets that no update covers.
+TEST(update_splitter, updates_cover_the_whole_page)
+{
+    record_page page;
+    for (std::uint64_t i = 0; i < 300; ++i)
+        page.records.push_back({"key-" + std::to_string(i), std::string(400, 'x'), 100 + i});
+    page.records[150].value = std::string(40'000, 'x');
+    page.next_offset = 400;
+    auto const updates =
+        split_into_updates("topic", 100, page, [](auto const& it) { return it.offset % 2 == 0; });
+    EXPECT_GE(updates.size(), 3U);
+    std::uint64_t next = 100;
+    std::size_t records = 0;
+    std::size_t incomplete = 0;
+    for (auto const& it : updates)
+    {
+        EXPECT_EQ(it.begin, next);
+        next = it.end;
+        records += it.records.size();
+        incomplete += it.incomplete ? 1 : 0;
+        for (auto const& record : it.records)
+            EXPECT_TRUE(record.offset >= it.begin && record.offset < it.end);
+    }
+    EXPECT_EQ(next, 400U);
+    EXPECT_EQ(records, 149U);
+    EXPECT_EQ(incomplete, 1U);
+}
+
 } // namespace
 } // namespace savorymount::platform
