--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -43,7 +43,8 @@
 
 cluster_state::cluster_state(gateway_settings const& settings, base::time_point now)
     : settings_(settings), started_at_(now),
-      peer_table_(settings.instance, {.local_data_centre = settings.data_centre}),
+      peer_table_(settings.instance, {.local_data_centre = settings.data_centre,
+                                      .local_relay_weight = settings.relay_weight}),
       quarantine_(retries::crash_quarantine_options{.quarantine_duration = crash_quarantine_time})
 {
 }
@@ -192,6 +193,7 @@
     out.instance = settings_.instance;
     out.incarnation = settings_.incarnation;
     out.data_centre = settings_.data_centre;
+    out.relay_weight = settings_.relay_weight;
     out.sequence = sequence;
     out.partial = partial;
     out.uptime = std::chrono::duration_cast<std::chrono::milliseconds>(now - started_at_);
--- a/libraries/savorymount/gateway/gateway_settings.cpp
+++ b/libraries/savorymount/gateway/gateway_settings.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr std::int64_t max_time_ms = 600'000;
+constexpr double max_relay_weight = 1e9;
 constexpr std::int64_t max_size_kib = 1024 * 1024;
 
 /// Parses settings one by one and records whether all of them are valid.
@@ -89,6 +90,9 @@
         .add("platform-plugin", "users-platform", "name of the platform plug-in")
         .add("store-address", std::nullopt, "IP:port of the platform's store")
         .add("first-start", "false", "whether the whole deployment starts for the first time")
+        .add("relay-weight", "0",
+             "suitability as the relay of the data centre, for example the link in Mbit/s; the "
+             "highest goes first")
         .add("grace-s", "8", "seconds between SIGTERM and SIGKILL")
         .add("lease-ms", "3000", "duration of the leader lease for weight rollouts, milliseconds")
         .add("version-ms", "8000",
@@ -135,6 +139,8 @@
     out.platform_plugin = reader.text("platform-plugin");
     out.store_address = reader.address("store-address");
     out.first_start = reader.boolean("first-start");
+    out.relay_weight =
+        static_cast<std::uint32_t>(reader.decimal("relay-weight", 0, max_relay_weight));
     out.shutdown_grace_period = std::chrono::milliseconds(
         static_cast<std::int64_t>(std::llround(reader.decimal("grace-s", 1, 600) * 1000)));
     out.leader_lease = reader.milliseconds("lease-ms");
--- a/libraries/savorymount/gateway/gateway_settings.hpp
+++ b/libraries/savorymount/gateway/gateway_settings.hpp
@@ -27,6 +27,8 @@
     runtime::network_address store_address;
     /// Whether the whole deployment starts for the first time.
     bool first_start = false;
+    /// Suitability as the relay of its data centre; the highest goes first.
+    std::uint32_t relay_weight = 0;
     /// Time between SIGTERM and SIGKILL.
     base::duration shutdown_grace_period{};
     base::duration leader_lease{};
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -122,6 +122,7 @@
 {
     membership::peer_report out;
     out.data_centre = in.getDataCentre().cStr();
+    out.relay_weight = in.getRelayWeight();
     for (auto const it : in.getRelayed())
         out.relayed.push_back(read_report(it));
     for (auto const it : in.getStoreUpdates())
@@ -160,6 +161,7 @@
     root.setIncarnation(report.incarnation);
     root.setAddress(report.address);
     root.setDataCentre(report.data_centre);
+    root.setRelayWeight(report.relay_weight);
     root.setLeaving(report.leaving);
     root.setPartial(report.partial);
     root.setUptimeMilliseconds(static_cast<std::uint64_t>(report.uptime.count()));
--- a/libraries/savorymount/membership/peer_report.hpp
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -63,6 +63,8 @@
     std::map<std::string, std::vector<std::uint64_t>> assigned_prefixes;
     /// Data centre of the sender; empty if it did not tell.
     std::string data_centre;
+    /// Suitability as the relay of its data centre; the highest goes first.
+    std::uint32_t relay_weight = 0;
     /// Reports of other instances of the sender's data centre, which it passes on.
     std::vector<peer_report> relayed;
     /// What the sender read from the platform's store, for its data centre.
--- a/libraries/savorymount/membership/peer_table.cpp
+++ b/libraries/savorymount/membership/peer_table.cpp
@@ -37,7 +37,7 @@
     it.address = address;
     it.data_centre = data_centre;
     if (it.incarnation != incarnation)
-        it = {address, incarnation, data_centre, 0, 0, now, false};
+        it = {address, incarnation, data_centre, 0, 0, 0, now, false};
     count_groups();
 }
 
@@ -69,6 +69,7 @@
     it.incarnation = report.incarnation;
     it.address = report.address;
     it.data_centre = report.data_centre;
+    it.relay_weight = report.relay_weight;
     it.sequence = std::max(it.sequence, report.sequence);
     if (!report.partial)
         it.full_sequence = report.sequence;
--- a/libraries/savorymount/membership/peer_table.hpp
+++ b/libraries/savorymount/membership/peer_table.hpp
@@ -13,6 +13,7 @@
 struct peer_table_options
 {
     std::string local_data_centre;
+    std::uint32_t local_relay_weight = 0;
     /// An instance counts as silent if its last report is older than this, or than the time in
     /// which several reports should have arrived, if that is longer.
     base::duration silent_after = std::chrono::milliseconds(1000);
@@ -38,6 +39,7 @@
         std::string incarnation;
         /// Empty if it is not known.
         std::string data_centre;
+        std::uint32_t relay_weight = 0;
         /// Of the last report, and of the last one that was not partial.
         std::uint64_t sequence = 0;
         std::uint64_t full_sequence = 0;
@@ -75,6 +77,7 @@
 
     std::string const& local_instance() const { return local_instance_; }
     std::string const& local_data_centre() const { return options_.local_data_centre; }
+    std::uint32_t local_relay_weight() const { return options_.local_relay_weight; }
     /// Whether the peer is in another data centre.
     bool is_remote(peer const& it) const;
     /// Whether the deployment is so large that reports between data centres pass through relays.
--- a/libraries/savorymount/membership/relay_buffer.cpp
+++ b/libraries/savorymount/membership/relay_buffer.cpp
@@ -56,8 +56,7 @@
             out.push_back(make_report(it));
     }
     ++takes_;
-    std::erase_if(entries_,
-                  [this](auto const& it)
+    std::erase_if(entries_, [this](auto const& it)
                   { return it.second.updated_after + calls_until_dropped < takes_; });
     return out;
 }
--- a/libraries/savorymount/membership/report_routes.cpp
+++ b/libraries/savorymount/membership/report_routes.cpp
@@ -2,7 +2,9 @@
 #include <savorymount/membership/report_routes.hpp>
 
 #include <algorithm>
+#include <compare>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -14,12 +16,23 @@
 // Reports go to this many instances of another data centre, since the first may be gone.
 constexpr std::size_t relays_per_data_centre = 2;
 
-/// A rank and the address of the instance that has it; a lower rank goes first.
-using ranked_address = std::pair<std::uint64_t, std::string>;
+/// Order of the instances of a data centre as relays; the smallest goes first.
+struct relay_rank
+{
+    /// A silent instance may still be the relay when its whole data centre is cut off; it comes
+    /// after those that are heard from.
+    bool silent = false;
+    std::uint32_t inverted_weight = 0;
+    std::uint64_t digest = 0;
+
+    auto operator<=>(relay_rank const&) const = default;
+};
 
-std::uint64_t relay_rank(std::string const& data_centre, std::string const& instance)
+relay_rank make_rank(std::string const& data_centre, std::string const& instance,
+                     std::uint32_t weight, bool silent)
 {
-    return base::chain_digest(base::chain_digest(0, data_centre), instance);
+    return {silent, std::numeric_limits<std::uint32_t>::max() - weight,
+            base::chain_digest(base::chain_digest(0, data_centre), instance)};
 }
 
 } // namespace
@@ -29,24 +42,23 @@
     report_routes out;
     out.uses_relays = table.uses_relays();
     auto const& local_data_centre = table.local_data_centre();
-    auto const local_rank = relay_rank(local_data_centre, table.local_instance());
+    auto const local_rank =
+        make_rank(local_data_centre, table.local_instance(), table.local_relay_weight(), false);
     out.local_is_relay = out.uses_relays;
-    std::map<std::string, std::vector<ranked_address>> remote;
+    std::map<std::string, std::vector<std::pair<relay_rank, std::string>>> remote;
     for (auto const& [instance, it] : table.peers())
     {
-        if (!out.uses_relays || !table.is_remote(it))
+        bool const silent = !it.has_reported || table.is_silent(now, it);
+        bool const reports_directly = !out.uses_relays || !table.is_remote(it);
+        auto const& data_centre = reports_directly ? local_data_centre : it.data_centre;
+        auto const rank = make_rank(data_centre, instance, it.relay_weight, silent);
+        if (reports_directly)
         {
             out.neighbours.push_back(it.address);
-            bool const ranks_first = relay_rank(local_data_centre, instance) < local_rank;
-            bool const is_heard = it.has_reported && !table.is_silent(now, it);
-            out.local_is_relay = out.local_is_relay && !(ranks_first && is_heard);
-            continue;
+            out.local_is_relay = out.local_is_relay && local_rank < rank;
         }
-        // A silent instance may still be the relay when the whole data centre is cut off; it comes
-        // after those that are heard from.
-        auto const silent_bit = std::uint64_t{table.is_silent(now, it)} << 63U;
-        auto const rank = relay_rank(it.data_centre, instance) >> 1U;
-        remote[it.data_centre].emplace_back(silent_bit | rank, it.address);
+        else
+            remote[data_centre].emplace_back(rank, it.address);
     }
     for (auto& [data_centre, ranked] : remote)
     {
--- a/libraries/savorymount/membership/report_routes.hpp
+++ b/libraries/savorymount/membership/report_routes.hpp
@@ -13,8 +13,8 @@
 /// In a small deployment each instance reports to all others. In a large one it reports only to the
 /// instances of its own data centre; one of these, the relay, exchanges the reports of all of them
 /// with the relays of the other data centres and reads the platform's store for its own. Relays are
-/// not agreed on: each instance ranks the instances that it hears from by rendezvous hashing. Two
-/// relays at a time do no harm, since each report carries the sequence number of its origin.
+/// not agreed on: each instance ranks those that it hears from by weight and rendezvous hashing.
+/// Two relays at a time do no harm, since each report carries the sequence number of its origin.
 struct report_routes
 {
     bool uses_relays = false;
--- a/libraries/savorymount/wire/peer_report.capnp
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -36,6 +36,8 @@
   relayed @15 :List(PeerReport);
   # What the sender read from the store, for the other instances of its data centre.
   storeUpdates @16 :List(StoreUpdate);
+  # How well the sender can carry the traffic of its data centre.
+  relayWeight @17 :UInt32;
 }
 
 struct StoreUpdate {
--- a/libraries/savorymount/wire/peer_report.capnp.h
+++ b/libraries/savorymount/wire/peer_report.capnp.h
@@ -215,6 +215,8 @@
   inline bool hasStoreUpdates() const;
   inline  ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>::Reader getStoreUpdates() const;
 
+  inline  ::uint32_t getRelayWeight() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -338,6 +340,9 @@
   inline void adoptStoreUpdates(::capnp::Orphan< ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::StoreUpdate,  ::capnp::Kind::STRUCT>> disownStoreUpdates();
 
+  inline  ::uint32_t getRelayWeight();
+  inline void setRelayWeight( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1497,6 +1502,20 @@
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t PeerReport::Reader::getRelayWeight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PeerReport::Builder::getRelayWeight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setRelayWeight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StoreUpdate::Reader::hasTopic() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/libraries/membership/report_routes_test.cpp
+++ b/tests/libraries/membership/report_routes_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <tests/libraries/time_points.hpp>
@@ -108,6 +109,23 @@
     }
 }
 
+// Guards against a small machine that carries the traffic of a data centre: its link fills, its
+// reports come late, and the relays change all the time.
+TEST(report_routes, the_instance_with_the_highest_weight_is_the_relay)
+{
+    peer_table table("small", {.local_data_centre = "dc-0", .local_relay_weight = 20});
+    for (std::size_t i = 0; i < 30; ++i)
+    {
+        auto report = report_of(i, 1);
+        report.relay_weight = i == 15 || i == 17 ? 200 : 20;
+        table.apply_report(at(0s), report);
+    }
+    auto const routes = find_report_routes(at(0s), table);
+    EXPECT_FALSE(routes.local_is_relay);
+    EXPECT_NE(std::find(routes.remote_relays.begin(), routes.remote_relays.end(), name_of(17)),
+              routes.remote_relays.end());
+}
+
 // Guards against more than one relay while all instances hear each other.
 TEST(report_routes, each_data_centre_has_one_relay)
 {
