--- a/tests/libraries/configuration/parser_fuzz_test.cpp
+++ b/tests/libraries/configuration/parser_fuzz_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <tests/libraries/mutated_bytes.hpp>
 #include <vector>
 
 namespace savorymount::configuration
@@ -13,61 +14,12 @@
 namespace
 {
 
+using tests::mutated;
+
 constexpr std::uint64_t first_seed = 1'000;
 constexpr int seeds = 20;
 constexpr int cases_per_seed = 400;
 
-/// Replaces, removes, repeats or inserts bytes.
-std::string mutated(std::string text, base::random_source& random)
-{
-    constexpr std::string_view tokens[] = {"{",
-                                           "}",
-                                           "[",
-                                           "]",
-                                           "\"",
-                                           ":",
-                                           ",",
-                                           "null",
-                                           "-1",
-                                           "1e9",
-                                           "1e999",
-                                           "true",
-                                           "\\",
-                                           "\xff",
-                                           "\0",
-                                           "{}",
-                                           "[]",
-                                           "\\ud800",
-                                           "%",
-                                           "/",
-                                           "sm_",
-                                           "0.5",
-                                           "99999999999999999999999",
-                                           "\"a\":"};
-    auto const changes = 1 + random.uniform_below(4);
-    for (std::uint64_t i = 0; i < changes; ++i)
-    {
-        auto const at = random.uniform_below(text.size() + 1);
-        auto const length = random.uniform_below(std::min<std::size_t>(text.size() - at, 40) + 1);
-        switch (random.uniform_below(4))
-        {
-        case 0:
-            text.erase(at, length);
-            break;
-        case 1:
-            text.insert(at, text.substr(at, length));
-            break;
-        case 2:
-            text.insert(at, tokens[random.uniform_below(std::size(tokens))]);
-            break;
-        default:
-            if (at < text.size())
-                text[at] = static_cast<char>(random.uniform_below(256));
-        }
-    }
-    return text;
-}
-
 nlohmann::json random_value(base::random_source& random)
 {
     switch (random.uniform_below(9))
--- a/utilities/savorymountctl/users_platform_status.cpp
+++ b/utilities/savorymountctl/users_platform_status.cpp
@@ -31,7 +31,7 @@
 
     std::optional<users_platform_status> read(base::error& reason)
     {
-        port_.follow(make_news(), [] { return list_interval; });
+        port_.follow(make_news(), {[] { return list_interval; }, nullptr});
         port_.read_membership(
             [this](std::optional<gateway::membership_page> page)
             {
