--- a/libraries/savorymount/gateway/gateway_settings.cpp
+++ b/libraries/savorymount/gateway/gateway_settings.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::int64_t max_time_ms = 600'000;
 constexpr double max_relay_weight = 1e9;
-constexpr std::int64_t max_size_kib = 1024 * 1024;
+constexpr std::int64_t max_size_kib = std::int64_t{1024} * 1024;
 
 /// Parses settings one by one and records whether all of them are valid.
 class settings_reader
