--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -44,8 +44,7 @@
                                  std::shared_ptr<runtime::inbound_connection> client,
                                  runtime::http_request request)
     : context_(context), client_(std::move(client)), http_request_(std::move(request)),
-      arrived_at_(context.timers.now()), suspension_checked_at_(arrived_at_),
-      failure_response_memory_(context.responses)
+      arrived_at_(context.timers.now()), failure_response_memory_(context.responses)
 {
 }
 
@@ -238,6 +237,7 @@
 void gateway_request::start_stall_timer()
 {
     stall_timer_ = {};
+    stall_timer_started_at_ = context_.timers.now();
     if (!is_repeatable(admitted_->route->kind, admitted_->route->resumable))
         return;
     auto const stall_timeout = base::duration(static_cast<std::int64_t>(
@@ -251,7 +251,7 @@
     if (!attempt_ || attempt_->response_started())
         return;
     // Only silence while this process ran says anything about the upstream.
-    if (was_suspended())
+    if (resumed_since(stall_timer_started_at_))
     {
         start_stall_timer();
         return;
@@ -263,14 +263,11 @@
                                   "the upstream sent no response in time");
 }
 
-bool gateway_request::was_suspended()
+bool gateway_request::resumed_since(base::time_point time)
 {
-    auto const now = context_.timers.now();
-    context_.cluster.observe_time(now);
+    context_.cluster.observe_time(context_.timers.now());
     auto const resumed_at = context_.cluster.resumed_at();
-    bool const since_last_check = resumed_at && *resumed_at > suspension_checked_at_;
-    suspension_checked_at_ = now;
-    return since_last_check;
+    return resumed_at && *resumed_at > time;
 }
 
 void gateway_request::retry_or_give_up(attempt_failure failure, std::string const& reason)
@@ -312,7 +309,7 @@
 void gateway_request::handle_timeout()
 {
     // A response that is ready is delivered, also late.
-    if (was_suspended())
+    if (resumed_since(context_.timers.now() - time_to_catch_up))
     {
         timeout_timer_ = context_.timers.after(time_to_catch_up, [self = shared_from_this()]
                                                { self->handle_timeout(); });
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -39,8 +39,8 @@
     /// Starts to watch an attempt that may be repeated.
     void start_stall_timer();
     void check_stall();
-    /// Whether the process was suspended since the last call, or since the request arrived.
-    bool was_suspended();
+    /// Whether the process ran again after a suspension later than `time`.
+    bool resumed_since(base::time_point time);
     /// Retries on another upstream if that is allowed, and gives up otherwise.
     void retry_or_give_up(attempt_failure failure, std::string const& reason);
     void give_up(std::string const& reason);
@@ -65,7 +65,7 @@
     std::optional<admitted_request> admitted_;
     std::string service_;
     base::time_point arrived_at_;
-    base::time_point suspension_checked_at_;
+    base::time_point stall_timer_started_at_{};
     std::shared_ptr<upstream_attempt> attempt_;
     std::set<std::string> tried_upstreams_;
     std::uint32_t attempts_sent_ = 0;
