Refund only what was debited, and accept the totals of earlier versions

Change: a refund without a limit does nothing, and a total never falls below zero. Negative totals are accepted, since earlier versions send them.

--- a/libraries/savorymount/limits/shared_bucket.cpp
+++ b/libraries/savorymount/limits/shared_bucket.cpp
@@ -163,11 +163,14 @@
 
 void shared_bucket::refund(base::time_point now, double tokens)
 {
+    // Without a limit nothing was debited.
+    if (limit_.rate <= 0)
+        return;
     usage_.add(now, -tokens);
     local_usage_.add(now, -tokens);
     unreported_.add(now, -tokens);
     level_ = std::min(level_ + tokens, limit_.burst);
-    admitted_total_ -= tokens;
+    admitted_total_ = std::max(admitted_total_ - tokens, 0.0);
 }
 
 void shared_bucket::apply_report(base::time_point now, std::string const& incarnation,
--- a/libraries/savorymount/membership/peer_report.cpp
+++ b/libraries/savorymount/membership/peer_report.cpp
@@ -46,9 +46,10 @@
     if (!has_names || !has_uptime)
         return false;
     auto const& totals = report.admitted_tokens;
-    bool const has_totals =
-        std::all_of(totals.begin(), totals.end(),
-                    [](auto const& it) { return is_name(it.first) && is_token_count(it.second); });
+    // Instances of an earlier version report negative totals for workspaces without a limit.
+    bool const has_totals = std::all_of(
+        totals.begin(), totals.end(),
+        [](auto const& it) { return is_name(it.first) && is_token_count(std::abs(it.second)); });
     auto const& use = report.upstream_use;
     bool const has_use = std::all_of(use.begin(), use.end(), is_usage);
     bool const has_data_centre = report.data_centre.size() <= max_name_bytes;
--- a/tests/libraries/limits/shared_bucket_test.cpp
+++ b/tests/libraries/limits/shared_bucket_test.cpp
@@ -48,6 +48,19 @@
     EXPECT_TRUE(bucket.admit(at(0s), 50).admitted);
 }
 
+// Guards against a total that goes below zero because a request of a workspace without a limit was
+// refunded: the other instances rejected the reports with it and counted the sender as silent.
+TEST(shared_bucket, refunds_nothing_that_it_did_not_debit)
+{
+    shared_bucket bucket(at(0s), {0, 0, 8s, 0}, 1);
+    ASSERT_TRUE(bucket.admit(at(0s), 30).admitted);
+    bucket.refund(at(0s), 30);
+    EXPECT_DOUBLE_EQ(bucket.admitted_total(), 0);
+    bucket.set_limit(at(1s), {100, 50, 8s, 0});
+    bucket.refund(at(1s), 30);
+    EXPECT_DOUBLE_EQ(bucket.admitted_total(), 0);
+}
+
 // Guards against a wrong debit when an instance restarts and its total starts at zero.
 TEST(shared_bucket, debits_reports_of_each_process_separately)
 {
