--- a/tests/libraries/membership/report_routes_test.cpp
+++ b/tests/libraries/membership/report_routes_test.cpp
@@ -158,6 +158,7 @@
             return out;
         };
         std::vector<report_routes> routes;
+        routes.reserve(count);
         for (auto const& it : tables)
             routes.push_back(find_report_routes(now, it));
         for (std::size_t i = 0; i < count; ++i)
--- a/tests/platform/request_harness.hpp
+++ b/tests/platform/request_harness.hpp
@@ -29,7 +29,7 @@
         platform.response_headers = platform::response_headers;
         cluster.apply_deployment(timers.now(), make_deployment(timeout));
         base::error reason;
-        port_ = *server.listen({"127.0.0.1", 0}, reason);
+        port_ = *server_.listen({"127.0.0.1", 0}, reason);
     }
 
     void add_upstream(std::string const& id, std::string const& service,
@@ -134,7 +134,7 @@
                                       {
                                           outcomes.push_back(it);
                                       }};
-    runtime::inbound_server server{
+    runtime::inbound_server server_{
         loop, timers,
         [this](std::shared_ptr<runtime::inbound_connection> client, runtime::http_request&& it)
         {
