--- a/tests/libraries/runtime/inbound_server_test.cpp
+++ b/tests/libraries/runtime/inbound_server_test.cpp
@@ -220,6 +220,7 @@
         return socket;
     };
     std::vector<int> sockets;
+    sockets.reserve(20);
     for (int i = 0; i < 20; ++i)
         sockets.push_back(connect_and_send("/new-" + std::to_string(i)));
     kept.write_now("GET /again HTTP/1.1\r\nHost: h\r\n\r\n");
