Log suspensions and how old the weights of a request were known to be

Now: - process_resumed (108) says how long the process did not run, - weights_wanted says how long ago the version may have been published at most (max_age_ms; -1 if no earlier read is known), - a request's line says for how long its weight version had been superseded when its upstream was chosen, as far as the instance knew.

No decision uses it yet.

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -221,11 +221,13 @@
 
 void cluster_state::observe_time(base::time_point now)
 {
-    bool const resumed = last_run_at_ && now - *last_run_at_ > max_time_between_runs;
+    auto const pause = last_run_at_ ? now - *last_run_at_ : base::duration::zero();
     last_run_at_ = now;
-    if (!resumed)
+    if (pause <= max_time_between_runs)
         return;
     resumed_at_ = now;
+    if (resumed_callback_)
+        resumed_callback_(pause);
     peer_table_.process_resumed(now);
     for (auto& [workspace, bucket] : buckets_)
         bucket.process_resumed(now);
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -13,6 +13,7 @@
 #include <savorymount/routing/upstream_table.hpp>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -90,6 +91,11 @@
     void observe_time(base::time_point now);
     /// When the process ran again after the last such pause; empty if there was none.
     std::optional<base::time_point> resumed_at() const { return resumed_at_; }
+    /// Sets a callback for the end of each such pause.
+    void on_resumed(std::function<void(base::duration pause)> callback)
+    {
+        resumed_callback_ = std::move(callback);
+    }
 
     /// Expires old entries and updates the shares that depend on the number of instances.
     void tick(base::time_point now);
@@ -116,6 +122,7 @@
     /// When the process last made a decision; see `observe_time`.
     std::optional<base::time_point> last_run_at_;
     std::optional<base::time_point> resumed_at_;
+    std::function<void(base::duration pause)> resumed_callback_;
     std::optional<base::time_point> store_responded_at_;
     std::optional<base::time_point> store_failed_at_;
     bool cache_store_reachable_ = false;
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -47,6 +47,11 @@
     return out;
 }
 
+std::int64_t to_ms(base::duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 } // namespace
 
 std::unique_ptr<gateway> gateway::make(gateway_settings const& settings, base::error& reason)
@@ -118,6 +123,10 @@
         return false;
     peer_address_ = *peer_address;
     configure_log(settings);
+    cluster_.on_resumed(
+        [](base::duration pause) {
+            runtime::log(events::process_resumed, {{"paused_ms", to_ms(pause)}});
+        });
     loop_->on_termination([this] { start_draining(); });
     watch_settings_file();
     follow_platform();
@@ -192,11 +201,17 @@
     {
         apply_deployment(std::move(it));
     };
-    callbacks.desired_version_changed = [this](std::string const& model, std::uint64_t version)
+    callbacks.desired_version_changed = [this](std::string const& model, std::uint64_t version,
+                                               std::optional<base::time_point> not_before)
     {
-        cluster_.set_desired_version(timers_.now(), model, version);
+        auto const now = timers_.now();
+        cluster_.observe_time(now);
+        cluster_.set_desired_version(now, model, version);
         metrics_.desired_version_changed(model, version);
-        runtime::log(events::weights_wanted, {{"model", model}, {"version", version}});
+        runtime::log(events::weights_wanted,
+                     {{"model", model},
+                      {"version", version},
+                      {"max_age_ms", not_before ? to_ms(now - *not_before) : -1}});
         rollout_leader_.advance();
     };
     callbacks.upstream_listed = [this](membership::upstream_record it)
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -99,7 +99,7 @@
     outcome_.prompt_tokens = caller_request_.prompt ? caller_request_.prompt->prompt_tokens : 0;
     outcome_.uncached_prompt_tokens = placed.size.prefill_tokens;
     if (placed.request.engine)
-        outcome_.weight_version = placed.request.engine->expected_weight_version;
+        record_weights(placed.request.engine->expected_weight_version);
     ++outcome_.attempts;
     bool const streaming = admitted_->route->kind == configuration::repeat_rule::streaming;
     attempt_ = std::make_shared<upstream_attempt>(context_, std::move(placed), streaming,
@@ -120,6 +120,15 @@
     attempt->start(caller_request_, http_request_.body, std::move(callbacks));
 }
 
+void gateway_request::record_weights(std::uint64_t version)
+{
+    auto const since =
+        context_.cluster.desired_weights().superseded_since(caller_request_.prompt->model, version);
+    outcome_.weight_version = version;
+    outcome_.weights_superseded_for =
+        since ? context_.timers.now() - *since : base::duration::zero();
+}
+
 void gateway_request::handle_event(streams::raw_event const& event)
 {
     if (!streaming_)
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -29,6 +29,8 @@
 private:
     void dispatch();
     void start_attempt(placed_request placed);
+    /// Records the weight version of an attempt for the log.
+    void record_weights(std::uint64_t version);
     void handle_event(streams::raw_event const& event);
     void handle_attempt_result(attempt_result result, std::string const& reason);
     void handle_stream_end();
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -23,7 +23,10 @@
 struct platform_events
 {
     std::function<void(configuration::deployment)> deployment_changed;
-    std::function<void(std::string const& model, std::uint64_t version)> desired_version_changed;
+    /// Operators published a weight version, not before `not_before`; empty if that is unknown.
+    std::function<void(std::string const& model, std::uint64_t version,
+                       std::optional<base::time_point> not_before)>
+        desired_version_changed;
     std::function<void(membership::upstream_record)> upstream_listed;
     std::function<void(std::string const& upstream)> upstream_unlisted;
     /// An entry could not be parsed and is ignored.
--- a/libraries/savorymount/gateway/request_log.cpp
+++ b/libraries/savorymount/gateway/request_log.cpp
@@ -61,6 +61,7 @@
                     {"attempts", it.attempts},
                     {"configuration", it.configuration_version},
                     {"weights", it.weight_version},
+                    {"weights_superseded_ms", to_ms(it.weights_superseded_for)},
                     {"store_age_ms", to_ms(it.store_age)},
                     {"expected_ms", to_ms(it.expected_wait)},
                     {"upstream_running", static_cast<int>(it.upstream_requests)},
--- a/libraries/savorymount/gateway/request_outcome.hpp
+++ b/libraries/savorymount/gateway/request_outcome.hpp
@@ -56,6 +56,9 @@
     std::vector<failed_attempt> failed_attempts;
     std::uint64_t configuration_version = 0;
     std::uint64_t weight_version = 0;
+    /// How long that version had been superseded when the upstream was chosen, as far as this
+    /// instance knew.
+    base::duration weights_superseded_for{};
     /// Time since the platform's store last responded; negative if it never did.
     base::duration store_age{};
     base::duration time_to_first_byte{};
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -26,6 +26,8 @@
 inline constexpr log_event callback_failed{
     107, log_level::error, "callback_failed",
     "An unexpected error ended one callback; what it worked on was dropped."};
+inline constexpr log_event process_resumed{108, log_level::warning, "process_resumed",
+                                           "The process did not run for a while; shows how long."};
 inline constexpr log_event configuration_adopted{200, log_level::info, "configuration_adopted",
                                                  "A newer configuration version is in force here."};
 inline constexpr log_event configuration_rejected{
@@ -122,6 +124,7 @@
                                 setting_changed,
                                 settings_unreadable,
                                 callback_failed,
+                                process_resumed,
                                 configuration_adopted,
                                 configuration_rejected,
                                 snapshot_appended,
--- a/utilities/savorymountctl/users_platform_status.cpp
+++ b/utilities/savorymountctl/users_platform_status.cpp
@@ -57,7 +57,8 @@
             status_.deployment = std::move(it);
             noted();
         };
-        out.desired_version_changed = [this](std::string const& model, std::uint64_t version)
+        out.desired_version_changed =
+            [this](std::string const& model, std::uint64_t version, std::optional<base::time_point>)
         {
             status_.weights[model] = version;
             noted();
