Add a failing test: weights that were superseded while the process was stopped

A gateway is stopped, a version is published, the engines refuse to load it. The stand-in can refuse orders for it.

--- a/tests/stand_ins/users_platform/fake_upstream.cpp
+++ b/tests/stand_ins/users_platform/fake_upstream.cpp
@@ -58,7 +58,7 @@
     auto const version = body.at("version").get<std::uint64_t>();
     if (fence < fence_)
         respond(exchange, 412, {});
-    else if (body.at("precondition").get<std::uint64_t>() != orders_)
+    else if (refuses_orders_ || body.at("precondition").get<std::uint64_t>() != orders_)
         respond(exchange, 409, {});
     else
     {
--- a/tests/stand_ins/users_platform/fake_upstream.hpp
+++ b/tests/stand_ins/users_platform/fake_upstream.hpp
@@ -36,6 +36,8 @@
     std::map<std::string, unsigned> const& executions() const { return executions_; }
     /// The next answers break off after so many events.
     void break_off_after(unsigned events) { break_off_after_ = events; }
+    /// Answers every order as if another one were in progress.
+    void refuse_orders(bool refuse) { refuses_orders_ = refuse; }
     /// The workspaces and salts that requests named.
     json const& seen() const { return seen_; }
 
@@ -58,6 +60,7 @@
     std::uint64_t orders_ = 0;
     std::uint64_t fence_ = 0;
     unsigned break_off_after_ = 0;
+    bool refuses_orders_ = false;
     std::map<std::string, unsigned> executions_;
     json seen_ = json::array();
 };
--- a/tests/stand_ins/users_platform/main.cpp
+++ b/tests/stand_ins/users_platform/main.cpp
@@ -106,6 +106,8 @@
             topics_.compact();
         for (auto const& it : upstreams_)
         {
+            if (body->contains("orders"))
+                it->refuse_orders(body->at("orders") == "refused");
             if (body->value("break_off", "") == it->id())
                 it->break_off_after(3);
             if (body->value("drain", "") == it->id())
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -18,8 +18,10 @@
 class platform_deployment
 {
 public:
-    explicit platform_deployment(std::size_t gateways)
-        : platform_("savorymount-users-platform-stand-in", {"--port", "0"}),
+    explicit platform_deployment(std::size_t gateways,
+                                 std::vector<std::string> gateway_options = {})
+        : gateway_options_(std::move(gateway_options)),
+          platform_("savorymount-users-platform-stand-in", {"--port", "0"}),
           store_{"127.0.0.1", port_of(platform_.wait_for_field("listening", "port"))}
     {
         for (std::size_t i = 0; i < gateways; ++i)
@@ -29,8 +31,10 @@
     void start_gateway(std::size_t index)
     {
         auto const name = "gateway-" + std::to_string(index);
+        std::vector<std::string> options{"--grace-s", "8"};
+        options.insert(options.end(), gateway_options_.begin(), gateway_options_.end());
         process started("savorymount-gateway",
-                        gateway_arguments(name, to_string(store_), true, {"--grace-s", "8"}));
+                        gateway_arguments(name, to_string(store_), true, options));
         http_.push_back({"127.0.0.1", port_of(started.wait_for_field("name=started", "http"))});
         ready_.push_back({"127.0.0.1", port_of(started.wait_for_field("name=started", "ready"))});
         gateways_.push_back(std::move(started));
@@ -85,6 +89,7 @@
     test_client client;
 
 private:
+    std::vector<std::string> gateway_options_;
     process platform_;
     runtime::network_address store_;
     std::vector<process> gateways_;
@@ -299,6 +304,27 @@
     }
 }
 
+// Guards against an instance that dates a weight version by when it learned of it.
+TEST(gateway, uses_no_outdated_weights_after_a_pause_in_which_they_were_superseded)
+{
+    platform_deployment system(1, {"--version-ms", "3000"});
+    system.control({{"orders", "refused"}});
+    auto const before = system.prompt(0, "request-1");
+    system.client.wait({before});
+    ASSERT_EQ(before->header("X-Weight-Versions"), "1") << before->status << before->body;
+    system.gateway(0).send_signal(SIGSTOP);
+    system.control({{"weights", 2}});
+    usleep(3'000'000);
+    system.gateway(0).send_signal(SIGCONT);
+    system.gateway(0).wait_for_field("model=crew version=2", "max_age_ms");
+    auto const after = system.prompt(0, "request-2");
+    system.client.wait({after});
+    EXPECT_EQ(after->status, 503) << after->body;
+    auto const state = system.state();
+    for (char const* it : {"engine-0", "engine-1"})
+        EXPECT_EQ(state[it]["executions"].value("request-2", 0), 0);
+}
+
 // Guards against a shutdown that cuts a stream or stays in rotation.
 TEST(gateway, finishes_its_streams_after_sigterm)
 {
