Date a weight version by the last read of the store that did not show it

Cause: an instance dated a version by the moment at which it learned of it. Class of fault: the age of a fact is counted from its arrival, not from when it can have become true.

Now topic_follower knows until when it has every record (when the last read was sent, or the end of a poll that stayed empty; for what a relay passes on, the relay's own time less the age it states, and not later than a pause of this process began). A version is dated by that time.

Ruled out: waits between placement and start (99 and 124 ms), and a placement against the instance's own bound (there is no such path, and the lines show ages below it).

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -89,11 +89,11 @@
 }
 
 void cluster_state::set_desired_version(base::time_point now, std::string const& model,
-                                        std::uint64_t version)
+                                        std::uint64_t version,
+                                        std::optional<base::time_point> not_before)
 {
-    bool const first = desired_weights_.newest_version(model) == 0 && !settings_.first_start;
-    desired_weights_.add_version(now, model, version,
-                                 first ? assumed_version_age : base::duration::zero());
+    auto const assumed_age = settings_.first_start ? base::duration::zero() : assumed_version_age;
+    desired_weights_.add_version(model, version, not_before.value_or(now - assumed_age));
 }
 
 retries::retry_quota& cluster_state::retry_quota(std::string const& service)
@@ -221,11 +221,12 @@
 
 void cluster_state::observe_time(base::time_point now)
 {
-    auto const pause = last_run_at_ ? now - *last_run_at_ : base::duration::zero();
-    last_run_at_ = now;
+    auto const last_run_at = std::exchange(last_run_at_, now).value_or(now);
+    auto const pause = now - last_run_at;
     if (pause <= max_time_between_runs)
         return;
     resumed_at_ = now;
+    paused_at_ = last_run_at;
     if (resumed_callback_)
         resumed_callback_(pause);
     peer_table_.process_resumed(now);
@@ -233,6 +234,12 @@
         bucket.process_resumed(now);
 }
 
+base::time_point cluster_state::earliest_arrival(base::time_point now) const
+{
+    bool const catches_up = resumed_at_ && now - *resumed_at_ < time_to_catch_up;
+    return catches_up ? paused_at_ : now;
+}
+
 void cluster_state::tick(base::time_point now)
 {
     observe_time(now);
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -29,6 +29,9 @@
 class cluster_state
 {
 public:
+    /// After a pause of the process, what arrived meanwhile is handled within this time.
+    static constexpr base::duration time_to_catch_up = std::chrono::milliseconds(100);
+
     cluster_state(gateway_settings const& settings, base::time_point now);
 
     /// Applies a configuration if it is newer than the current one. Returns whether it did.
@@ -46,9 +49,10 @@
     routing::upstream_table& upstreams() { return upstreams_; }
     routing::upstream_table const& upstreams() const { return upstreams_; }
     routing::part_locations& part_locations() { return part_locations_; }
-    /// Operators published a weight version. The first one that an instance sees may be older than
-    /// the instance.
-    void set_desired_version(base::time_point now, std::string const& model, std::uint64_t version);
+    /// Operators published a weight version, not before `not_before`. If that is unknown, the
+    /// version may be older than the instance.
+    void set_desired_version(base::time_point now, std::string const& model, std::uint64_t version,
+                             std::optional<base::time_point> not_before);
     orders::desired_weights const& desired_weights() { return desired_weights_; }
     membership::peer_table& peer_table() { return peer_table_; }
     retries::crash_quarantine& quarantine() { return quarantine_; }
@@ -89,6 +93,9 @@
     /// knew of its peers no longer permits anything. Call it before a decision that depends on
     /// them.
     void observe_time(base::time_point now);
+    /// The earliest time at which data that the process handles at `now` can have arrived: what
+    /// arrived during such a pause is handled after it.
+    base::time_point earliest_arrival(base::time_point now) const;
     /// When the process ran again after the last such pause; empty if there was none.
     std::optional<base::time_point> resumed_at() const { return resumed_at_; }
     /// Sets a callback for the end of each such pause.
@@ -122,6 +129,8 @@
     /// When the process last made a decision; see `observe_time`.
     std::optional<base::time_point> last_run_at_;
     std::optional<base::time_point> resumed_at_;
+    /// When it ran for the last time before that pause.
+    base::time_point paused_at_{};
     std::function<void(base::duration pause)> resumed_callback_;
     std::optional<base::time_point> store_responded_at_;
     std::optional<base::time_point> store_failed_at_;
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -95,7 +95,8 @@
                       { rollout_leader_.leader_reported(now, offset); },
                       [this](membership::store_update const& it)
                       {
-                          platform_.apply_store_update(it);
+                          platform_.apply_store_update(it,
+                                                       cluster_.earliest_arrival(timers_.now()));
                       }}),
       rollout_leader_(timers_, cluster_, platform_, random_,
                       {[this] { peer_exchange_.send_partial_report(); },
@@ -206,7 +207,7 @@
     {
         auto const now = timers_.now();
         cluster_.observe_time(now);
-        cluster_.set_desired_version(now, model, version);
+        cluster_.set_desired_version(now, model, version, not_before);
         metrics_.desired_version_changed(model, version);
         runtime::log(events::weights_wanted,
                      {{"model", model},
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -16,8 +16,6 @@
 constexpr base::duration overload_retry_delay = 120ms;
 // A repeatable request is retried if no response starts within this ratio of its timeout.
 constexpr double stall_timeout_ratio = 0.3;
-// After a suspension, responses that have arrived meanwhile are read within this time.
-constexpr base::duration time_to_catch_up = 100ms;
 constexpr base::duration min_stall_timeout = 300ms;
 // Reading from the upstream pauses when this much is buffered for a slow caller.
 constexpr std::size_t max_client_buffer_bytes = std::size_t{256} * 1024;
@@ -318,9 +316,10 @@
 void gateway_request::handle_timeout()
 {
     // A response that is ready is delivered, also late.
-    if (resumed_since(context_.timers.now() - time_to_catch_up))
+    constexpr auto catch_up = cluster_state::time_to_catch_up;
+    if (resumed_since(context_.timers.now() - catch_up))
     {
-        timeout_timer_ = context_.timers.after(time_to_catch_up, [self = shared_from_this()]
+        timeout_timer_ = context_.timers.after(catch_up, [self = shared_from_this()]
                                                { self->handle_timeout(); });
         return;
     }
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -31,10 +31,10 @@
     return static_cast<unsigned>(items.size());
 }
 
-std::uint32_t clamp_microseconds(base::duration time)
+std::uint32_t clamp_to_uint32(std::int64_t number)
 {
     constexpr std::int64_t max = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, max));
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(number, 0, max));
 }
 
 void write_load(wire::WeightLoad::Builder out, membership::weight_load const& load)
@@ -42,7 +42,7 @@
     out.setUpstream(load.upstream);
     out.setModel(load.model);
     out.setVersion(load.version);
-    out.setRemainingMicroseconds(clamp_microseconds(load.remaining));
+    out.setRemainingMicroseconds(clamp_to_uint32(load.remaining.count()));
     out.setEmptying(load.draining);
 }
 
@@ -89,6 +89,9 @@
     out.setBegin(update.begin);
     out.setEnd(update.end);
     out.setIncomplete(update.incomplete);
+    out.setEndsRead(update.age.has_value());
+    out.setAgeMilliseconds(
+        clamp_to_uint32(update.age.value_or(std::chrono::milliseconds::zero()).count()));
     write_list(out.initRecords(count(update.records)), update.records,
                [](wire::StoreRecord::Builder to, membership::store_record const& it)
                {
@@ -108,6 +111,8 @@
     out.begin = in.getBegin();
     out.end = in.getEnd();
     out.incomplete = in.getIncomplete();
+    if (in.getEndsRead())
+        out.age = std::chrono::milliseconds(in.getAgeMilliseconds());
     for (auto const it : in.getRecords())
     {
         membership::store_record record{it.getKey().cStr(), std::nullopt, it.getOffset()};
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -84,9 +84,10 @@
 {
     /// Reports the configuration, the weight versions and the upstreams, and every later change.
     std::function<void(platform_events, store_follow_options)> follow;
-    /// Applies what another instance read. Nothing is read while such updates arrive, unless
-    /// `reads_store` holds.
-    std::function<void(membership::store_update const&)> apply_store_update;
+    /// Applies what another instance read; its message arrived not before `arrived_at`. Nothing is
+    /// read while such updates arrive, unless `reads_store` holds.
+    std::function<void(membership::store_update const&, base::time_point arrived_at)>
+        apply_store_update;
 
     std::function<void(std::function<void(std::optional<membership_page>)>)> read_membership;
     std::function<void(orders::conditional_lease_append const&,
--- a/libraries/savorymount/membership/store_update.hpp
+++ b/libraries/savorymount/membership/store_update.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -31,6 +32,9 @@
     std::vector<store_record> records;
     /// Records that change something are missing, because they are too large for a datagram.
     bool incomplete = false;
+    /// How long ago the sender knew every record of the topic. Empty if the next update belongs to
+    /// the same read.
+    std::optional<std::chrono::milliseconds> age;
 
     bool operator==(store_update const&) const = default;
 };
--- a/libraries/savorymount/orders/desired_weights.cpp
+++ b/libraries/savorymount/orders/desired_weights.cpp
@@ -13,10 +13,10 @@
 
 } // namespace
 
-void desired_weights::add_version(base::time_point now, std::string const& model,
-                                  std::uint64_t version, base::duration max_prior_age)
+void desired_weights::add_version(std::string const& model, std::uint64_t version,
+                                  base::time_point not_before)
 {
-    published_at_[model].try_emplace(version, now - max_prior_age);
+    published_at_[model].try_emplace(version, not_before);
 }
 
 std::uint64_t desired_weights::newest_version(std::string const& model) const
--- a/libraries/savorymount/orders/desired_weights.hpp
+++ b/libraries/savorymount/orders/desired_weights.hpp
@@ -10,19 +10,19 @@
 namespace savorymount::orders
 {
 
-/// The weight versions that operators published for each model, and when each became known.
+/// The weight versions that operators published for each model, and the earliest time at which each
+/// can have been published.
 class desired_weights
 {
 public:
-    /// Records that operators published `version` at `now`, or at most `max_prior_age` earlier.
-    void add_version(base::time_point now, std::string const& model, std::uint64_t version,
-                     base::duration max_prior_age = base::duration::zero());
+    /// Records that operators published `version`, not before `not_before`.
+    void add_version(std::string const& model, std::uint64_t version, base::time_point not_before);
 
     /// The newest published version; 0 if there is none.
     std::uint64_t newest_version(std::string const& model) const;
 
-    /// Estimated publication time of the version after `version`; empty if no newer version is
-    /// known.
+    /// Earliest time at which the version after `version` can have been published; empty if no
+    /// newer version is known.
     std::optional<base::time_point> superseded_since(std::string const& model,
                                                      std::uint64_t version) const;
 
--- a/libraries/savorymount/routing/engine_placement.cpp
+++ b/libraries/savorymount/routing/engine_placement.cpp
@@ -33,8 +33,8 @@
 constexpr double draining_ms = 600;
 // An engine under load evicts parts that were not used for this long; the store still has them.
 constexpr base::duration unused_part_retention = 2s;
-// Covers the delay until this instance learns of a newly published version.
-constexpr base::duration version_propagation_margin = 1500ms;
+// Covers the time from the choice of an engine until it begins the request.
+constexpr base::duration start_delay_margin = 1500ms;
 
 base::duration duration_from_ms(double ms)
 {
@@ -178,7 +178,7 @@
                   {
                       auto const version = it->weight_version(prompt.model);
                       bool const too_old = version_staleness(version) >
-                                           pool.max_version_staleness - version_propagation_margin;
+                                           pool.max_version_staleness - start_delay_margin;
                       return version == 0 || too_old || now < it->loading_until ||
                              request.tried.contains(it->record.id);
                   });
--- a/libraries/savorymount/wire/peer_report.capnp
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -49,6 +49,10 @@
   records @3 :List(StoreRecord);
   # Records were left out because they are too large for a datagram.
   incomplete @4 :Bool;
+  # The update is the last one of a read.
+  endsRead @5 :Bool;
+  # With `endsRead`: how long ago the sender knew every record of the topic.
+  ageMilliseconds @6 :UInt32;
 }
 
 struct StoreRecord {
--- a/libraries/savorymount/wire/peer_report.capnp.h
+++ b/libraries/savorymount/wire/peer_report.capnp.h
@@ -398,6 +398,10 @@
 
   inline bool getIncomplete() const;
 
+  inline bool getEndsRead() const;
+
+  inline  ::uint32_t getAgeMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -449,6 +453,12 @@
   inline bool getIncomplete();
   inline void setIncomplete(bool value);
 
+  inline bool getEndsRead();
+  inline void setEndsRead(bool value);
+
+  inline  ::uint32_t getAgeMilliseconds();
+  inline void setAgeMilliseconds( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1626,6 +1636,34 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StoreUpdate::Reader::getEndsRead() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool StoreUpdate::Builder::getEndsRead() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void StoreUpdate::Builder::setEndsRead(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StoreUpdate::Reader::getAgeMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StoreUpdate::Builder::getAgeMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void StoreUpdate::Builder::setAgeMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StoreRecord::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -67,6 +67,30 @@
     return out;
 }
 
+// Guards against an instance that dates a version by when it learned of it.
+TEST(cluster_state, dates_a_version_by_the_last_read_that_did_not_show_it)
+{
+    cluster_state cluster({}, at(0s));
+    cluster.set_desired_version(at(1s), "crew", 1, std::nullopt);
+    cluster.set_desired_version(at(9s), "crew", 2, at(5s));
+    EXPECT_EQ(cluster.desired_weights().superseded_since("crew", 1), at(5s));
+}
+
+// Guards against a message that arrived during a pause and counts as new after it.
+TEST(cluster_state, what_is_handled_after_a_pause_may_have_arrived_during_it)
+{
+    cluster_state cluster({}, at(0s));
+    cluster.observe_time(at(1s));
+    EXPECT_EQ(cluster.earliest_arrival(at(1s)), at(1s));
+    base::duration paused{};
+    cluster.on_resumed([&](base::duration it) { paused = it; });
+    cluster.observe_time(at(5s));
+    EXPECT_EQ(paused, 4s);
+    EXPECT_EQ(cluster.earliest_arrival(at(5s)), at(1s));
+    EXPECT_EQ(cluster.earliest_arrival(at(5050ms)), at(1s));
+    EXPECT_EQ(cluster.earliest_arrival(at(5200ms)), at(5200ms));
+}
+
 // Guards against an instance that was suspended and then admits the whole quota, because it takes
 // its peers for gone or knows nothing of what they admitted meanwhile. The requests are decided
 // before the first periodic tick, as they are when they waited in the event loop.
--- a/tests/libraries/gateway/peer_report_codec_test.cpp
+++ b/tests/libraries/gateway/peer_report_codec_test.cpp
@@ -59,7 +59,8 @@
     report.data_centre = "dc";
     report.relayed = {sample_report(), sample_report()};
     report.store_updates = {
-        {"topic", 5, 9, {{"key", std::string("a\0b", 3), 7}, {"gone", std::nullopt, 8}}, true}};
+        {"topic", 5, 9, {{"key", std::string("a\0b", 3), 7}, {"gone", std::nullopt, 8}}, true, {}},
+        {"topic", 9, 9, {}, false, std::chrono::milliseconds(1200)}};
     auto const decoded = decode_peer_report(encode_peer_report(report));
     ASSERT_TRUE(decoded);
     EXPECT_EQ(*decoded, report);
--- a/tests/libraries/orders/desired_weights_test.cpp
+++ b/tests/libraries/orders/desired_weights_test.cpp
@@ -18,9 +18,9 @@
 TEST(desired_weights, version_is_superseded_when_the_next_one_is_published)
 {
     desired_weights desired;
-    desired.add_version(at(0s), "crew", 1);
-    desired.add_version(at(2s), "crew", 2);
-    desired.add_version(at(6s), "crew", 3);
+    desired.add_version("crew", 1, at(0s));
+    desired.add_version("crew", 2, at(2s));
+    desired.add_version("crew", 3, at(6s));
     EXPECT_EQ(desired.newest_version("crew"), 3U);
     EXPECT_EQ(desired.superseded_since("crew", 1), at(2s));
     EXPECT_EQ(desired.superseded_since("crew", 2), at(6s));
@@ -31,7 +31,7 @@
 TEST(desired_weights, unseen_versions_are_dated_before_the_first_known_one)
 {
     desired_weights desired;
-    desired.add_version(at(10s), "crew", 4, 3s);
+    desired.add_version("crew", 4, at(7s));
     EXPECT_EQ(desired.superseded_since("crew", 3), at(7s));
     EXPECT_EQ(desired.superseded_since("crew", 2), at(4s));
     EXPECT_EQ(desired.superseded_since("crew", 1), at(1s));
@@ -41,8 +41,8 @@
 TEST(desired_weights, repeated_publication_keeps_the_first_time)
 {
     desired_weights desired;
-    desired.add_version(at(1s), "crew", 2);
-    desired.add_version(at(9s), "crew", 2);
+    desired.add_version("crew", 2, at(1s));
+    desired.add_version("crew", 2, at(9s));
     EXPECT_EQ(desired.superseded_since("crew", 1), at(1s));
     EXPECT_EQ(desired.superseded_since("other", 1), std::nullopt);
 }
--- a/tests/libraries/orders/weight_rollout_test.cpp
+++ b/tests/libraries/orders/weight_rollout_test.cpp
@@ -86,7 +86,7 @@
 TEST(weight_rollout, updates_all_engines_within_the_time_limit)
 {
     desired_weights desired;
-    desired.add_version(at(0s), "crew", 2);
+    desired.add_version("crew", 2, at(0s));
     for (double const active_requests : {0.0, 3.0, 40.0})
     {
         weight_rollout rollout({});
@@ -101,7 +101,7 @@
 TEST(weight_rollout, drains_engines_before_their_load_only_while_the_others_have_capacity)
 {
     desired_weights desired;
-    desired.add_version(at(0s), "crew", 2);
+    desired.add_version("crew", 2, at(0s));
     fake_cluster idle_cluster(12, 2);
     weight_rollout rollout({});
     idle_cluster.execute(at(0s), rollout,
@@ -124,7 +124,7 @@
 TEST(weight_rollout, requests_a_report_after_an_order_without_response)
 {
     desired_weights desired;
-    desired.add_version(at(0s), "crew", 2);
+    desired.add_version("crew", 2, at(0s));
     fake_cluster cluster(1, 0);
     weight_rollout rollout({});
     cluster.execute(at(0s), rollout,
@@ -144,8 +144,8 @@
 TEST(weight_rollout, skips_to_the_newest_version_and_updates_the_oldest_engines_first)
 {
     desired_weights desired;
-    desired.add_version(at(0s), "crew", 2);
-    desired.add_version(at(3s), "crew", 3);
+    desired.add_version("crew", 2, at(0s));
+    desired.add_version("crew", 3, at(3s));
     weight_rollout rollout({});
     fake_cluster cluster(6, 2);
     for (auto& it : cluster.engines)
@@ -163,7 +163,7 @@
 TEST(weight_rollout, requests_a_new_report_from_a_restarted_engine)
 {
     desired_weights desired;
-    desired.add_version(at(0s), "crew", 2);
+    desired.add_version("crew", 2, at(0s));
     weight_rollout rollout({});
     fake_cluster cluster(1, 0);
     cluster.execute(at(0s), rollout,
@@ -178,7 +178,7 @@
 TEST(weight_rollout, skips_draining_and_unreachable_engines)
 {
     desired_weights desired;
-    desired.add_version(at(0s), "crew", 2);
+    desired.add_version("crew", 2, at(0s));
     weight_rollout rollout({});
     fake_cluster cluster(2, 0);
     cluster.engines[0].record.draining = true;
--- a/tests/libraries/routing/engine_placement_test.cpp
+++ b/tests/libraries/routing/engine_placement_test.cpp
@@ -41,7 +41,7 @@
         for (int i = 0; i < 6; ++i)
             table.apply_listing(
                 at(0s), engine("engine-" + std::to_string(i), i % 2 == 0 ? "liege" : "namur"));
-        desired.add_version(at(0s), "crew", 1);
+        desired.add_version("crew", 1, at(0s));
     }
 
     std::optional<engine_choice> choose(engine_request const& it, base::duration time = 0s)
@@ -118,7 +118,7 @@
 // requests while older weights are still allowed.
 TEST_F(engine_placement, uses_superseded_weights_only_within_the_limit)
 {
-    desired.add_version(at(10s), "crew", 2);
+    desired.add_version("crew", 2, at(10s));
     EXPECT_TRUE(choose(request(), 12s));
     EXPECT_FALSE(choose(request(), 17s));
     table.apply_listing(at(17s), engine("engine-3", "namur", 2));
@@ -129,7 +129,7 @@
 // prefill the long shared parts of all requests.
 TEST_F(engine_placement, prefers_the_newest_weights_after_a_second)
 {
-    desired.add_version(at(10s), "crew", 2);
+    desired.add_version("crew", 2, at(10s));
     table.apply_listing(at(10s), engine("engine-1", "namur", 2));
     auto short_request = request();
     short_request.prompt.parts = {{"house", 120}, {"client", 80}, {"own", 600}};
--- a/tests/platform/decoder_fuzz_test.cpp
+++ b/tests/platform/decoder_fuzz_test.cpp
@@ -50,7 +50,8 @@
     out.weight_loads = {{"engine-1", "m", 2, 500ms, true}};
     out.crashes = {{"digest", "engine-2"}};
     out.assigned_prefixes = {{"engine-1", {1, 2, 3}}};
-    out.store_updates = {{"topic", 1, 3, {{"key", "value", 1}, {"gone", std::nullopt, 2}}, false}};
+    out.store_updates = {
+        {"topic", 1, 3, {{"key", "value", 1}, {"gone", std::nullopt, 2}}, false, 20ms}};
     auto relayed = out;
     relayed.store_updates.clear();
     out.relayed = {relayed, relayed};
--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -3,8 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <tests/libraries/runtime/scripted_server.hpp>
+#include <thread>
 
 namespace savorymount::platform
 {
@@ -50,6 +53,8 @@
         callbacks.on_record = [this](keyed_record const& it)
         {
             records[it.key] = it.value.value_or("deleted");
+            if (on_record)
+                on_record();
         };
         callbacks.on_response = [this]
         {
@@ -87,6 +92,7 @@
     std::unique_ptr<store_client> store;
     std::unique_ptr<topic_follower> follower;
     std::map<std::string, std::string> records;
+    std::function<void()> on_record;
     int responses = 0;
     int reads = 0;
     bool reads_store = false;
@@ -99,12 +105,12 @@
     follow({snapshot(10), page(10), page(10)});
     run_until_reads(1);
     follower->apply_update(
-        {"keyed.test", 10, 14, {{"a", "1", 11}, {"b", std::nullopt, 13}}, false});
+        {"keyed.test", 10, 14, {{"a", "1", 11}, {"b", std::nullopt, 13}}, false, {}}, timers.now());
     run_for(200ms);
     EXPECT_EQ(reads, 1);
     EXPECT_EQ(records, (std::map<std::string, std::string>{{"a", "1"}, {"b", "deleted"}}));
     // The same update from a second relay changes nothing.
-    follower->apply_update({"keyed.test", 10, 14, {{"a", "1", 11}}, false});
+    follower->apply_update({"keyed.test", 10, 14, {{"a", "1", 11}}, false, {}}, timers.now());
     EXPECT_EQ(records.at("a"), "1");
 }
 
@@ -114,8 +120,8 @@
     auto const record = serialize_record("missed", "2");
     follow({snapshot(10), page(10), page(14, record + serialize_record("a", "3")), page(14)});
     run_until_reads(1);
-    follower->apply_update({"keyed.test", 10, 11, {}, false});
-    follower->apply_update({"keyed.test", 12, 14, {{"late", "x", 13}}, false});
+    follower->apply_update({"keyed.test", 10, 11, {}, false, {}}, timers.now());
+    follower->apply_update({"keyed.test", 12, 14, {{"late", "x", 13}}, false, {}}, timers.now());
     run_until_reads(2);
     EXPECT_EQ(records.at("missed"), "2");
 }
@@ -125,7 +131,7 @@
 {
     follow({snapshot(10), page(10), page(11, serialize_record("config", "large")), page(11)});
     run_until_reads(1);
-    follower->apply_update({"keyed.test", 10, 11, {}, true});
+    follower->apply_update({"keyed.test", 10, 11, {}, true, {}}, timers.now());
     run_until_reads(2);
     EXPECT_EQ(records.at("config"), "large");
 }
@@ -135,12 +141,49 @@
 {
     follow({snapshot(10), page(10), page(12), page(12), page(12)});
     run_until_reads(1);
-    follower->apply_update({"keyed.test", 10, 12, {}, false});
+    follower->apply_update({"keyed.test", 10, 12, {}, false, {}}, timers.now());
     reads_store = true;
     run_until_reads(2);
     EXPECT_EQ(responses, 4);
 }
 
+// Guards against a record that counts as appended only when a suspended process reads it. The store
+// is taken to have no further records until the last read was sent, not until its answer was read.
+TEST_F(topic_follower_test, complete_until_is_not_later_than_the_read)
+{
+    follow({snapshot(10), page(10), page(11, serialize_record("a", "1")), page(11)});
+    EXPECT_EQ(follower->complete_until(), std::nullopt);
+    run_until_reads(1);
+    auto const first = *follower->complete_until();
+    EXPECT_LE(first, timers.now());
+    std::this_thread::sleep_for(300ms);
+    std::optional<base::time_point> seen_with_record;
+    on_record = [&]
+    {
+        seen_with_record = follower->complete_until();
+    };
+    run_until_reads(2);
+    EXPECT_EQ(seen_with_record, first);
+}
+
+// Guards against an update that was sent before a pause of the sender or arrived during one of the
+// receiver, and is taken for the present state of the store.
+TEST_F(topic_follower_test, an_update_is_complete_until_its_age_before_its_arrival)
+{
+    follow({snapshot(10), page(10), page(10)});
+    run_until_reads(1);
+    auto const before = *follower->complete_until();
+    auto const arrived_at = before + 3s;
+    follower->apply_update({"keyed.test", 10, 12, {}, false, 1000ms}, arrived_at);
+    EXPECT_EQ(follower->complete_until(), arrived_at - 1s);
+    // More updates of the same read follow.
+    follower->apply_update({"keyed.test", 12, 14, {}, false, {}}, arrived_at + 5s);
+    EXPECT_EQ(follower->complete_until(), arrived_at - 1s);
+    // An older update arrives late.
+    follower->apply_update({"keyed.test", 10, 12, {}, false, 0ms}, arrived_at + 6s);
+    EXPECT_EQ(follower->complete_until(), arrived_at - 1s);
+}
+
 // Guards against a page with many changes that every instance has to read from the store, and
 // against records or offsets that no update covers.
 TEST(update_splitter, updates_cover_the_whole_page)
