Count the configuration's age from the read of the configuration itself

Any answer of the store, also one to a read of the upstreams, made the configuration count as fresh at the time at which it was handled. A process that was suspended with an answer in its socket, or whose long poll of the configuration hangs on a silent connection, could answer 401 or 404 for a key or a route that had been added since. Now the time is that until which every change of the configuration has been applied.

The library test fails without the change (fresh at 3 s after a read at 1 s).

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -112,7 +112,8 @@
 
 bool cluster_state::configuration_is_fresh(base::time_point now) const
 {
-    return store_responded_at_ && now - *store_responded_at_ < max_configuration_age;
+    return configuration_complete_until_ &&
+           now - *configuration_complete_until_ < max_configuration_age;
 }
 
 bool cluster_state::store_recently_failed(base::time_point now) const
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -62,7 +62,13 @@
     limits::shared_bucket* bucket(std::string const& workspace);
 
     void store_responded(base::time_point now) { store_responded_at_ = now; }
-    /// Whether the configuration was read recently enough to be current on all instances.
+    /// Every change of the configuration before `complete_until` was applied.
+    void configuration_read(base::time_point complete_until)
+    {
+        configuration_complete_until_ = complete_until;
+    }
+    /// Whether the configuration is known up to a time that is recent enough to answer that
+    /// something does not exist.
     bool configuration_is_fresh(base::time_point now) const;
     /// Whether a read of the store failed within the last few seconds.
     bool store_recently_failed(base::time_point now) const;
@@ -133,6 +139,7 @@
     base::time_point paused_at_{};
     std::function<void(base::duration pause)> resumed_callback_;
     std::optional<base::time_point> store_responded_at_;
+    std::optional<base::time_point> configuration_complete_until_;
     std::optional<base::time_point> store_failed_at_;
     bool cache_store_reachable_ = false;
     std::deque<std::pair<base::time_point, membership::crash_notice>> recent_crashes_;
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -230,6 +230,10 @@
     {
         runtime::log(events::log_record_ignored, {{"key", key}, {"reason", reason.message}});
     };
+    callbacks.configuration_read = [this](base::time_point complete_until)
+    {
+        cluster_.configuration_read(complete_until);
+    };
     callbacks.store_responded = [this]
     {
         store_responded();
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -31,6 +31,8 @@
     std::function<void(std::string const& upstream)> upstream_unlisted;
     /// An entry could not be parsed and is ignored.
     std::function<void(std::string const& key, base::error const& reason)> entry_invalid;
+    /// Every change of the configuration before `complete_until` was reported.
+    std::function<void(base::time_point complete_until)> configuration_read;
     /// A read of the store succeeded or failed.
     std::function<void()> store_responded;
     std::function<void(base::error const& reason)> store_failed;
--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -76,6 +76,18 @@
     EXPECT_EQ(cluster.desired_weights().superseded_since("crew", 1), at(5s));
 }
 
+// Guards against answers that a key or a route does not exist from a configuration that was read
+// long ago, while the store answers other reads.
+TEST(cluster_state, configuration_is_fresh_only_by_reads_of_the_configuration)
+{
+    cluster_state cluster({}, at(0s));
+    EXPECT_FALSE(cluster.configuration_is_fresh(at(0s)));
+    cluster.configuration_read(at(1s));
+    cluster.store_responded(at(3s));
+    EXPECT_TRUE(cluster.configuration_is_fresh(at(2s)));
+    EXPECT_FALSE(cluster.configuration_is_fresh(at(3s)));
+}
+
 // Guards against a message that arrived during a pause and counts as new after it.
 TEST(cluster_state, what_is_handled_after_a_pause_may_have_arrived_during_it)
 {
--- a/utilities/savorymountctl/users_platform_status.cpp
+++ b/utilities/savorymountctl/users_platform_status.cpp
@@ -78,6 +78,8 @@
         {
             last_failure_ = key + ": " + why.message;
         };
+        out.configuration_read = [](base::time_point) {
+        };
         out.store_responded = [] {
         };
         out.store_failed = [this](base::error const& why)
