Take a weight version that is found at startup for older

With the bound of eight seconds and the margin of 1.5 s it used engines with the version before until 3.5 s after its start, while what it sends counts from 3 s on, however long ago the version was published. Four seconds leave it 2.5 s.

With three seconds the new test fails: 5.5 s against 6.5 s.

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -15,7 +15,8 @@
 // Upstreams whose entries expired during an outage of the store are listed again within this time.
 constexpr base::duration store_failure_window = 2500ms;
 // Age of a weight version that is found at startup, since the time of its publication is unknown.
-constexpr base::duration assumed_version_age = 3s;
+// It leaves a started instance 2.5 s in which it uses engines with older weights.
+constexpr base::duration assumed_version_age = 4s;
 constexpr base::duration crash_quarantine_time = 60s;
 // A crash is reported repeatedly for this long, so that a lost datagram does not matter.
 constexpr base::duration crash_report_time = 3s;
--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -76,6 +76,26 @@
     EXPECT_EQ(cluster.desired_weights().superseded_since("crew", 1), at(5s));
 }
 
+// Guards against a restarted instance that uses superseded weights for as long as one that saw the
+// newer version appear. It may have been published long before the start.
+TEST(cluster_state, version_found_at_startup_is_not_taken_for_new)
+{
+    gateway_settings settings;
+    settings.max_old_version_time = 8s;
+    cluster_state cluster(settings, at(20s));
+    cluster.set_desired_version(at(20s), "crew", 5, std::nullopt);
+    // A started instance has to keep the bound after three seconds, less the wait at the engine.
+    auto const relied_on_at = at(23s) - 500ms;
+    auto const superseded_since = cluster.desired_weights().superseded_since("crew", 4);
+    ASSERT_TRUE(superseded_since);
+    EXPECT_GE(relied_on_at - *superseded_since, settings.max_old_version_time - 1500ms);
+    settings.first_start = true;
+    cluster_state first(settings, at(0s));
+    first.set_desired_version(at(0s), "crew", 1, std::nullopt);
+    first.set_desired_version(at(3s), "crew", 2, at(2s));
+    EXPECT_EQ(first.desired_weights().superseded_since("crew", 1), at(2s));
+}
+
 // Guards against answers that a key or a route does not exist from a configuration that was read
 // long ago, while the store answers other reads.
 TEST(cluster_state, configuration_is_fresh_only_by_reads_of_the_configuration)
