--- /dev/null
+++ b/libraries/savorymount/membership/topic_horizon.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <savorymount/base/time.hpp>
+
+#include <optional>
+
+namespace savorymount::membership
+{
+
+/// A complete read of the records that follow those already known.
+struct topic_read
+{
+    base::time_point sent_at{};
+    base::time_point handled_at{};
+    /// How long the store holds the read open while there are no new records.
+    base::duration poll_timeout{};
+    bool has_records = false;
+
+    bool operator==(topic_read const&) const = default;
+};
+
+/// The time until which every record that was appended to a topic is known. A record that appears
+/// later cannot have been appended before it.
+class topic_horizon
+{
+public:
+    void snapshot_read(base::time_point began_at) { raise(began_at); }
+    void records_read(topic_read const& read);
+    /// Another instance passed on what it read; it knew every record `age` before it sent the
+    /// message, which arrived not before `arrived_at`.
+    void update_received(base::time_point arrived_at, base::duration age)
+    {
+        raise(arrived_at - age);
+    }
+
+    /// Empty until something was read.
+    std::optional<base::time_point> complete_until() const { return complete_until_; }
+
+private:
+    void raise(base::time_point until);
+
+    std::optional<base::time_point> complete_until_;
+};
+
+} // namespace savorymount::membership
