Add a failing test: a page that ends before the log counts as complete

topic_follower takes every record before the time of a read as applied, also if the store's answer ends before the end of the log (answers hold at most 1,024 KB). With 1 MB of operator records that wait after a pause, a weight version in the second page is dated by the time of the first read after the pause, so old engines are used too long by the length of the pause.

Fails: complete_until() is the time of the read whose page ended at offset 11 of 12, not that of the read before.

--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -166,6 +166,22 @@
     EXPECT_EQ(seen_with_record, first);
 }
 
+// Guards against a weight version that counts as published after the first of several pages was
+// read. After a pause, the records that wait in the store may fill more than one page.
+TEST_F(topic_follower_test, complete_until_ignores_a_page_before_the_end_of_the_log)
+{
+    follow({snapshot(10), page(10), page(12, serialize_record("a", "1")),
+            page(12, serialize_record("b", "2")), page(12)});
+    run_until_reads(1);
+    auto const first = *follower->complete_until();
+    std::this_thread::sleep_for(50ms);
+    run_until_reads(2);
+    EXPECT_EQ(follower->complete_until(), first);
+    run_until_reads(3);
+    EXPECT_EQ(records.at("b"), "2");
+    EXPECT_GT(follower->complete_until(), first);
+}
+
 // Guards against an update that was sent before a pause of the sender or arrived during one of the
 // receiver, and is taken for the present state of the store.
 TEST_F(topic_follower_test, an_update_is_complete_until_its_age_before_its_arrival)
