Date records by the last read that reached the end of the log

Callers would see requests on a weight version that was superseded too long ago, if more than one page of operator records waits for a process after a pause.

Cause: a page that ends before the end of the log raised complete_until() to the time of its read, although the records after the page may be older. Such a page now leaves it as it was.

--- a/libraries/savorymount/membership/topic_horizon.hpp
+++ b/libraries/savorymount/membership/topic_horizon.hpp
@@ -7,7 +7,7 @@
 namespace savorymount::membership
 {
 
-/// A complete read of the records that follow those already known.
+/// A read of the records that follow those already known.
 struct topic_read
 {
     base::time_point sent_at{};
@@ -15,6 +15,12 @@
     /// How long the store holds the read open while there are no new records.
     base::duration poll_timeout{};
     bool has_records = false;
+    /// Whether no further record followed those that were returned.
+    bool reached_end = true;
+
+    /// The time until which every record is among those returned or before them; empty if more
+    /// records follow.
+    std::optional<base::time_point> complete_until() const;
 
     bool operator==(topic_read const&) const = default;
 };
--- a/tests/libraries/membership/topic_horizon_test.cpp
+++ b/tests/libraries/membership/topic_horizon_test.cpp
@@ -45,7 +45,7 @@
         now_ = answered_at + delay(8) + pause();
         while (known_ < appended_.size() && appended_[known_] <= answered_at)
             ++known_;
-        horizon_.records_read({sent_at, now_, poll_timeout, has_records});
+        horizon_.records_read({sent_at, now_, poll_timeout, has_records, true});
         return known_ == appended_.size() || *horizon_.complete_until() <= appended_[known_];
     }
 
@@ -84,12 +84,15 @@
     topic_horizon horizon;
     EXPECT_EQ(horizon.complete_until(), std::nullopt);
     horizon.snapshot_read(at(1s));
-    horizon.records_read({at(2s), at(3510ms), poll_timeout, false});
+    horizon.records_read({at(2s), at(3510ms), poll_timeout, false, true});
     EXPECT_EQ(horizon.complete_until(), at(3500ms));
-    horizon.records_read({at(4s), at(4200ms), poll_timeout, true});
+    horizon.records_read({at(4s), at(4200ms), poll_timeout, true, true});
     EXPECT_EQ(horizon.complete_until(), at(4s));
     // An empty answer before the end of the poll shows only the state when the read was sent.
-    horizon.records_read({at(5s), at(5100ms), poll_timeout, false});
+    horizon.records_read({at(5s), at(5100ms), poll_timeout, false, true});
+    EXPECT_EQ(horizon.complete_until(), at(5s));
+    // More records follow those of a page that does not reach the end.
+    horizon.records_read({at(6s), at(6100ms), poll_timeout, true, false});
     EXPECT_EQ(horizon.complete_until(), at(5s));
 }
 
