Pass a page on with its own time, not with that of a later update

A relay that reads the store also applies the updates of another relay. If one arrived during a read, the page of that read was passed on with the age of the update, although the update's records lie after the page. A receiver that lost the update then took the store for known up to that age, and dated a weight version among the lost records too late. Such a pair of relays exists for a moment after a suspended relay goes on.

on_page now says until when its own page is complete.

--- a/libraries/savorymount/membership/store_update.hpp
+++ b/libraries/savorymount/membership/store_update.hpp
@@ -32,8 +32,8 @@
     std::vector<store_record> records;
     /// Records that change something are missing, because they are too large for a datagram.
     bool incomplete = false;
-    /// How long ago the sender knew every record of the topic. Empty if the next update belongs to
-    /// the same read.
+    /// How long ago the records up to `end` were all records of the topic. Empty if more records
+    /// follow, or the next update belongs to the same read.
     std::optional<std::chrono::milliseconds> age;
 
     bool operator==(store_update const&) const = default;
--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -62,9 +62,11 @@
         };
         callbacks.on_error = [](base::error const&) {
         };
-        callbacks.on_page = [this](std::uint64_t, record_page const&)
+        callbacks.on_page = [this](std::uint64_t, record_page const&,
+                                   std::optional<base::time_point> complete_until)
         {
             ++reads;
+            page_complete_until = complete_until;
         };
         follower = std::make_unique<topic_follower>(
             timers, *store,
@@ -93,6 +95,7 @@
     std::unique_ptr<topic_follower> follower;
     std::map<std::string, std::string> records;
     std::function<void()> on_record;
+    std::optional<base::time_point> page_complete_until;
     int responses = 0;
     int reads = 0;
     bool reads_store = false;
@@ -200,6 +203,25 @@
     EXPECT_EQ(follower->complete_until(), arrived_at - 1s);
 }
 
+// Guards against a relay that passes on an old page as the present state of the store, because an
+// update of another relay with later records arrived during the read.
+TEST_F(topic_follower_test, a_page_is_not_complete_until_the_time_of_a_later_update)
+{
+    reads_store = true;
+    follow({snapshot(10), page(10), page(11, serialize_record("a", "1")), page(12)});
+    run_until_reads(1);
+    auto const later = timers.now() + 3s;
+    on_record = [&]
+    {
+        on_record = nullptr;
+        follower->apply_update({"keyed.test", 10, 12, {{"b", "2", 11}}, false, 0ms}, later);
+    };
+    run_until_reads(2);
+    EXPECT_EQ(follower->complete_until(), later);
+    ASSERT_TRUE(page_complete_until);
+    EXPECT_LT(*page_complete_until, later);
+}
+
 // Guards against a page with many changes that every instance has to read from the store, and
 // against records or offsets that no update covers.
 TEST(update_splitter, updates_cover_the_whole_page)
