Add a failing test: a version found by a late first read counts as new

An instance does not know since when a version that it finds at startup has been published and assumes four seconds before its first read of the store returns, not before its start. If the first reads are refused (429 is no disruption) or return late, it uses engines with superseded weights until 2.5 s after that read, although what it sends counts from three seconds after the start on.

Fails: superseded since 19 s instead of 16 s for a start at 20 s and a read at 23 s.

--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -96,6 +96,18 @@
     EXPECT_EQ(first.desired_weights().superseded_since("crew", 1), at(2s));
 }
 
+// Guards against an instance that started long ago and uses superseded weights for as long as a new
+// one, because its first read of the store returned late.
+TEST(cluster_state, version_found_at_startup_is_dated_by_the_start)
+{
+    cluster_state prompt({}, at(20s));
+    prompt.set_desired_version(at(20s), "crew", 5, std::nullopt);
+    cluster_state late({}, at(20s));
+    late.set_desired_version(at(23s), "crew", 5, std::nullopt);
+    EXPECT_EQ(late.desired_weights().superseded_since("crew", 4),
+              prompt.desired_weights().superseded_since("crew", 4));
+}
+
 // Guards against answers that a key or a route does not exist from a configuration that was read
 // long ago, while the store answers other reads.
 TEST(cluster_state, configuration_is_fresh_only_by_reads_of_the_configuration)
