Date a weight version that is found at startup by the start

Callers would see requests on weights that were superseded too long ago, from an instance that started more than three seconds ago but whose first read of the store returned late. The assumed age of four seconds is now counted back from the start of the instance, not from the time at which it handled the version.

cluster_state.version_found_at_startup_is_dated_by_the_start failed before. It is shorter now, because set_desired_version() no longer takes the time; the other tests only lose that argument.

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -14,7 +14,7 @@
 constexpr base::duration max_configuration_age = 1800ms;
 // Upstreams whose entries expired during an outage of the store are listed again within this time.
 constexpr base::duration store_failure_window = 2500ms;
-// Age of a weight version that is found at startup, since the time of its publication is unknown.
+// Age at the start of a weight version that is found then; its time of publication is unknown.
 // It leaves a started instance 2.5 s in which it uses engines with older weights.
 constexpr base::duration assumed_version_age = 4s;
 constexpr base::duration crash_quarantine_time = 60s;
@@ -89,12 +89,11 @@
         part_locations_.invalidate_engine(id);
 }
 
-void cluster_state::set_desired_version(base::time_point now, std::string const& model,
-                                        std::uint64_t version,
+void cluster_state::set_desired_version(std::string const& model, std::uint64_t version,
                                         std::optional<base::time_point> not_before)
 {
     auto const assumed_age = settings_.first_start ? base::duration::zero() : assumed_version_age;
-    desired_weights_.add_version(model, version, not_before.value_or(now - assumed_age));
+    desired_weights_.add_version(model, version, not_before.value_or(started_at_ - assumed_age));
 }
 
 retries::retry_quota& cluster_state::retry_quota(std::string const& service)
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -51,7 +51,7 @@
     routing::part_locations& part_locations() { return part_locations_; }
     /// Operators published a weight version, not before `not_before`. If that is unknown, the
     /// version may be older than the instance.
-    void set_desired_version(base::time_point now, std::string const& model, std::uint64_t version,
+    void set_desired_version(std::string const& model, std::uint64_t version,
                              std::optional<base::time_point> not_before);
     orders::desired_weights const& desired_weights() { return desired_weights_; }
     membership::peer_table& peer_table() { return peer_table_; }
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -207,7 +207,7 @@
     {
         auto const now = timers_.now();
         cluster_.observe_time(now);
-        cluster_.set_desired_version(now, model, version, not_before);
+        cluster_.set_desired_version(model, version, not_before);
         metrics_.desired_version_changed(model, version);
         runtime::log(events::weights_wanted,
                      {{"model", model},
--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -71,8 +71,8 @@
 TEST(cluster_state, dates_a_version_by_the_last_read_that_did_not_show_it)
 {
     cluster_state cluster({}, at(0s));
-    cluster.set_desired_version(at(1s), "crew", 1, std::nullopt);
-    cluster.set_desired_version(at(9s), "crew", 2, at(5s));
+    cluster.set_desired_version("crew", 1, std::nullopt);
+    cluster.set_desired_version("crew", 2, at(5s));
     EXPECT_EQ(cluster.desired_weights().superseded_since("crew", 1), at(5s));
 }
 
@@ -83,7 +83,7 @@
     gateway_settings settings;
     settings.max_old_version_time = 8s;
     cluster_state cluster(settings, at(20s));
-    cluster.set_desired_version(at(20s), "crew", 5, std::nullopt);
+    cluster.set_desired_version("crew", 5, std::nullopt);
     // A started instance has to keep the bound after three seconds, less the wait at the engine.
     auto const relied_on_at = at(23s) - 500ms;
     auto const superseded_since = cluster.desired_weights().superseded_since("crew", 4);
@@ -91,8 +91,8 @@
     EXPECT_GE(relied_on_at - *superseded_since, settings.max_old_version_time - 1500ms);
     settings.first_start = true;
     cluster_state first(settings, at(0s));
-    first.set_desired_version(at(0s), "crew", 1, std::nullopt);
-    first.set_desired_version(at(3s), "crew", 2, at(2s));
+    first.set_desired_version("crew", 1, std::nullopt);
+    first.set_desired_version("crew", 2, at(2s));
     EXPECT_EQ(first.desired_weights().superseded_since("crew", 1), at(2s));
 }
 
@@ -100,12 +100,10 @@
 // one, because its first read of the store returned late.
 TEST(cluster_state, version_found_at_startup_is_dated_by_the_start)
 {
-    cluster_state prompt({}, at(20s));
-    prompt.set_desired_version(at(20s), "crew", 5, std::nullopt);
-    cluster_state late({}, at(20s));
-    late.set_desired_version(at(23s), "crew", 5, std::nullopt);
-    EXPECT_EQ(late.desired_weights().superseded_since("crew", 4),
-              prompt.desired_weights().superseded_since("crew", 4));
+    cluster_state cluster({}, at(20s));
+    cluster.observe_time(at(23s));
+    cluster.set_desired_version("crew", 5, std::nullopt);
+    EXPECT_EQ(cluster.desired_weights().superseded_since("crew", 4), at(16s));
 }
 
 // Guards against answers that a key or a route does not exist from a configuration that was read
