Add a failing test: superseded weights at an engine with a long queue

Placement allows superseded weights until 1.5 s before the limit, however long the request will wait at the engine that it chooses. Engines that are left out crowd the rest, so that these waits grow exactly then.

Fails: an engine with 48 running and 120 waiting requests is chosen 100 ms before the cut, although it is expected to begin the request after the limit.

--- a/tests/libraries/routing/engine_placement_test.cpp
+++ b/tests/libraries/routing/engine_placement_test.cpp
@@ -125,6 +125,19 @@
     EXPECT_EQ(choose(request(), 17s)->upstream, "engine-3");
 }
 
+// Guards against a request that begins on superseded weights after the limit, because it waited in
+// the queue of a busy engine. On one day a request waited there for 1.4 s.
+TEST_F(engine_placement, uses_superseded_weights_only_if_the_queue_lets_it_begin_within_the_limit)
+{
+    desired.add_version("crew", 2, at(10s));
+    auto const now = 16400ms;
+    for (int i = 0; i < 6; ++i)
+        table.load_reported(at(now), "engine-" + std::to_string(i), {48, 120, 48});
+    EXPECT_FALSE(choose(request(), now));
+    table.apply_listing(at(now), engine("engine-3", "namur", 2));
+    EXPECT_EQ(choose(request(), now)->upstream, "engine-3");
+}
+
 // Guards against engines with the new weights staying idle, and against the first of them having to
 // prefill the long shared parts of all requests.
 TEST_F(engine_placement, prefers_the_newest_weights_after_a_second)
