Leave out superseded weights where the request would begin after the limit

Callers could see a request begin on weights beyond versionMs, because it waited in an engine's queue longer than the fixed 1.5 s that placement allows for that.

Besides the fixed margin, an engine with superseded weights is now left out if the age of the version and the wait expected at that engine together exceed the limit. The estimate is not exact, so the margin stays.

--- a/libraries/savorymount/routing/engine_placement.cpp
+++ b/libraries/savorymount/routing/engine_placement.cpp
@@ -204,13 +204,18 @@
             (plan.fetched_tokens > 0 ? fetch_base_ms + plan.fetched_tokens * fetch_ms_per_token
                                      : 0);
         choice.expected_wait = duration_from_ms(wait);
+        auto const staleness = version_staleness(choice.version);
+        bool const begins_too_late = staleness > base::duration::zero() &&
+                                     staleness + choice.expected_wait > pool.max_version_staleness;
+        if (begins_too_late)
+            continue;
         double cost = wait;
         if (engine->record.id != preferred_engine)
             cost += plan.uncached_shared_tokens * duplicate_prefill_ms_per_token +
                     plan.fetched_tokens * duplicate_copy_ms_per_token;
         if (engine->record.data_centre != pool.local_data_centre)
             cost += cross_data_centre_ms;
-        if (version_staleness(choice.version) > stale_weights_grace)
+        if (staleness > stale_weights_grace)
             cost += stale_weights_ms;
         if (now < engine->draining_until)
             cost += draining_ms;
