--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -10,7 +10,7 @@
 
 using namespace std::chrono_literals;
 
-// A healthy store responds at least this often.
+// Longer than the store holds a read of the configuration open.
 constexpr base::duration max_configuration_age = 1800ms;
 // Upstreams whose entries expired during an outage of the store are listed again within this time.
 constexpr base::duration store_failure_window = 2500ms;
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -100,7 +100,7 @@
     /// them.
     void observe_time(base::time_point now);
     /// The earliest time at which data that the process handles at `now` can have arrived: what
-    /// arrived during such a pause is handled after it.
+    /// arrived during such a pause is handled after it. Pauses below a second are not noticed.
     base::time_point earliest_arrival(base::time_point now) const;
     /// When the process ran again after the last such pause; empty if there was none.
     std::optional<base::time_point> resumed_at() const { return resumed_at_; }
--- a/libraries/savorymount/orders/desired_weights.cpp
+++ b/libraries/savorymount/orders/desired_weights.cpp
@@ -34,6 +34,10 @@
     auto const next = all->second.upper_bound(version);
     if (next == all->second.end())
         return std::nullopt;
+    // Every version that is newer than a known one was published after the read that showed the
+    // latter, so `next` bounds those between the two as well.
+    if (next != all->second.begin())
+        return next->second;
     // The versions between the two were published before `next`.
     auto const unseen_versions = static_cast<std::int64_t>(next->first - version - 1);
     return next->second - unseen_versions * min_version_interval;
--- a/tests/libraries/orders/desired_weights_test.cpp
+++ b/tests/libraries/orders/desired_weights_test.cpp
@@ -37,6 +37,17 @@
     EXPECT_EQ(desired.superseded_since("crew", 1), at(1s));
 }
 
+// Guards against engines that are left out too early, because a version that was not seen is dated
+// before a time at which it was not there.
+TEST(desired_weights, unseen_versions_are_not_dated_before_the_read_without_them)
+{
+    desired_weights desired;
+    desired.add_version("crew", 2, at(1s));
+    desired.add_version("crew", 5, at(9s));
+    EXPECT_EQ(desired.superseded_since("crew", 2), at(9s));
+    EXPECT_EQ(desired.superseded_since("crew", 3), at(9s));
+}
+
 // Guards against a repeated publication that resets the time of a version.
 TEST(desired_weights, repeated_publication_keeps_the_first_time)
 {
--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -70,7 +70,8 @@
         };
         follower = std::make_unique<topic_follower>(
             timers, *store,
-            topic_options{"keyed.test", {}, {}, [this] { return reads_store; }, 600s}, callbacks);
+            topic_options{"keyed.test", {}, {}, [this] { return reads_store; }, max_update_age},
+            callbacks);
         follower->start();
     }
 
@@ -99,6 +100,7 @@
     int responses = 0;
     int reads = 0;
     bool reads_store = false;
+    base::duration max_update_age = 600s;
 };
 
 // Guards against an instance that reads the store although another one reads it for the data
@@ -222,6 +224,23 @@
     EXPECT_LT(*page_complete_until, later);
 }
 
+// Guards against an instance that never reads the store again, because updates arrive that do not
+// say until when they are complete, as those of an earlier version.
+TEST_F(topic_follower_test, reads_the_store_when_updates_do_not_show_its_state)
+{
+    max_update_age = 100ms;
+    follow({snapshot(10), page(10), page(10), page(10), page(10)});
+    run_until_reads(1);
+    auto const update = [this]
+    {
+        follower->apply_update({"keyed.test", 10, 10, {}, false, {}}, timers.now());
+    };
+    update();
+    auto const updates = timers.every(20ms, update);
+    run_for(500ms);
+    EXPECT_GE(reads, 2);
+}
+
 // Guards against a page with many changes that every instance has to read from the store, and
 // against records or offsets that no update covers.
 TEST(update_splitter, updates_cover_the_whole_page)
