Take answers that end with their connection as whole, cut ones as broken off

An upstream may answer without a length and without chunks. The end of a stream inside an event is now handled as a lost connection. - A 204 on a streaming route was framed in chunks, and the caller read '0' as a part of the next answer. Responses whose status has no body, and responses to HEAD, have neither body nor framing now. - A request with HEAD waited for a body until its time limit (504) if the answer declared a length, or no framing at all on a connection that stays open. The connection now knows that the answer to HEAD ends with its head. - A caller of HTTP/1.0 got 'Transfer-Encoding: chunked' for a stream and read the chunk sizes as content. It gets the stream without framing and an orderly close now, and a reset if the stream is broken off.

scripted_server closes only the connection it answered on and can write in pieces, so that it can serve several connections of one test.

--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -187,10 +187,12 @@
                                                     std::to_string(head_.status));
         return;
     }
-    bool const truncated = is_stream_response() && !event_splitter_.pending().empty();
-    if (untrusted_ || truncated)
-        report_result(attempt_result::invalid_response,
-                      "the upstream's response is incomplete or not authentic");
+    // The end of a connection may end a response in good order, also that of an engine that failed.
+    bool const broken_off = is_stream_response() && !event_splitter_.pending().empty();
+    if (broken_off)
+        handle_failure(runtime::call_failure::lost, "the upstream's stream ended inside an event");
+    else if (untrusted_)
+        report_result(attempt_result::invalid_response, "the upstream's response is not authentic");
     else
         report_result(is_stream_response() ? attempt_result::stream_ended
                                            : attempt_result::complete_response,
--- a/libraries/savorymount/gateway/upstream_attempt.hpp
+++ b/libraries/savorymount/gateway/upstream_attempt.hpp
@@ -26,9 +26,10 @@
     not_sent,
     /// The upstream responded that it did not execute the request.
     rejected,
-    /// The connection broke; the request may have been executed.
+    /// The connection broke, or the stream ended inside an event; the request may have been
+    /// executed.
     connection_lost,
-    /// The response is incomplete or not authentic; the request may have been executed.
+    /// The response is malformed or not authentic; the request may have been executed.
     invalid_response
 };
 
--- a/libraries/savorymount/runtime/http_message.cpp
+++ b/libraries/savorymount/runtime/http_message.cpp
@@ -35,6 +35,14 @@
 
 } // namespace
 
+bool has_no_body(int status)
+{
+    constexpr int first_final = 200;
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    return status < first_final || status == no_content || status == not_modified;
+}
+
 bool is_hop_by_hop(std::string_view name)
 {
     return std::any_of(hop_by_hop_names.begin(), hop_by_hop_names.end(),
--- a/libraries/savorymount/runtime/http_message.hpp
+++ b/libraries/savorymount/runtime/http_message.hpp
@@ -23,6 +23,8 @@
     bool keep_alive = true;
     /// Whether the client waits for `100 Continue` before it sends the body.
     bool expects_continue = false;
+    /// Whether the sender reads bodies in chunks, as from HTTP/1.1 on.
+    bool reads_chunks = true;
     /// Declared length of the body in bytes; empty for chunked and unframed bodies.
     std::optional<std::uint64_t> content_length;
 
@@ -38,6 +40,9 @@
     bool operator==(http_request const&) const = default;
 };
 
+/// Whether a response with this status never has a body, whatever its header says.
+bool has_no_body(int status);
+
 /// Whether the field concerns only one connection and must not be forwarded.
 bool is_hop_by_hop(std::string_view name);
 
--- a/libraries/savorymount/runtime/http_message_reader.cpp
+++ b/libraries/savorymount/runtime/http_message_reader.cpp
@@ -147,11 +147,13 @@
     bool const has_length = (parser->flags & F_CONTENTLENGTH) != 0;
     if (has_length)
         reader.head_.content_length = parser->content_length;
+    reader.head_.reads_chunks =
+        parser->http_major > 1 || (parser->http_major == 1 && parser->http_minor >= 1);
     reader.head_.expects_continue = asks_for_continue(reader.head_.headers);
     if (reader.is_interim())
         return response_has_no_body;
     reader.hooks_.head(reader.head_);
-    return parsing_continues;
+    return reader.expects_head_response_ ? response_has_no_body : parsing_continues;
 }
 
 int http_message_reader::on_body(::http_parser* parser, char const* at, std::size_t length)
--- a/libraries/savorymount/runtime/http_message_reader.hpp
+++ b/libraries/savorymount/runtime/http_message_reader.hpp
@@ -39,6 +39,9 @@
     /// `too_large` or `invalid_input`, when the input is no valid message.
     std::optional<std::size_t> feed(std::string_view bytes, base::error& reason);
 
+    /// Whether the next response answers a HEAD request, and so has no body.
+    void expect_head_response(bool expected) { expects_head_response_ = expected; }
+
     /// Tells that the peer closed its side in good order. True if that ends a whole message.
     bool finish();
 
@@ -69,6 +72,7 @@
     bool head_complete_ = false;
     bool last_was_value_ = true;
     bool too_large_ = false;
+    bool expects_head_response_ = false;
 };
 
 } // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -52,8 +52,10 @@
 
 inbound_connection::~inbound_connection()
 {
-    if (buffer_ != nullptr)
-        bufferevent_free(buffer_);
+    if (buffer_ == nullptr)
+        return;
+    reset_if_unframed();
+    bufferevent_free(buffer_);
 }
 
 void inbound_connection::respond(int status, http_headers headers, std::string_view body)
@@ -61,9 +63,12 @@
     if (phase_ != phase::responding)
         return;
     headers = framed(std::move(headers));
-    headers.push_back({"Content-Length", std::to_string(body.size())});
+    bool const without_body = answers_head_ || has_no_body(status);
+    if (!without_body)
+        headers.push_back({"Content-Length", std::to_string(body.size())});
     send(serialize_response_head(status, headers));
-    send(body);
+    if (!without_body)
+        send(body);
     end_response();
 }
 
@@ -71,15 +76,27 @@
 {
     if (phase_ != phase::responding)
         return;
+    if (answers_head_ || has_no_body(status))
+        framing_ = body_framing::none;
+    else
+        framing_ = reads_chunks_ ? body_framing::chunks : body_framing::connection_end;
+    if (framing_ == body_framing::connection_end)
+        keep_alive_ = false;
     headers = framed(std::move(headers));
-    headers.push_back({"Transfer-Encoding", "chunked"});
+    if (framing_ == body_framing::chunks)
+        headers.push_back({"Transfer-Encoding", "chunked"});
     send(serialize_response_head(status, headers));
 }
 
 void inbound_connection::write(std::string_view bytes)
 {
-    if (phase_ != phase::responding || bytes.empty())
+    if (phase_ != phase::responding || bytes.empty() || framing_ == body_framing::none)
+        return;
+    if (framing_ == body_framing::connection_end)
+    {
+        send(bytes);
         return;
+    }
     char size[24];
     auto const n = evutil_snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
     send(std::string_view(size, static_cast<std::size_t>(n)));
@@ -91,7 +108,8 @@
 {
     if (phase_ != phase::responding)
         return;
-    send("0\r\n\r\n");
+    if (framing_ == body_framing::chunks)
+        send("0\r\n\r\n");
     end_response();
 }
 
@@ -120,6 +138,7 @@
     if (phase_ == phase::closed)
         return;
     auto const keep = shared_from_this();
+    reset_if_unframed();
     phase_ = phase::closed;
     timeout_ = {};
     bufferevent_free(std::exchange(buffer_, nullptr));
@@ -183,6 +202,8 @@
 {
     request_ = {head, {}};
     keep_alive_ = head.keep_alive;
+    answers_head_ = head.method == "HEAD";
+    reads_chunks_ = head.reads_chunks;
     if (head.content_length.value_or(0) > limits_.max_body_bytes)
     {
         refusal_ = base::error{base::error_kind::too_large,
@@ -228,6 +249,7 @@
 void inbound_connection::end_response()
 {
     gone_ = nullptr;
+    framing_ = body_framing::none;
     if (!keep_alive_ || hooks_.draining())
     {
         linger();
@@ -273,6 +295,14 @@
     return headers;
 }
 
+void inbound_connection::reset_if_unframed()
+{
+    if (phase_ != phase::responding || framing_ != body_framing::connection_end)
+        return;
+    struct linger const at_once{1, 0};
+    setsockopt(bufferevent_getfd(buffer_), SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
 void inbound_connection::send(std::string_view bytes)
 {
     if (buffer_ != nullptr)
--- a/libraries/savorymount/runtime/inbound_connection.hpp
+++ b/libraries/savorymount/runtime/inbound_connection.hpp
@@ -44,11 +44,12 @@
     /// Sends a whole response.
     void respond(int status, http_headers headers, std::string_view body);
 
-    /// Sends the head of a chunked response.
+    /// Sends the head of a response in parts: in chunks, or without framing to a client of
+    /// HTTP/1.0.
     void start(int status, http_headers headers);
-    /// Sends one chunk after `start`.
+    /// Sends one part after `start`.
     void write(std::string_view bytes);
-    /// Ends a chunked response.
+    /// Ends a response in parts.
     void finish();
     /// Closes the connection without the end of the response.
     void abort();
@@ -80,6 +81,14 @@
         closed
     };
 
+    enum class body_framing
+    {
+        none,
+        chunks,
+        /// The body ends with the connection.
+        connection_end
+    };
+
     static void handle_read(bufferevent*, void* self);
     static void handle_write(bufferevent*, void* self);
     static void handle_event(bufferevent*, short what, void* self);
@@ -94,6 +103,9 @@
     void arm(base::duration delay);
     void timed_out();
     http_headers framed(http_headers headers);
+    /// Resets the connection when it is closed. To the client, an orderly close would end the
+    /// response.
+    void reset_if_unframed();
     void send(std::string_view bytes);
 
     timer_service& timers_;
@@ -106,6 +118,10 @@
     http_request request_;
     bool complete_ = false;
     bool keep_alive_ = true;
+    /// How the body of the current response is sent.
+    body_framing framing_ = body_framing::none;
+    bool answers_head_ = false;
+    bool reads_chunks_ = true;
     std::optional<base::error> refusal_;
     std::function<void()> gone_;
     std::function<void()> drained_;
--- a/libraries/savorymount/runtime/outbound_connection.cpp
+++ b/libraries/savorymount/runtime/outbound_connection.cpp
@@ -80,6 +80,7 @@
     received_bytes_ = 0;
     body_bytes_ = 0;
     rejection_.clear();
+    reader_.expect_head_response(head.starts_with("HEAD "));
     if (broken_)
     {
         connect_timer_ = timers_.after(base::duration::zero(),
--- a/tests/libraries/runtime/raw_client.hpp
+++ b/tests/libraries/runtime/raw_client.hpp
@@ -52,6 +52,8 @@
 
     std::string received;
     bool closed = false;
+    /// Whether the connection was reset instead of closed in order.
+    bool reset = false;
     std::function<void()> changed;
 
 private:
@@ -69,6 +71,7 @@
     {
         auto& client = *static_cast<raw_client*>(self);
         client.closed = client.closed || (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
+        client.reset = client.reset || (what & BEV_EVENT_ERROR) != 0;
         if (client.changed)
             client.changed();
     }
--- a/tests/libraries/runtime/scripted_server.hpp
+++ b/tests/libraries/runtime/scripted_server.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <netinet/in.h>
 #include <string>
 #include <utility>
@@ -17,8 +18,8 @@
 namespace savorymount::tests
 {
 
-/// A TCP server on loopback that answers the n-th request of a connection with the n-th text,
-/// whatever the request says, and then does what the script tells.
+/// A TCP server on loopback that answers the n-th request with the n-th text, whatever the request
+/// says, and then does what the script tells.
 class scripted_server
 {
 public:
@@ -29,8 +30,10 @@
         reset
     };
 
-    scripted_server(runtime::event_loop& loop, std::vector<std::string> answers, afterwards then)
-        : answers_(std::move(answers)), then_(then)
+    /// Each answer is written in pieces of at most `piece_bytes`.
+    scripted_server(runtime::event_loop& loop, std::vector<std::string> answers, afterwards then,
+                    std::size_t piece_bytes = std::string::npos)
+        : answers_(std::move(answers)), then_(then), piece_bytes_(piece_bytes)
     {
         sockaddr_in name{};
         name.sin_family = AF_INET;
@@ -54,6 +57,8 @@
 
     runtime::network_address const& address() const { return address_; }
     std::size_t connections() const { return connections_.size(); }
+    /// Requests that were answered.
+    std::size_t requests() const { return next_; }
 
 private:
     static void accept(evconnlistener* listener, evutil_socket_t socket, sockaddr*, int, void* self)
@@ -74,15 +79,32 @@
         if (end.pos < 0 || server.next_ >= server.answers_.size())
             return;
         evbuffer_drain(input, evbuffer_get_length(input));
-        auto const& answer = server.answers_[server.next_++];
-        bufferevent_write(buffer, answer.data(), answer.size());
+        server.unsent_[buffer] = server.answers_[server.next_++];
+        server.write_piece(buffer);
+    }
+
+    void write_piece(bufferevent* buffer)
+    {
+        auto& unsent = unsent_[buffer];
+        auto const piece = unsent.substr(0, piece_bytes_);
+        unsent.erase(0, piece.size());
+        bufferevent_write(buffer, piece.data(), piece.size());
     }
 
     static void written(bufferevent* buffer, void* self)
     {
         auto& server = *static_cast<scripted_server*>(self);
         // A new connection reports once that nothing is left to write.
-        if (server.then_ == afterwards::keep || server.next_ == 0)
+        auto const unsent = server.unsent_.find(buffer);
+        if (unsent == server.unsent_.end())
+            return;
+        if (!unsent->second.empty())
+        {
+            server.write_piece(buffer);
+            return;
+        }
+        server.unsent_.erase(unsent);
+        if (server.then_ == afterwards::keep)
             return;
         auto const socket = bufferevent_getfd(buffer);
         if (server.then_ == afterwards::reset)
@@ -96,6 +118,9 @@
 
     std::vector<std::string> answers_;
     afterwards then_;
+    std::size_t piece_bytes_;
+    /// What is left to write of the answer to a connection's current request.
+    std::map<bufferevent*, std::string> unsent_;
     evconnlistener* listener_ = nullptr;
     runtime::network_address address_;
     std::vector<bufferevent*> connections_;
