Deliver unframed answers through an agent; end parts for callers of HTTP/1.0

The path with agents reads answers by evhttp. Run on the unchanged sources, the new tests of http_test showed: - An answer without a length whose head says 'Connection: keep-alive' arrived with an empty body and counted as whole: evhttp takes the body for empty then. The options of the connection are removed before evhttp looks at them, since the connection is used for one call only. - A response in parts to a caller of HTTP/1.0 that asked for keep-alive never ended (the test gave up after 20 s): its connection is closed now. - An aborted response in parts looked whole to a caller of HTTP/1.0, since nothing but an orderly close ended it. The connection is reset now. evhttp shuts the socket down before it closes it, so a linger time of zero does not reset it (tried: the test still failed); the socket is disconnected instead. Unframed answers under the other five heads, and a reset inside one, passed already.

http_exchange::end_body_with_connection is for the stand-ins.

--- a/libraries/savorymount/runtime/http_call.cpp
+++ b/libraries/savorymount/runtime/http_call.cpp
@@ -221,6 +221,10 @@
         for (evkeyval* it = evhttp_request_get_input_headers(request)->tqh_first; it != nullptr;
              it = it->next.tqe_next)
             headers.push_back({it->key, it->value});
+        // evhttp takes a body without a length for an empty one if a connection option other than
+        // "close" is present. The connection is used once, so its options do not matter here.
+        while (evhttp_remove_header(evhttp_request_get_input_headers(request), "Connection") == 0)
+            ;
         ++self->callbacks_;
         if (self->hooks_.on_head)
             self->hooks_.on_head(status, headers);
--- a/libraries/savorymount/runtime/http_exchange.cpp
+++ b/libraries/savorymount/runtime/http_exchange.cpp
@@ -1,5 +1,6 @@
 #include <savorymount/runtime/http_exchange.hpp>
 
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
 #include <netinet/in.h>
@@ -65,6 +66,7 @@
                              std::function<void(http_exchange const&)> ended)
     : loop_(loop), limits_(limits), ended_(std::move(ended)), request_(request),
       connection_(evhttp_request_get_connection(request)),
+      reads_chunks_(request->major > 1 || request->minor > 0),
       method_(method_name(evhttp_request_get_command(request))),
       target_(evhttp_request_get_uri(request)),
       body_(take_all(evhttp_request_get_input_buffer(request)))
@@ -121,9 +123,21 @@
         return;
     started_ = true;
     add_headers(headers);
+    if (!reads_chunks_)
+        close_connection_afterwards();
     evhttp_send_reply_start(request_, status, nullptr);
 }
 
+void http_exchange::end_body_with_connection()
+{
+    if (request_ == nullptr || started_)
+        return;
+    // evhttp frames a body neither by length nor in chunks only in responses of HTTP/1.0.
+    request_->major = 1;
+    request_->minor = 0;
+    reads_chunks_ = false;
+}
+
 void http_exchange::write(std::string_view bytes)
 {
     if (request_ == nullptr || !started_ || aborting_ || bytes.empty())
@@ -182,6 +196,8 @@
     evkeyvalq* const output = evhttp_request_get_output_headers(request_);
     evhttp_remove_header(output, "Connection");
     evhttp_add_header(output, "Connection", "close");
+    // evhttp would keep the connection of a caller of HTTP/1.0 that asked for it.
+    evhttp_remove_header(evhttp_request_get_input_headers(request_), "Connection");
 }
 
 void http_exchange::handle_output(evbuffer* buffer, evbuffer_cb_info const* info, void* self)
@@ -247,11 +263,24 @@
     loop_.defer(
         [self = shared_from_this()]
         {
-            if (self->connection_ != nullptr)
-                evhttp_connection_free(self->connection_);
+            if (self->connection_ == nullptr)
+                return;
+            if (self->started_ && !self->reads_chunks_)
+                self->reset_connection();
+            evhttp_connection_free(self->connection_);
         });
 }
 
+void http_exchange::reset_connection()
+{
+    // evhttp shuts its socket down in order before it closes it, so a linger time of zero would
+    // come too late. Linux resets a connection whose socket is disconnected.
+    sockaddr unspecified{};
+    unspecified.sa_family = AF_UNSPEC;
+    ::connect(bufferevent_getfd(evhttp_connection_get_bufferevent(connection_)), &unspecified,
+              sizeof(unspecified));
+}
+
 void http_exchange::end()
 {
     auto const self = shared_from_this();
--- a/libraries/savorymount/runtime/http_exchange.hpp
+++ b/libraries/savorymount/runtime/http_exchange.hpp
@@ -42,10 +42,14 @@
     /// Sends a whole response. `Content-Length` and `Transfer-Encoding` in `headers` are dropped.
     void respond(int status, http_headers const& headers, std::string_view body);
 
-    /// Sends the head of a chunked response.
+    /// Sends the head of a response in parts: in chunks, or without framing to a caller of
+    /// HTTP/1.0, for whom the body ends with the connection.
     void start(int status, http_headers const& headers);
 
-    /// Sends one chunk after `start`.
+    /// Makes `start` send the response as to a caller of HTTP/1.0.
+    void end_body_with_connection();
+
+    /// Sends one part after `start`.
     void write(std::string_view bytes);
 
     /// Bytes of the response that the connection has not accepted yet.
@@ -55,11 +59,11 @@
     /// earlier hook that has not been called.
     void when_drained(std::function<void()> hook);
 
-    /// Ends a chunked response.
+    /// Ends a response in parts.
     void finish();
 
     /// Sends what is buffered and closes the connection without the end of the response, so that
-    /// the caller sees a truncated body.
+    /// the caller sees a truncated body. A caller of HTTP/1.0 sees a reset.
     void abort();
 
     /// Calls `hook` when the connection is lost before `respond`, `finish` or `abort`.
@@ -77,6 +81,7 @@
     void add_headers(http_headers const& headers);
     void run_drained_hook();
     void close_connection_later();
+    void reset_connection();
     void end();
 
     event_loop& loop_;
@@ -87,6 +92,7 @@
     evbuffer_cb_entry* output_watch_ = nullptr;
     bool started_ = false;
     bool aborting_ = false;
+    bool reads_chunks_;
     std::string method_;
     std::string target_;
     http_headers headers_;
--- a/tests/libraries/runtime/http_test.cpp
+++ b/tests/libraries/runtime/http_test.cpp
@@ -76,10 +76,12 @@
         ssize_t n = 0;
         while ((n = ::recv(socket_, buf, sizeof(buf), MSG_DONTWAIT)) > 0)
             received_.append(buf, static_cast<std::size_t>(n));
+        reset_ = reset_ || (n < 0 && errno == ECONNRESET);
         return n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
     std::string const& received() const { return received_; }
+    bool was_reset() const { return reset_; }
 
     void close()
     {
@@ -90,12 +92,14 @@
 private:
     int socket_;
     std::string received_;
+    bool reset_ = false;
 };
 
 enum class after_response
 {
     close,
-    wait_for_peer
+    wait_for_peer,
+    reset
 };
 
 /// A server that reads once on its one connection and sends fixed bytes.
@@ -122,6 +126,13 @@
                 ::send(peer, response.data(), response.size(), MSG_NOSIGNAL);
                 if (then == after_response::wait_for_peer)
                     ::recv(peer, buf, sizeof(buf), 0);
+                if (then == after_response::reset)
+                {
+                    // Time for the bytes to be read before the reset drops them.
+                    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+                    struct linger const at_once{1, 0};
+                    ::setsockopt(peer, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+                }
                 ::close(peer);
             });
     }
@@ -306,6 +317,66 @@
     }
 }
 
+// Guards against a body without a length or chunks that is refused or never ends: it ends with its
+// connection, also if the head says that the connection is kept.
+TEST_F(http_test, unframed_body_ends_with_its_connection)
+{
+    for (std::string const head :
+         {"HTTP/1.0 200 OK\r\n", "HTTP/1.0 200 OK\r\nConnection: close\r\n",
+          "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n", "HTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\nConnection: close\r\n",
+          "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n"})
+    {
+        for (std::string const body : {"", "whole"})
+        {
+            raw_server const peer(head + "\r\n" + body);
+            port = peer.port();
+            auto const out = run(request("POST", "/", "run me"));
+            EXPECT_FALSE(out.failure) << head << body << out.failure->reason.message;
+            EXPECT_EQ(out.status, 200) << head;
+            EXPECT_EQ(out.body(), body) << head;
+        }
+    }
+}
+
+// Guards against an unframed body that is reset on its way and counts as whole.
+TEST_F(http_test, unframed_body_that_is_reset_is_a_failure)
+{
+    raw_server const peer("HTTP/1.1 200 OK\r\n\r\nhalf", after_response::reset);
+    port = peer.port();
+    auto const out = run(request("GET", "/"));
+    ASSERT_TRUE(out.failure);
+    EXPECT_TRUE(out.failure->head_received);
+}
+
+// Guards against a response in parts that a caller of HTTP/1.0 can't read, that never ends for it,
+// or that looks whole although it was aborted.
+TEST_F(http_test, caller_of_http_1_0_sees_the_end_of_a_response_in_parts)
+{
+    for (std::string const connection : {"", "Connection: keep-alive\r\n"})
+    {
+        for (bool const aborted : {false, true})
+        {
+            serve(
+                [&](exchange_ptr const& it)
+                {
+                    it->start(200, {});
+                    it->write("part");
+                    if (aborted)
+                        it->abort();
+                    else
+                        it->finish();
+                });
+            raw_client client(port);
+            client.send("GET / HTTP/1.0\r\n" + connection + "\r\n");
+            run_until([&] { return client.at_end(); });
+            EXPECT_EQ(client.was_reset(), aborted) << connection;
+            bool const whole = client.received().ends_with("\r\n\r\npart");
+            EXPECT_TRUE(aborted || whole) << client.received();
+        }
+    }
+}
+
 // Guards against a malformed or missing response that counts as an answer, and against a request
 // that may have run but is reported as not written.
 TEST_F(http_test, missing_or_malformed_responses_are_failures)
