Emulate answers that end with their connection, and a part that crashes engines

The stand-ins of the users' upstreams answered with a length or in chunks only, and no prompt could crash them. - Answers of engines and plain services can end with their connection, and a stream can be closed in order inside an event: by control call, or by a flag of savorymount-users-upstream-stand-in. - A prompt part, unless it is the last of its prompt, crashes each engine that begins to answer it: its running answers are reset or cut, it answers nothing, and it comes back with another id and its first weights. The stand-in of the platform lists it with its number of starts.

--- a/tests/stand_ins/users_platform/main.cpp
+++ b/tests/stand_ins/users_platform/main.cpp
@@ -17,8 +17,7 @@
     users_platform(runtime::event_loop& loop, std::int64_t engines, std::int64_t desks)
     {
         for (std::int64_t i = 0; i < engines; ++i)
-            upstreams_.push_back(
-                std::make_unique<fake_upstream>(loop, "engine-" + std::to_string(i), true));
+            add_engine(loop, i);
         for (std::int64_t i = 0; i < desks; ++i)
             upstreams_.push_back(
                 std::make_unique<fake_upstream>(loop, "desk-" + std::to_string(i), false));
@@ -42,6 +41,19 @@
     }
 
 private:
+    void add_engine(runtime::event_loop& loop, std::int64_t number)
+    {
+        auto const index = upstreams_.size();
+        upstream_hooks hooks;
+        hooks.restarted = [this, index](std::string const& former_id)
+        {
+            topics_.put(upstream_topic, former_id, "");
+            list(*upstreams_[index], "ready");
+        };
+        upstreams_.push_back(std::make_unique<fake_upstream>(
+            loop, "engine-" + std::to_string(number), true, 0, std::move(hooks)));
+    }
+
     void configure(std::uint64_t version, std::vector<std::string> const& keys)
     {
         json const streams{
@@ -80,7 +92,7 @@
                          {"state", upstream_state},
                          {"models", models},
                          {"sequence", 1},
-                         {"born", 1}};
+                         {"born", it.starts()}};
         topics_.put(upstream_topic, it.id(), entry.dump());
     }
 
@@ -110,6 +122,13 @@
                 it->refuse_orders(body->at("orders") == "refused");
             if (body->value("break_off", "") == it->id())
                 it->break_off_after(3);
+            if (body->contains("ends_with_connection"))
+                it->end_answers_with_connection(body->at("ends_with_connection").get<bool>());
+            if (body->value("close_inside_event", "") == it->id())
+                it->close_inside_event(1);
+            if (body->contains("crash_on_part"))
+                it->crash_on_part(body->at("crash_on_part").get<std::string>(),
+                                  std::chrono::milliseconds(body->value("crash_ms", 2000)));
             if (body->value("drain", "") == it->id())
                 list(*it, "draining");
             if (body->value("remove", "") == it->id())
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -157,6 +157,49 @@
     }
 }
 
+// Guards against answers that end with their connection and are cut, delayed or lost on the way
+// through the real processes.
+TEST(gateway, delivers_answers_that_end_with_their_connection)
+{
+    platform_deployment system(1);
+    system.control({{"ends_with_connection", true}});
+    std::vector<std::shared_ptr<caller_answer>> answers;
+    for (int i = 0; i < 20; ++i)
+        answers.push_back(system.prompt(0, "request-" + std::to_string(i)));
+    system.client.wait(answers);
+    for (auto const& it : answers)
+    {
+        EXPECT_EQ(it->status, 200) << it->body;
+        EXPECT_TRUE(it->whole);
+        EXPECT_EQ(it->body, whole_stream());
+    }
+    auto const booking = system.book(0, "booking");
+    EXPECT_TRUE(booking.whole);
+    EXPECT_EQ(booking.body, "booked {}");
+    EXPECT_EQ(system.state()["desk-0"]["executions"]["booking"], 1);
+}
+
+// Guards against a stream that its engine closed in order inside an event and that counts as whole.
+TEST(gateway, resumes_a_stream_that_was_closed_inside_an_event)
+{
+    platform_deployment system(1);
+    system.control({{"close_inside_event", "engine-0"}});
+    for (int i = 0; i < 6; ++i)
+    {
+        auto const it = system.prompt(0, "request-" + std::to_string(i));
+        system.client.wait({it});
+        EXPECT_TRUE(it->whole);
+        EXPECT_EQ(it->body, whole_stream());
+    }
+    system.control({{"close_inside_event", "engine-0"}});
+    system.control({{"close_inside_event", "engine-1"}});
+    auto const broken = system.prompt(0, "broken");
+    system.client.wait({broken});
+    EXPECT_FALSE(broken->whole);
+    EXPECT_TRUE(whole_stream().starts_with(broken->body)) << broken->body;
+    EXPECT_TRUE(broken->body.ends_with("\n\n")) << broken->body;
+}
+
 // Guards against keys that go on working, unknown routes that run, and a configuration that does
 // not reach every instance.
 TEST(gateway, applies_a_withdrawn_key_on_every_instance)
