Take the configuration for current while nothing changes in it

Since an answer to a read of the configuration itself is needed, and two things kept it away: - The stand-in of the store held a long poll until a record came, whatever 'waitMs' said. It answers at that time now. - A long poll that the store ended a fraction of a millisecond early did not count as held open, so the configuration counted as old as the read's beginning, up to 3 s, where 1.8 s are allowed.

Open: a long poll that a record ends early leaves the configuration dated by the beginning of that read, so that for up to about 1.2 s after a change unknown keys and routes still get 503.

--- a/tests/stand_ins/users_platform/keyed_topics.cpp
+++ b/tests/stand_ins/users_platform/keyed_topics.cpp
@@ -85,7 +85,22 @@
     else if (from < topics_[topic].size() || target.number("waitMs", 0) == 0)
         answer_read(exchange, topic, from);
     else
+    {
         waiting_.push_back({exchange, topic, from});
+        run_after(timers_, std::chrono::milliseconds(target.number("waitMs", 0)),
+                  [this, exchange] { end_wait(exchange); });
+    }
+}
+
+void keyed_topics::end_wait(exchange_ptr const& exchange)
+{
+    auto const it = std::find_if(waiting_.begin(), waiting_.end(),
+                                 [&](auto const& read) { return read.exchange == exchange; });
+    if (it == waiting_.end())
+        return;
+    auto const ended = *it;
+    waiting_.erase(it);
+    answer_read(ended.exchange, ended.topic, ended.from);
 }
 
 void keyed_topics::append(exchange_ptr const& exchange, request_target const& target)
--- a/tests/stand_ins/users_platform/keyed_topics.hpp
+++ b/tests/stand_ins/users_platform/keyed_topics.hpp
@@ -13,6 +13,8 @@
 class keyed_topics
 {
 public:
+    explicit keyed_topics(runtime::event_loop& loop) : timers_(loop) {}
+
     /// Serves the calls that begin with `/-/log-`. False for any other path.
     bool handle(exchange_ptr const& exchange);
 
@@ -43,8 +45,11 @@
     void read(exchange_ptr const& exchange, request_target const& target);
     void append(exchange_ptr const& exchange, request_target const& target);
     void answer_read(exchange_ptr const& exchange, std::string const& topic, std::size_t from);
+    /// Answers a read that still waits at its time limit without records.
+    void end_wait(exchange_ptr const& exchange);
     void wake_readers(std::string const& topic);
 
+    runtime::timer_service timers_;
     std::map<std::string, std::vector<record>> topics_;
     /// First offset that can still be read, by topic.
     std::map<std::string, std::size_t> first_;
--- a/tests/stand_ins/users_platform/main.cpp
+++ b/tests/stand_ins/users_platform/main.cpp
@@ -15,6 +15,7 @@
 {
 public:
     users_platform(runtime::event_loop& loop, std::int64_t engines, std::int64_t desks)
+        : topics_(loop)
     {
         for (std::int64_t i = 0; i < engines; ++i)
             add_engine(loop, i);
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -163,9 +163,10 @@
 {
     platform_deployment system(1);
     system.control({{"ends_with_connection", true}});
-    std::vector<std::shared_ptr<caller_answer>> answers;
-    for (int i = 0; i < 20; ++i)
-        answers.push_back(system.prompt(0, "request-" + std::to_string(i)));
+    constexpr std::size_t count = 20;
+    std::vector<std::shared_ptr<caller_answer>> answers(count);
+    for (std::size_t i = 0; i < count; ++i)
+        answers[i] = system.prompt(0, "request-" + std::to_string(i));
     system.client.wait(answers);
     for (auto const& it : answers)
     {
@@ -216,6 +217,18 @@
     EXPECT_EQ(system.book(1, "request-3").status, 200);
 }
 
+// Guards against an instance that takes its configuration for outdated while nothing changes in it,
+// and answers a withdrawn key as if it might have been granted elsewhere.
+TEST(gateway, goes_on_refusing_an_unknown_key_while_the_configuration_does_not_change)
+{
+    platform_deployment system(1);
+    for (int i = 0; i < 40; ++i)
+    {
+        EXPECT_EQ(system.book(0, "request-" + std::to_string(i), "key-c").status, 401) << i;
+        usleep(100'000);
+    }
+}
+
 // Guards against engines that keep their old weights, and against prompts that run on weights that
 // are not the ones their cache was made with.
 TEST(gateway, rolls_new_weights_out_to_every_engine)
