--- a/libraries/savorymount/runtime/http_exchange.cpp
+++ b/libraries/savorymount/runtime/http_exchange.cpp
@@ -277,8 +277,8 @@
     // come too late. Linux resets a connection whose socket is disconnected.
     sockaddr unspecified{};
     unspecified.sa_family = AF_UNSPEC;
-    ::connect(bufferevent_getfd(evhttp_connection_get_bufferevent(connection_)), &unspecified,
-              sizeof(unspecified));
+    (void)::connect(bufferevent_getfd(evhttp_connection_get_bufferevent(connection_)), &unspecified,
+                    sizeof(unspecified));
 }
 
 void http_exchange::end()
--- a/tests/libraries/runtime/http_test.cpp
+++ b/tests/libraries/runtime/http_test.cpp
@@ -329,7 +329,10 @@
     {
         for (std::string const body : {"", "whole"})
         {
-            raw_server const peer(head + "\r\n" + body);
+            std::string response = head;
+            response += "\r\n";
+            response += body;
+            raw_server const peer(response);
             port = peer.port();
             auto const out = run(request("POST", "/", "run me"));
             EXPECT_FALSE(out.failure) << head << body << out.failure->reason.message;
