Log which prompt parts a request had when its upstream was lost

When engines end one after the other, the logs say that connections were closed, and not what the requests on them had in common. A line upstream_lost now names the shared prompt parts, the key under which the loss is recorded and whether the response had begun; requests that lost an upstream are not sampled. Two metrics count the losses and the crash records, so that records that never reach other instances can be told from records that never match.

--- a/libraries/savorymount/gateway/caller_request.hpp
+++ b/libraries/savorymount/gateway/caller_request.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace savorymount::gateway
 {
@@ -33,6 +34,10 @@
     bool operator==(caller_request const&) const = default;
 };
 
+/// Ids of the prompt parts that other requests may share: all but the last one, which is specific
+/// to the request.
+std::vector<std::string> shared_part_ids(caller_request const& request);
+
 /// Options of a request that only language-model engines take.
 struct engine_options
 {
--- a/libraries/savorymount/gateway/gateway_metrics.cpp
+++ b/libraries/savorymount/gateway/gateway_metrics.cpp
@@ -51,6 +51,11 @@
         .counter("savorymount_upstream_repeats_total",
                  "Sends of requests to upstreams beyond the first.", {{"service", it.service}})
         .add(it.failed_attempts.size());
+    metrics_
+        .counter("savorymount_upstream_losses_total",
+                 "Sends of requests whose upstream's connection was lost while it ran them.",
+                 {{"service", it.service}})
+        .add(it.lost_attempts.size());
 }
 
 void gateway_metrics::record_times(request_outcome const& it)
@@ -141,6 +146,10 @@
         .gauge("savorymount_callback_failures",
                "Unexpected errors that each ended one callback since the process started.")
         .set(static_cast<double>(runtime::callback_failures()));
+    metrics_
+        .gauge("savorymount_crash_records",
+               "Requests for which a lost upstream is recorded, by this or another instance.")
+        .set(static_cast<double>(cluster_.quarantine().size()));
     auto& peers = cluster_.peer_table();
     metrics_.gauge("savorymount_instances", "Known instances, this one included.")
         .set(static_cast<double>(peers.instance_count()));
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -177,8 +177,7 @@
         retry_or_give_up(attempt_failure::rejected, reason);
         return;
     case attempt_result::connection_lost:
-        context_.cluster.upstream_crashed(context_.timers.now(), admitted_->request_digest,
-                                          attempt_->placement().upstream.id);
+        record_lost_upstream();
         break;
     case attempt_result::invalid_response:
         break;
@@ -186,6 +185,15 @@
     handle_failure_after_send(attempt_failure::outcome_unknown, reason);
 }
 
+void gateway_request::record_lost_upstream()
+{
+    auto const& upstream = attempt_->placement().upstream.id;
+    context_.cluster.upstream_crashed(context_.timers.now(), admitted_->request_digest, upstream);
+    outcome_.lost_attempts.push_back({upstream, attempt_->response_started(), elapsed()});
+    outcome_.request_digest = admitted_->request_digest;
+    outcome_.shared_parts = shared_part_ids(caller_request_);
+}
+
 void gateway_request::handle_stream_end()
 {
     auto const& head = attempt_->head();
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -33,6 +33,7 @@
     void record_weights(std::uint64_t version);
     void handle_event(streams::raw_event const& event);
     void handle_attempt_result(attempt_result result, std::string const& reason);
+    void record_lost_upstream();
     void handle_stream_end();
     void handle_response();
     void keep_failure_response();
--- a/libraries/savorymount/gateway/request_log.cpp
+++ b/libraries/savorymount/gateway/request_log.cpp
@@ -13,6 +13,7 @@
 // Half of the lines are reserved for refusals and failures; the remaining ones are for events
 // other than requests.
 constexpr double sampled_ratio = 0.4;
+constexpr std::size_t max_list_bytes = 200;
 
 runtime::log_sampler make_sampler(std::size_t lines_per_second)
 {
@@ -40,11 +41,33 @@
     return events::request_abandoned;
 }
 
+/// The ids in a field of bounded size; callers choose the ids.
+std::string list_of(std::vector<std::string> const& ids)
+{
+    std::string out;
+    for (auto const& it : ids)
+    {
+        if (out.size() + it.size() > max_list_bytes)
+            return out + (out.empty() ? "..." : ",...");
+        out += out.empty() ? it : "," + it;
+    }
+    return out;
+}
+
 } // namespace
 
 std::vector<runtime::log_line> request_log_lines(request_outcome const& it)
 {
     std::vector<runtime::log_line> out;
+    for (auto const& attempt : it.lost_attempts)
+        out.push_back({&events::upstream_lost,
+                       {{"request", it.id},
+                        {"route", it.route},
+                        {"upstream", attempt.upstream},
+                        {"digest", it.request_digest},
+                        {"parts", list_of(it.shared_parts)},
+                        {"response_started", attempt.response_started ? 1 : 0},
+                        {"at_ms", to_ms(attempt.time_since_arrival)}}});
     for (auto const& attempt : it.failed_attempts)
         out.push_back({&events::request_repeated,
                        {{"request", it.id},
@@ -82,11 +105,12 @@
 void request_log::write(base::time_point now, request_outcome const& it)
 {
     bool const sampled = sampler_.keep(now, it.id);
-    bool const important = it.end == request_end::refused || it.end == request_end::failed;
+    bool const important = it.end == request_end::refused || it.end == request_end::failed ||
+                           !it.lost_attempts.empty();
     if (sampled || important)
         runtime::log(request_log_lines(it));
     else
-        runtime::note_lines_left_out(it.failed_attempts.size() + 1);
+        runtime::note_lines_left_out(request_log_lines(it).size());
 }
 
 } // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/request_log.hpp
+++ b/libraries/savorymount/gateway/request_log.hpp
@@ -13,8 +13,9 @@
 /// The log lines of one request: one for each failed attempt and one for the outcome.
 std::vector<runtime::log_line> request_log_lines(request_outcome const& it);
 
-/// Logs requests. Refusals and failures are always passed to the rate-limited log, other requests
-/// are sampled. The lines of a request are logged together or not at all.
+/// Logs requests. Refusals, failures and requests that lost an upstream are always passed to the
+/// rate-limited log, other requests are sampled. The lines of a request are logged together or not
+/// at all.
 class request_log
 {
 public:
--- a/libraries/savorymount/gateway/request_outcome.hpp
+++ b/libraries/savorymount/gateway/request_outcome.hpp
@@ -38,6 +38,17 @@
     bool operator==(failed_attempt const&) const = default;
 };
 
+/// An attempt whose upstream's connection was lost while it executed the request.
+struct lost_attempt
+{
+    std::string upstream;
+    /// Whether a part of the response had arrived.
+    bool response_started = false;
+    base::duration time_since_arrival{};
+
+    bool operator==(lost_attempt const&) const = default;
+};
+
 /// The outcome of one request, for the log and the metrics.
 struct request_outcome
 {
@@ -54,6 +65,11 @@
     std::optional<base::error_kind> refusal_kind;
     std::uint32_t attempts = 0;
     std::vector<failed_attempt> failed_attempts;
+    std::vector<lost_attempt> lost_attempts;
+    /// Key of the request in the crash quarantine, and the ids of the prompt parts that it may
+    /// share with other requests. Set if an attempt was lost.
+    std::string request_digest;
+    std::vector<std::string> shared_parts;
     std::uint64_t configuration_version = 0;
     std::uint64_t weight_version = 0;
     /// How long that version had been superseded when the upstream was chosen, as far as this
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -86,6 +86,9 @@
                                           "Operators named a weight version of a model."};
 inline constexpr log_event upstream_unlisted{508, log_level::info, "upstream_unlisted",
                                              "The list no longer names an upstream."};
+inline constexpr log_event upstream_lost{
+    509, log_level::warning, "upstream_lost",
+    "The connection to an upstream ended while it ran a request; shows the shared prompt parts."};
 inline constexpr log_event lease_acquired{600, log_level::info, "lease_acquired",
                                           "This agent owns a workspace's token bucket."};
 inline constexpr log_event lease_lost{601, log_level::warning, "lease_lost",
@@ -149,6 +152,7 @@
                                 request_quarantined,
                                 weights_wanted,
                                 upstream_unlisted,
+                                upstream_lost,
                                 lease_acquired,
                                 lease_lost,
                                 duty_acquired,
