Refuse the prompt part that crashes engines, not the single request

Callers saw engine after engine end: 33 and 34 requests with one prompt part reached engines after five engines had ended on that part.

Cause: crashes were counted by a digest of method, target, key and body. Requests that differ in anything never match, so nothing was refused.

Each request that loses its upstream now names its shared prompt parts. retries::crash_attribution finds the parts that explain the losses of all instances: four upstream processes, three requests and two moments without one completed response. Completed responses clear the parts that sound requests share; an upstream that responds again within a second did not crash; a loss that a known cause explains counts for no other part; if several parts always came together, only prompts with all of them are refused. Reports carry losses and cleared parts; those of a known cause are reported as long as it is refused, so an instance that starts learns it. A prompt is refused with 503 before it runs, and not retried after two losses that a part of it may explain.

--- a/libraries/savorymount/gateway/admission.cpp
+++ b/libraries/savorymount/gateway/admission.cpp
@@ -2,6 +2,7 @@
 #include <savorymount/gateway/admission.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace savorymount::gateway
 {
@@ -12,6 +13,7 @@
 
 constexpr base::duration retry_after_without_configuration = 400ms;
 constexpr base::duration retry_after_outdated_configuration = 200ms;
+constexpr std::size_t max_part_id_bytes = 64;
 
 std::string request_digest_of(caller_request const& request, std::string const& body)
 {
@@ -21,6 +23,17 @@
     return base::to_hex(base::chain_digest(digest, body));
 }
 
+void set_prompt_digests(caller_request const& request, admitted_request& out)
+{
+    for (auto const& it : shared_part_ids(request))
+        out.shared_parts.push_back(base::chain_digest(0, it));
+    out.prompt_digest = base::chain_digest(0, out.request_digest);
+    if (!request.prompt)
+        return;
+    for (auto const& it : request.prompt->parts)
+        out.prompt_digest = base::chain_digest(out.prompt_digest, it.id);
+}
+
 double tokens_to_charge(caller_request const& request,
                         configuration::workspace_account const& workspace)
 {
@@ -98,6 +111,28 @@
     }
 }
 
+std::optional<refusal> find_crash_refusal(base::time_point now, cluster_state& cluster,
+                                          admitted_request const& admitted,
+                                          caller_request const& request)
+{
+    auto const found = cluster.crash_attribution().find_cause(now, admitted.shared_parts);
+    if (!found)
+        return std::nullopt;
+    auto const& [cause, remaining] = *found;
+    std::string ids;
+    for (auto const& id : shared_part_ids(request))
+    {
+        if (std::binary_search(cause.parts.begin(), cause.parts.end(), base::chain_digest(0, id)))
+            ids += " " + id.substr(0, max_part_id_bytes);
+    }
+    return refusal{
+        {base::error_kind::unavailable,
+         "upstreams crashed on prompts with this part; send the prompt without it:" + ids},
+        remaining,
+        0,
+        0};
+}
+
 bool admit(base::time_point now, cluster_state& cluster, caller_request const& request,
            std::string const& body, admitted_request& out, refusal& refused)
 {
@@ -136,6 +171,12 @@
                    0};
         return false;
     }
+    set_prompt_digests(request, out);
+    if (auto crash_refusal = find_crash_refusal(now, cluster, out, request))
+    {
+        refused = std::move(*crash_refusal);
+        return false;
+    }
     out.timeout = std::min(request.timeout.value_or(out.route->timeout), out.route->timeout);
     return take_tokens(now, cluster, request, out, refused);
 }
--- a/libraries/savorymount/gateway/admission.hpp
+++ b/libraries/savorymount/gateway/admission.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace savorymount::gateway
 {
@@ -40,10 +41,19 @@
     double charged_tokens = 0;
     /// Equal for requests with the same API key and content; key of the crash quarantine.
     std::string request_digest;
+    /// Digests of the prompt parts that the request may share with others.
+    std::vector<std::uint64_t> shared_parts;
+    /// Identifies the request among those that share prompt parts.
+    std::uint64_t prompt_digest = 0;
     /// Time from the arrival to the request's deadline.
     base::duration timeout{};
 };
 
+/// The refusal of a request whose prompt parts crash upstreams; empty if they are not known to.
+std::optional<refusal> find_crash_refusal(base::time_point now, cluster_state& cluster,
+                                          admitted_request const& admitted,
+                                          caller_request const& request);
+
 /// Finds the route and the workspace of a request and charges its tokens. On false, `refused` is
 /// set and `out` holds what was found before the refusal.
 bool admit(base::time_point now, cluster_state& cluster, caller_request const& request,
--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -20,6 +20,9 @@
 constexpr base::duration crash_quarantine_time = 60s;
 // A crash is reported repeatedly for this long, so that a lost datagram does not matter.
 constexpr base::duration crash_report_time = 3s;
+// A report fits into one datagram.
+constexpr std::size_t max_reported_losses = 32;
+constexpr std::size_t max_reported_sound_parts = 64;
 // The process runs at least every 50 ms unless it or its machine was suspended.
 constexpr base::duration max_time_between_runs = 1s;
 constexpr double initial_fill_after_restart = 0.3;
@@ -33,6 +36,11 @@
 // Lower bound for the number of instances that share the retry slack, used until all are known.
 constexpr std::size_t min_instances = 4;
 
+std::chrono::milliseconds to_ms(base::duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time);
+}
+
 limits::rate_limit rate_limit_of(configuration::workspace_account const& account,
                                  gateway_settings const& settings)
 {
@@ -136,6 +144,11 @@
     recent_crashes_.push_back({now, {digest, upstream}});
 }
 
+void cluster_state::upstream_lost(base::time_point now, retries::upstream_loss loss)
+{
+    crash_attribution_.record_loss(now, now, std::move(loss));
+}
+
 void cluster_state::record_sent_parts(base::time_point now,
                                       std::vector<std::uint64_t> const& digests,
                                       std::string const& engine)
@@ -183,9 +196,18 @@
         upstreams_.weights_observed(it.upstream, it.model, it.version);
         upstreams_.set_loading(it.upstream, now + it.remaining);
     }
+    apply_notices(now, report);
+    return true;
+}
+
+void cluster_state::apply_notices(base::time_point now, membership::peer_report const& report)
+{
     for (auto const& it : report.crashes)
         quarantine_.record_crash(now, it.request_digest, it.upstream);
-    return true;
+    for (auto const& it : report.losses)
+        crash_attribution_.record_loss(now, now - it.age, it.loss, false);
+    for (auto const& it : report.sound_parts)
+        crash_attribution_.record_completion(now, now - it.age, {it.part}, false);
 }
 
 membership::peer_report cluster_state::make_report(base::time_point now, std::uint64_t sequence,
@@ -203,6 +225,11 @@
         recent_crashes_.pop_front();
     for (auto const& it : recent_crashes_)
         out.crashes.push_back(it.second);
+    for (auto& [age, loss] : crash_attribution_.reportable_losses(now, max_reported_losses))
+        out.losses.push_back({std::move(loss), to_ms(age)});
+    for (auto const& [age, part] :
+         crash_attribution_.reportable_completions(now, max_reported_sound_parts))
+        out.sound_parts.push_back({part, to_ms(age)});
     if (partial)
         return out;
     for (auto const& [workspace, bucket] : buckets_)
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -7,6 +7,7 @@
 #include <savorymount/membership/peer_report.hpp>
 #include <savorymount/membership/peer_table.hpp>
 #include <savorymount/orders/desired_weights.hpp>
+#include <savorymount/retries/crash_attribution.hpp>
 #include <savorymount/retries/crash_quarantine.hpp>
 #include <savorymount/retries/retry_quota.hpp>
 #include <savorymount/routing/part_locations.hpp>
@@ -56,6 +57,7 @@
     orders::desired_weights const& desired_weights() { return desired_weights_; }
     membership::peer_table& peer_table() { return peer_table_; }
     retries::crash_quarantine& quarantine() { return quarantine_; }
+    retries::crash_attribution& crash_attribution() { return crash_attribution_; }
     retries::retry_quota& retry_quota(std::string const& service);
 
     /// Null for a workspace that is not in the configuration.
@@ -82,6 +84,8 @@
     /// An upstream's connection broke while it executed a request of this instance.
     void upstream_crashed(base::time_point now, std::string const& digest,
                           std::string const& upstream);
+    /// The same for the request's shared prompt parts.
+    void upstream_lost(base::time_point now, retries::upstream_loss loss);
 
     /// A request with these prompt parts was sent to an engine. The last part is specific to the
     /// request, the others may be shared.
@@ -120,6 +124,7 @@
     void set_settings(base::time_point now, gateway_settings settings);
 
 private:
+    void apply_notices(base::time_point now, membership::peer_report const& report);
     void apply_full_report(base::time_point now, membership::peer_report const& report);
 
     gateway_settings settings_;
@@ -130,6 +135,7 @@
     orders::desired_weights desired_weights_;
     membership::peer_table peer_table_;
     retries::crash_quarantine quarantine_;
+    retries::crash_attribution crash_attribution_;
     std::map<std::string, retries::retry_quota> retry_quotas_;
     std::map<std::string, limits::shared_bucket> buckets_;
     /// When the process last made a decision; see `observe_time`.
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -1,3 +1,4 @@
+#include <savorymount/base/digest.hpp>
 #include <savorymount/gateway/gateway.hpp>
 #include <savorymount/runtime/log_events.hpp>
 #include <savorymount/runtime/plugin_registry.hpp>
@@ -47,6 +48,15 @@
     return out;
 }
 
+void log_crash_cause(retries::crash_cause const& cause, bool refused)
+{
+    std::string digests;
+    for (auto const it : cause.parts)
+        digests += (digests.empty() ? "" : ",") + base::to_hex(it);
+    runtime::log(refused ? events::prompt_parts_refused : events::prompt_parts_accepted,
+                 {{"part_digests", digests}, {"upstreams", cause.upstreams}});
+}
+
 std::int64_t to_ms(base::duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -128,6 +138,7 @@
         [](base::duration pause) {
             runtime::log(events::process_resumed, {{"paused_ms", to_ms(pause)}});
         });
+    cluster_.crash_attribution().on_cause_changed(log_crash_cause);
     loop_->on_termination([this] { start_draining(); });
     watch_settings_file();
     follow_platform();
--- a/libraries/savorymount/gateway/gateway_metrics.cpp
+++ b/libraries/savorymount/gateway/gateway_metrics.cpp
@@ -150,6 +150,10 @@
         .gauge("savorymount_crash_records",
                "Requests for which a lost upstream is recorded, by this or another instance.")
         .set(static_cast<double>(cluster_.quarantine().size()));
+    metrics_
+        .gauge("savorymount_prompt_parts_refused",
+               "Combinations of prompt parts that are refused since upstreams crash on them.")
+        .set(static_cast<double>(cluster_.crash_attribution().causes(now).size()));
     auto& peers = cluster_.peer_table();
     metrics_.gauge("savorymount_instances", "Known instances, this one included.")
         .set(static_cast<double>(peers.instance_count()));
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -31,6 +31,13 @@
     return text;
 }
 
+bool has_header(runtime::http_head const& head, std::string_view name)
+{
+    return std::any_of(head.headers.begin(), head.headers.end(),
+                       [name](auto const& it)
+                       { return runtime::equal_header_names(it.name, name); });
+}
+
 runtime::http_headers text_headers()
 {
     return {{"Content-Type", "text/plain"}};
@@ -73,8 +80,23 @@
     dispatch();
 }
 
+bool gateway_request::give_up_after_crashes()
+{
+    auto const found =
+        find_crash_refusal(context_.timers.now(), context_.cluster, *admitted_, caller_request_);
+    if (!found)
+        return false;
+    if (streaming_ || may_have_run_)
+        give_up(found->reason.message);
+    else
+        refuse(*found);
+    return true;
+}
+
 void gateway_request::dispatch()
 {
+    if (give_up_after_crashes())
+        return;
     auto const now = context_.timers.now();
     auto placed = place_request(now, context_.cluster, context_.random, *admitted_, caller_request_,
                                 service_, tried_upstreams_);
@@ -190,13 +212,30 @@
     auto const& upstream = attempt_->placement().upstream.id;
     context_.cluster.upstream_crashed(context_.timers.now(), admitted_->request_digest, upstream);
     outcome_.lost_attempts.push_back({upstream, attempt_->response_started(), elapsed()});
+    context_.cluster.upstream_lost(context_.timers.now(),
+                                   {membership::process_name(attempt_->placement().upstream),
+                                    admitted_->prompt_digest, admitted_->shared_parts});
     outcome_.request_digest = admitted_->request_digest;
     outcome_.shared_parts = shared_part_ids(caller_request_);
 }
 
+void gateway_request::record_completed_response()
+{
+    auto const& head = attempt_->head();
+    // The end of a response without a length may also be the end of its upstream.
+    bool const is_delimited = head.content_length || has_header(head, "Transfer-Encoding");
+    bool const has_content = streaming_ || !attempt_->body().empty();
+    bool const succeeded = head.status < first_error_status;
+    if (!is_delimited || !has_content || !succeeded)
+        return;
+    auto const now = context_.timers.now();
+    context_.cluster.crash_attribution().record_completion(now, now, admitted_->shared_parts);
+}
+
 void gateway_request::handle_stream_end()
 {
     auto const& head = attempt_->head();
+    record_completed_response();
     if (!streaming_)
         client_->start(head.status, context_.platform.response_headers(head));
     client_->finish();
@@ -213,6 +252,7 @@
             "the upstream sent a complete response instead of resuming the stream");
         return;
     }
+    record_completed_response();
     bool const failed = attempt_->head().status >= first_server_error_status;
     if (failed && is_repeatable(admitted_->route->kind, admitted_->route->resumable))
     {
@@ -291,7 +331,10 @@
     auto const upstream = attempt_->placement().upstream.id;
     finish_attempt(failure == attempt_failure::rejected ||
                    failure == attempt_failure::failure_response);
-    if (!may_retry(failure, history()))
+    bool const may_crash_again =
+        !outcome_.lost_attempts.empty() && context_.cluster.crash_attribution().may_crash_again(
+                                               context_.timers.now(), admitted_->shared_parts);
+    if (may_crash_again || !may_retry(failure, history()))
     {
         give_up(reason);
         return;
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -34,6 +34,10 @@
     void handle_event(streams::raw_event const& event);
     void handle_attempt_result(attempt_result result, std::string const& reason);
     void record_lost_upstream();
+    /// The attempt delivered a whole response, so its prompt parts crash no upstream.
+    void record_completed_response();
+    /// Gives up if the prompt has parts that crash upstreams.
+    bool give_up_after_crashes();
     void handle_stream_end();
     void handle_response();
     void keep_failure_response();
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -46,6 +46,27 @@
     out.setEmptying(load.draining);
 }
 
+void write_loss(wire::UpstreamLoss::Builder out, membership::loss_notice const& notice)
+{
+    out.setUpstream(notice.loss.upstream);
+    out.setRequest(notice.loss.request);
+    auto parts = out.initParts(count(notice.loss.parts));
+    for (unsigned n = 0; n < notice.loss.parts.size(); ++n)
+        parts.set(n, notice.loss.parts[n]);
+    out.setAgeMilliseconds(clamp_to_uint32(notice.age.count()));
+}
+
+membership::loss_notice read_loss(wire::UpstreamLoss::Reader in)
+{
+    membership::loss_notice out;
+    out.loss.upstream = in.getUpstream().cStr();
+    out.loss.request = in.getRequest();
+    for (auto const it : in.getParts())
+        out.loss.parts.push_back(it);
+    out.age = std::chrono::milliseconds(in.getAgeMilliseconds());
+    return out;
+}
+
 void write_lists(wire::PeerReport::Builder out, membership::peer_report const& report)
 {
     write_list(out.initAdmitted(count(report.admitted_tokens)), report.admitted_tokens,
@@ -68,6 +89,13 @@
                    to.setDigest(it.request_digest);
                    to.setUpstream(it.upstream);
                });
+    write_list(out.initLosses(count(report.losses)), report.losses, write_loss);
+    write_list(out.initSoundParts(count(report.sound_parts)), report.sound_parts,
+               [](wire::SoundPart::Builder to, auto const& it)
+               {
+                   to.setPart(it.part);
+                   to.setAgeMilliseconds(clamp_to_uint32(it.age.count()));
+               });
     write_list(out.initReads(count(report.assigned_prefixes)), report.assigned_prefixes,
                [](wire::EngineReads::Builder to, auto const& it)
                {
@@ -151,6 +179,11 @@
                                     it.getEmptying()});
     for (auto const it : in.getCrashes())
         out.crashes.push_back({it.getDigest().cStr(), it.getUpstream().cStr()});
+    for (auto const it : in.getLosses())
+        out.losses.push_back(read_loss(it));
+    for (auto const it : in.getSoundParts())
+        out.sound_parts.push_back(
+            {it.getPart(), std::chrono::milliseconds(it.getAgeMilliseconds())});
     for (auto const it : in.getReads())
     {
         auto& digests = out.assigned_prefixes[it.getUpstream().cStr()];
--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -112,6 +112,9 @@
         upstreams.weights_observed(id, model_, *metadata_.weight_version);
     bool const not_authentic = metadata_.request_id.empty() || !metadata_.stamped;
     untrusted_ = not_authentic && !metadata_.not_executed;
+    if (metadata_.upstream == id)
+        context_.cluster.crash_attribution().record_response(
+            context_.timers.now(), placed_at_, membership::process_name(placement_.upstream));
     if (!is_stream_response())
         record_first_byte();
 }
--- a/libraries/savorymount/membership/peer_report.cpp
+++ b/libraries/savorymount/membership/peer_report.cpp
@@ -14,6 +14,10 @@
 // Far above any rate times any uptime, and still exact as a sum of doubles.
 constexpr double max_tokens = 1e15;
 constexpr std::uint32_t max_requests = 1'000'000;
+// Above what an instance keeps.
+constexpr std::chrono::milliseconds max_notice_age = std::chrono::hours(1);
+constexpr std::size_t max_notices = 256;
+constexpr std::size_t max_parts = 64;
 
 bool is_name(std::string_view text)
 {
@@ -31,6 +35,26 @@
            is_token_count(it.second.tokens);
 }
 
+bool is_age(std::chrono::milliseconds age)
+{
+    return age >= age.zero() && age <= max_notice_age;
+}
+
+bool is_loss(loss_notice const& it)
+{
+    return is_name(it.loss.upstream) && it.loss.parts.size() <= max_parts && is_age(it.age);
+}
+
+bool has_plausible_notices(peer_report const& report)
+{
+    auto const& losses = report.losses;
+    auto const& sound_parts = report.sound_parts;
+    return losses.size() <= max_notices && sound_parts.size() <= max_notices &&
+           std::all_of(losses.begin(), losses.end(), is_loss) &&
+           std::all_of(sound_parts.begin(), sound_parts.end(),
+                       [](auto const& it) { return is_age(it.age); });
+}
+
 bool is_plausible_relayed(peer_report const& report)
 {
     return report.relayed.empty() && report.store_updates.empty() && is_plausible(report);
@@ -54,7 +78,7 @@
     bool const has_use = std::all_of(use.begin(), use.end(), is_usage);
     bool const has_data_centre = report.data_centre.size() <= max_name_bytes;
     auto const& relayed = report.relayed;
-    return has_totals && has_use && has_data_centre &&
+    return has_totals && has_use && has_data_centre && has_plausible_notices(report) &&
            std::all_of(relayed.begin(), relayed.end(), is_plausible_relayed);
 }
 
--- a/libraries/savorymount/membership/peer_report.hpp
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -2,6 +2,7 @@
 
 #include <savorymount/base/time.hpp>
 #include <savorymount/membership/store_update.hpp>
+#include <savorymount/retries/upstream_loss.hpp>
 #include <savorymount/routing/upstream_table.hpp>
 
 #include <cstdint>
@@ -36,6 +37,24 @@
     bool operator==(crash_notice const&) const = default;
 };
 
+/// A request that ran on an upstream when its connection was lost.
+struct loss_notice
+{
+    retries::upstream_loss loss;
+    std::chrono::milliseconds age{};
+
+    bool operator==(loss_notice const&) const = default;
+};
+
+/// A shared prompt part that was suspected and completed a response at the sender.
+struct sound_part_notice
+{
+    std::uint64_t part = 0;
+    std::chrono::milliseconds age{};
+
+    bool operator==(sound_part_notice const&) const = default;
+};
+
 /// The report that each instance sends to all others at short intervals.
 struct peer_report
 {
@@ -46,8 +65,8 @@
     std::uint64_t sequence = 0;
     /// The process is shutting down and accepts no more requests.
     bool leaving = false;
-    /// The report contains only weight loads and crashes; the other values of the previous report
-    /// stay valid.
+    /// The report contains only weight loads, crashes and losses; the other values of the previous
+    /// report stay valid.
     bool partial = false;
     /// Time since the process started, in whole milliseconds.
     std::chrono::milliseconds uptime{};
@@ -59,6 +78,8 @@
     std::optional<std::uint64_t> lease_offset;
     std::vector<weight_load> weight_loads;
     std::vector<crash_notice> crashes;
+    std::vector<loss_notice> losses;
+    std::vector<sound_part_notice> sound_parts;
     /// Digests of shared prompt parts in requests that were sent to an engine, by engine.
     std::map<std::string, std::vector<std::uint64_t>> assigned_prefixes;
     /// Data centre of the sender; empty if it did not tell.
--- a/libraries/savorymount/membership/upstream_record.hpp
+++ b/libraries/savorymount/membership/upstream_record.hpp
@@ -30,4 +30,10 @@
     bool operator==(upstream_record const&) const = default;
 };
 
+/// Name of the upstream's process. It differs from that of a later process with the same id.
+inline std::string process_name(upstream_record const& upstream)
+{
+    return upstream.id + "/" + std::to_string(upstream.started_unix_ms);
+}
+
 } // namespace savorymount::membership
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -89,6 +89,12 @@
 inline constexpr log_event upstream_lost{
     509, log_level::warning, "upstream_lost",
     "The connection to an upstream ended while it ran a request; shows the shared prompt parts."};
+inline constexpr log_event prompt_parts_refused{
+    510, log_level::error, "prompt_parts_refused",
+    "Upstreams crashed on each prompt with these parts; such prompts are refused from now on."};
+inline constexpr log_event prompt_parts_accepted{
+    511, log_level::info, "prompt_parts_accepted",
+    "Prompts with these parts are accepted again: a response was completed or the time is over."};
 inline constexpr log_event lease_acquired{600, log_level::info, "lease_acquired",
                                           "This agent owns a workspace's token bucket."};
 inline constexpr log_event lease_lost{601, log_level::warning, "lease_lost",
@@ -153,6 +159,8 @@
                                 weights_wanted,
                                 upstream_unlisted,
                                 upstream_lost,
+                                prompt_parts_refused,
+                                prompt_parts_accepted,
                                 lease_acquired,
                                 lease_lost,
                                 duty_acquired,
--- a/libraries/savorymount/wire/peer_report.capnp
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -38,6 +38,10 @@
   storeUpdates @16 :List(StoreUpdate);
   # How well the sender can carry the traffic of its data centre.
   relayWeight @17 :UInt32;
+  # Requests that ran on an upstream when its connection was lost, with their shared prompt parts.
+  losses @18 :List(UpstreamLoss);
+  # Prompt parts of such requests with which the sender completed a response.
+  soundParts @19 :List(SoundPart);
 }
 
 struct StoreUpdate {
@@ -92,3 +96,16 @@
   digest @0 :Text;
   upstream @1 :Text;
 }
+
+struct UpstreamLoss {
+  upstream @0 :Text;
+  request @1 :UInt64;
+  parts @2 :List(UInt64);
+  ageMilliseconds @3 :UInt32;
+}
+
+struct SoundPart {
+  part @0 :UInt64;
+  # Age of the newest completed response.
+  ageMilliseconds @1 :UInt32;
+}
--- a/libraries/savorymount/wire/peer_report.capnp.h
+++ b/libraries/savorymount/wire/peer_report.capnp.h
@@ -24,6 +24,8 @@
 CAPNP_DECLARE_SCHEMA(aea40766791c1e11);
 CAPNP_DECLARE_SCHEMA(c8b7f15862a941c6);
 CAPNP_DECLARE_SCHEMA(a92a2d63556bbc75);
+CAPNP_DECLARE_SCHEMA(fa602cb758f198a0);
+CAPNP_DECLARE_SCHEMA(fef2a85930b71191);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -39,7 +41,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 4, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 4, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -151,6 +153,36 @@
   };
 };
 
+struct UpstreamLoss {
+  UpstreamLoss() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fa602cb758f198a0, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SoundPart {
+  SoundPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fef2a85930b71191, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class PeerReport::Reader {
@@ -217,6 +249,12 @@
 
   inline  ::uint32_t getRelayWeight() const;
 
+  inline bool hasLosses() const;
+  inline  ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>::Reader getLosses() const;
+
+  inline bool hasSoundParts() const;
+  inline  ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>::Reader getSoundParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -343,6 +381,20 @@
   inline  ::uint32_t getRelayWeight();
   inline void setRelayWeight( ::uint32_t value);
 
+  inline bool hasLosses();
+  inline  ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>::Builder getLosses();
+  inline void setLosses( ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>::Builder initLosses(unsigned int size);
+  inline void adoptLosses(::capnp::Orphan< ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>> disownLosses();
+
+  inline bool hasSoundParts();
+  inline  ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>::Builder getSoundParts();
+  inline void setSoundParts( ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>::Builder initSoundParts(unsigned int size);
+  inline void adoptSoundParts(::capnp::Orphan< ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>> disownSoundParts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1052,6 +1104,189 @@
 };
 #endif  // !CAPNP_LITE
 
+class UpstreamLoss::Reader {
+public:
+  typedef UpstreamLoss Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::uint64_t getRequest() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
+
+  inline  ::uint32_t getAgeMilliseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamLoss::Builder {
+public:
+  typedef UpstreamLoss Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
+  inline  ::uint32_t getAgeMilliseconds();
+  inline void setAgeMilliseconds( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamLoss::Pipeline {
+public:
+  typedef UpstreamLoss Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class SoundPart::Reader {
+public:
+  typedef SoundPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::uint32_t getAgeMilliseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SoundPart::Builder {
+public:
+  typedef SoundPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMilliseconds();
+  inline void setAgeMilliseconds( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SoundPart::Pipeline {
+public:
+  typedef SoundPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool PeerReport::Reader::hasInstance() const {
@@ -1526,6 +1761,74 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerReport::Reader::hasLosses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasLosses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getLosses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getLosses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setLosses( ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initLosses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptLosses(
+    ::capnp::Orphan< ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownLosses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::UpstreamLoss,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasSoundParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasSoundParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getSoundParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getSoundParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setSoundParts( ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initSoundParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptSoundParts(
+    ::capnp::Orphan< ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownSoundParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
 inline bool StoreUpdate::Reader::hasTopic() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2120,6 +2423,134 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool UpstreamLoss::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamLoss::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UpstreamLoss::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UpstreamLoss::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UpstreamLoss::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UpstreamLoss::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamLoss::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UpstreamLoss::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t UpstreamLoss::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamLoss::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoss::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamLoss::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamLoss::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader UpstreamLoss::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder UpstreamLoss::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void UpstreamLoss::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void UpstreamLoss::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder UpstreamLoss::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamLoss::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> UpstreamLoss::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t UpstreamLoss::Reader::getAgeMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamLoss::Builder::getAgeMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoss::Builder::setAgeMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SoundPart::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SoundPart::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SoundPart::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SoundPart::Reader::getAgeMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SoundPart::Builder::getAgeMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SoundPart::Builder::setAgeMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -57,6 +57,42 @@
     EXPECT_EQ(cluster.part_locations().cached_prefix_length(at(2500ms), parts, "engine-1"), 2U);
 }
 
+membership::peer_report report_of(cluster_state& from, base::time_point now, std::uint64_t sequence)
+{
+    auto out = from.make_report(now, sequence, false);
+    out.instance = "other";
+    out.incarnation = "1";
+    return out;
+}
+
+// Guards against an instance that starts while prompts with a crashing part arrive and sends them
+// to engines until it has seen enough crashes itself.
+TEST(cluster_state, learns_a_crashing_part_from_the_report_of_another_instance)
+{
+    cluster_state first({}, at(0s));
+    for (std::uint64_t i = 0; i < 20; ++i)
+        first.upstream_lost(at(i * 1s), {"engine-" + std::to_string(i), i, {5}});
+    cluster_state started({}, at(100s));
+    EXPECT_FALSE(started.crash_attribution().find_cause(at(100s), {5}));
+    EXPECT_TRUE(started.apply_report(at(100s), report_of(first, at(100s), 1)));
+    EXPECT_TRUE(started.crash_attribution().find_cause(at(100s), {5}));
+    EXPECT_FALSE(started.crash_attribution().find_cause(at(100s), {6}));
+}
+
+// Guards against a part that stays refused on the instances that did not complete its response.
+TEST(cluster_state, accepts_a_part_again_after_another_instance_completed_its_response)
+{
+    cluster_state first({}, at(0s));
+    for (std::uint64_t i = 0; i < 4; ++i)
+        first.upstream_lost(at(i * 1s), {"engine-" + std::to_string(i), i, {5}});
+    cluster_state second({}, at(3s));
+    second.apply_report(at(3s), report_of(first, at(3s), 1));
+    EXPECT_TRUE(second.crash_attribution().find_cause(at(3s), {5}));
+    first.crash_attribution().record_completion(at(4s), at(4s), {5});
+    second.apply_report(at(4s), report_of(first, at(4s), 2));
+    EXPECT_FALSE(second.crash_attribution().find_cause(at(4s), {5}));
+}
+
 /// The number of tokens that one instance admits immediately, in requests of 10.
 double admitted_at_once(cluster_state& cluster, base::time_point now)
 {
--- a/tests/libraries/gateway/peer_report_codec_test.cpp
+++ b/tests/libraries/gateway/peer_report_codec_test.cpp
@@ -24,6 +24,8 @@
     out.upstream_use = {{"engine-1", {3, 900}}};
     out.weight_loads = {{"engine-2", "model-1", 4, 250ms, false}, {"engine-3", "", 0, 400ms, true}};
     out.crashes = {{"0f", "engine-4"}};
+    out.losses = {{{"engine-4/12", 99, {3, 0xffffffffffffffffU}}, 1500ms}};
+    out.sound_parts = {{7, 20ms}};
     out.assigned_prefixes = {{"engine-1", {1, 0xffffffffffffffffU}}};
     return out;
 }
--- a/tests/platform/decoder_fuzz_test.cpp
+++ b/tests/platform/decoder_fuzz_test.cpp
@@ -49,6 +49,8 @@
     out.upstream_use = {{"engine-1", {2, 900}}};
     out.weight_loads = {{"engine-1", "m", 2, 500ms, true}};
     out.crashes = {{"digest", "engine-2"}};
+    out.losses = {{{"engine-2/12", 99, {3, 4}}, 1500ms}};
+    out.sound_parts = {{7, 20ms}};
     out.assigned_prefixes = {{"engine-1", {1, 2, 3}}};
     out.store_updates = {
         {"topic", 1, 3, {{"key", "value", 1}, {"gone", std::nullopt, 2}}, false, 20ms}};
