Bound the prompt parts and losses of a report

A caller chooses how many parts its prompt has. With hundreds of them, a loss made the report of its instance implausible for the others, or too large for a datagram, so that they heard nothing of the instance. Twelve parts of a prompt are tracked now, and a report has 20 losses; recent losses and those of known causes do not displace each other.

Run: crashing_prompt_part.* 3 passed, the 25 tests of the decision code passed. The new test was not run without the bound.

--- a/libraries/savorymount/gateway/admission.cpp
+++ b/libraries/savorymount/gateway/admission.cpp
@@ -14,6 +14,8 @@
 constexpr base::duration retry_after_without_configuration = 400ms;
 constexpr base::duration retry_after_outdated_configuration = 200ms;
 constexpr std::size_t max_part_id_bytes = 64;
+// Callers choose the number of parts; with more, a report of losses would not fit into a datagram.
+constexpr std::size_t max_tracked_parts = 12;
 
 std::string request_digest_of(caller_request const& request, std::string const& body)
 {
@@ -26,7 +28,10 @@
 void set_prompt_digests(caller_request const& request, admitted_request& out)
 {
     for (auto const& it : shared_part_ids(request))
-        out.shared_parts.push_back(base::chain_digest(0, it));
+    {
+        if (out.shared_parts.size() < max_tracked_parts)
+            out.shared_parts.push_back(base::chain_digest(0, it));
+    }
     out.prompt_digest = base::chain_digest(0, out.request_digest);
     if (!request.prompt)
         return;
--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -21,8 +21,8 @@
 // A crash is reported repeatedly for this long, so that a lost datagram does not matter.
 constexpr base::duration crash_report_time = 3s;
 // A report fits into one datagram.
-constexpr std::size_t max_reported_losses = 32;
-constexpr std::size_t max_reported_sound_parts = 64;
+constexpr std::size_t max_reported_losses = 20;
+constexpr std::size_t max_reported_sound_parts = 40;
 // The process runs at least every 50 ms unless it or its machine was suspended.
 constexpr base::duration max_time_between_runs = 1s;
 constexpr double initial_fill_after_restart = 0.3;
--- a/libraries/savorymount/retries/crash_attribution.cpp
+++ b/libraries/savorymount/retries/crash_attribution.cpp
@@ -333,14 +333,19 @@
 {
     update(now);
     std::vector<loss_record const*> chosen;
-    for (auto const& it : causes_)
-        append_evidence(it, chosen);
     for (auto it = losses_.rbegin(); it != losses_.rend(); ++it)
     {
         if (it->is_local && !it->withdrawn && !it->suspected.empty() &&
             now - it->recorded_at <= report_time)
             chosen.push_back(&*it);
     }
+    // Neither recent losses nor known causes may displace the others.
+    std::vector<loss_record const*> evidence;
+    for (std::size_t i = 0; i < causes_.size(); ++i)
+        append_evidence(causes_[(reports_ + i) % causes_.size()], evidence);
+    ++reports_;
+    auto const recent = static_cast<std::ptrdiff_t>(std::min(chosen.size(), max_count / 2));
+    chosen.insert(chosen.begin() + recent, evidence.begin(), evidence.end());
     std::vector<std::pair<base::duration, upstream_loss>> out;
     for (auto const* const it : chosen)
     {
--- a/libraries/savorymount/retries/crash_attribution.hpp
+++ b/libraries/savorymount/retries/crash_attribution.hpp
@@ -89,7 +89,7 @@
         cause_changed_ = std::move(callback);
     }
 
-    /// Losses to report to other instances, with their ages: those of causes, then recent ones.
+    /// Losses to report to other instances, with their ages: recent ones and those of causes.
     std::vector<std::pair<base::duration, upstream_loss>> reportable_losses(base::time_point now,
                                                                             std::size_t max_count);
     /// Parts of losses that completed a response here recently, with the ages of the responses.
@@ -155,6 +155,8 @@
     std::vector<std::vector<std::uint64_t>> suspects_;
     std::function<void(crash_cause const&, bool refused)> cause_changed_;
     bool outdated_ = false;
+    /// Number of reports; another cause comes first in each.
+    std::size_t reports_ = 0;
 };
 
 } // namespace savorymount::retries
--- a/tests/platform/crashing_prompt_part_test.cpp
+++ b/tests/platform/crashing_prompt_part_test.cpp
@@ -1,3 +1,5 @@
+#include <savorymount/gateway/peer_report_codec.hpp>
+
 #include <gtest/gtest.h>
 
 #include <tests/libraries/runtime/scripted_server.hpp>
@@ -33,7 +35,8 @@
 {
 public:
     /// Pauses, then sends a prompt with the part while only engines that end on it are listed.
-    void send_crashing_prompt(std::string const& target, std::size_t engines)
+    void send_crashing_prompt(std::string const& target, std::size_t engines,
+                              std::string const& parts = "house:10,client:10,bad:5,own:5")
     {
         bool paused = true;
         auto const timer = system.timers.after(time_between_prompts, [&paused] { paused = false; });
@@ -48,7 +51,7 @@
             listed.push_back("engine-of-" + id + "-" + std::to_string(i));
             system.add_upstream(listed.back(), "desk", engine.address());
         }
-        run(target, id, "house:10,client:10,bad:5,own-" + id + ":5");
+        run(target, id, parts);
         sends += system.outcomes.back().attempts;
         for (auto const& it : listed)
             system.cluster.upstream_unlisted(system.timers.now(), it);
@@ -105,5 +108,24 @@
     EXPECT_EQ(engines.send_sound_prompt().status, 200);
 }
 
+// Guards against a caller that silences the reports of an instance by the length of its prompt.
+TEST(crashing_prompt_part, a_prompt_with_many_parts_fits_into_a_report)
+{
+    crashing_engines engines;
+    std::string parts;
+    for (int i = 0; i < 300; ++i)
+        parts += "part-" + std::to_string(i) + ":1,";
+    for (int i = 0; i < 10; ++i)
+        engines.send_crashing_prompt("/unsafe/ask", 1, parts + "own-" + std::to_string(i) + ":1");
+    auto& cluster = engines.system.cluster;
+    auto report = cluster.make_report(engines.system.timers.now(), 1, false);
+    report.incarnation = "1";
+    auto const bytes = gateway::encode_peer_report(report);
+    EXPECT_LT(bytes.size(), 4'000U);
+    auto const decoded = gateway::decode_peer_report(bytes);
+    ASSERT_TRUE(decoded);
+    EXPECT_GT(decoded->losses.size(), 0U);
+}
+
 } // namespace
 } // namespace savorymount::tests
