Keep slow headers out of the headers of configuration, metrics and settings

Most units compiled the JSON library, Boost.Program_options or Boost.Histogram only because a header that they include declared a function or a private member with them.

Headers that only declare functions on JSON include json_fwd.hpp; document_map.hpp holds the map that configuration.hpp needs, so that it does not include documents.hpp. metric_histogram keeps its counts behind a pointer, settings_parser makes the library's description of the flags where it is used. Texts and behaviour stay.

--- a/libraries/savorymount/configuration/configuration.cpp
+++ b/libraries/savorymount/configuration/configuration.cpp
@@ -1,7 +1,10 @@
 #include <savorymount/configuration/configuration.hpp>
+#include <savorymount/configuration/documents.hpp>
 #include <savorymount/configuration/object_reader.hpp>
 #include <savorymount/configuration/request_path.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <set>
 #include <utility>
 
--- a/libraries/savorymount/configuration/configuration.hpp
+++ b/libraries/savorymount/configuration/configuration.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <savorymount/configuration/documents.hpp>
+#include <savorymount/configuration/document_map.hpp>
 #include <savorymount/configuration/route.hpp>
 #include <savorymount/configuration/system_settings.hpp>
 #include <savorymount/configuration/upstream_group.hpp>
@@ -19,6 +19,8 @@
 namespace savorymount::configuration
 {
 
+class documents;
+
 /// The workspace that requests on open routes run for.
 inline constexpr std::string_view open_workspace = "open";
 
@@ -57,7 +59,7 @@
 
     /// The configuration after `changes` (a null value removes its document). Parses only the
     /// changed documents. Fails with `invalid_input` or `too_large` if the result is not valid.
-    std::optional<configuration> changed(std::uint64_t version, documents::map_type const& changes,
+    std::optional<configuration> changed(std::uint64_t version, document_map const& changes,
                                          base::error& reason) const;
 
 private:
@@ -79,7 +81,7 @@
                       base::error& reason);
     bool check_size(base::error& reason) const;
     bool check_references(base::error& reason) const;
-    bool index_keys(documents::map_type const& changes, configuration const& previous,
+    bool index_keys(document_map const& changes, configuration const& previous,
                     base::error& reason);
     bool index_prefixes(base::error& reason);
 
--- a/libraries/savorymount/configuration/documents.hpp
+++ b/libraries/savorymount/configuration/documents.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <savorymount/base/error.hpp>
+#include <savorymount/configuration/document_map.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -29,7 +30,7 @@
 class documents
 {
 public:
-    using map_type = std::map<std::string, nlohmann::json>;
+    using map_type = document_map;
 
     documents() = default;
     explicit documents(map_type entries) : entries_(std::move(entries)) {}
--- a/libraries/savorymount/configuration/key_record.cpp
+++ b/libraries/savorymount/configuration/key_record.cpp
@@ -1,6 +1,8 @@
 #include <savorymount/configuration/key_record.hpp>
 #include <savorymount/configuration/object_reader.hpp>
 
+#include <nlohmann/json.hpp>
+
 namespace savorymount::configuration
 {
 
--- a/libraries/savorymount/configuration/object_reader.cpp
+++ b/libraries/savorymount/configuration/object_reader.cpp
@@ -1,5 +1,7 @@
 #include <savorymount/configuration/object_reader.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <set>
 #include <utility>
--- a/libraries/savorymount/configuration/object_reader.hpp
+++ b/libraries/savorymount/configuration/object_reader.hpp
@@ -3,7 +3,7 @@
 #include <savorymount/base/error.hpp>
 #include <savorymount/configuration/schema.hpp>
 
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
 #include <string>
--- a/libraries/savorymount/configuration/route.cpp
+++ b/libraries/savorymount/configuration/route.cpp
@@ -1,6 +1,8 @@
 #include <savorymount/configuration/object_reader.hpp>
 #include <savorymount/configuration/route.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 namespace savorymount::configuration
--- a/libraries/savorymount/configuration/route.hpp
+++ b/libraries/savorymount/configuration/route.hpp
@@ -3,7 +3,7 @@
 #include <savorymount/base/error.hpp>
 #include <savorymount/configuration/upstream_kind.hpp>
 
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
 #include <optional>
--- a/libraries/savorymount/configuration/system_settings.cpp
+++ b/libraries/savorymount/configuration/system_settings.cpp
@@ -1,6 +1,8 @@
 #include <savorymount/configuration/object_reader.hpp>
 #include <savorymount/configuration/system_settings.hpp>
 
+#include <nlohmann/json.hpp>
+
 namespace savorymount::configuration
 {
 
--- a/libraries/savorymount/configuration/upstream_group.cpp
+++ b/libraries/savorymount/configuration/upstream_group.cpp
@@ -1,6 +1,8 @@
 #include <savorymount/configuration/object_reader.hpp>
 #include <savorymount/configuration/upstream_group.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <set>
 #include <tuple>
 
--- a/libraries/savorymount/configuration/wanted_model.cpp
+++ b/libraries/savorymount/configuration/wanted_model.cpp
@@ -1,6 +1,8 @@
 #include <savorymount/configuration/object_reader.hpp>
 #include <savorymount/configuration/wanted_model.hpp>
 
+#include <nlohmann/json.hpp>
+
 namespace savorymount::configuration
 {
 
--- a/libraries/savorymount/deduplication/claim.cpp
+++ b/libraries/savorymount/deduplication/claim.cpp
@@ -1,5 +1,7 @@
 #include <savorymount/deduplication/claim.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <string_view>
 
--- a/libraries/savorymount/deduplication/claim.hpp
+++ b/libraries/savorymount/deduplication/claim.hpp
@@ -2,7 +2,7 @@
 
 #include <savorymount/base/error.hpp>
 
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include <cstddef>
 #include <optional>
--- a/libraries/savorymount/runtime/kernel.hpp
+++ b/libraries/savorymount/runtime/kernel.hpp
@@ -13,7 +13,7 @@
 #include <savorymount/runtime/rpc_server.hpp>
 #include <savorymount/runtime/timer_service.hpp>
 
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include <functional>
 #include <memory>
--- a/libraries/savorymount/runtime/metrics.cpp
+++ b/libraries/savorymount/runtime/metrics.cpp
@@ -1,5 +1,7 @@
 #include <savorymount/runtime/metrics.hpp>
 
+#include <boost/histogram.hpp>
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -114,18 +116,33 @@
 
 } // namespace
 
+struct metric_histogram::bucket_counts
+{
+    using axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+
+    explicit bucket_counts(metric_buckets buckets)
+        : histogram(std::tuple(axis(buckets.buckets, buckets.low, buckets.high)),
+                    boost::histogram::dense_storage<std::uint64_t>())
+    {
+    }
+
+    boost::histogram::histogram<std::tuple<axis>, boost::histogram::dense_storage<std::uint64_t>>
+        histogram;
+};
+
 metric_histogram::metric_histogram(metric_buckets buckets)
-    : counts_(std::tuple(axis(buckets.buckets, buckets.low, buckets.high)),
-              boost::histogram::dense_storage<std::uint64_t>())
+    : counts_(std::make_unique<bucket_counts>(buckets))
 {
 }
 
+metric_histogram::~metric_histogram() = default;
+
 void metric_histogram::record(double value)
 {
     if (std::isnan(value))
         return;
     // The logarithm of zero or less is no bucket; such values count in the first one.
-    counts_(value > 0 ? value : 0.0);
+    counts_->histogram(value > 0 ? value : 0.0);
     ++count_;
     sum_ += value;
 }
@@ -133,11 +150,12 @@
 std::vector<std::pair<double, std::uint64_t>> metric_histogram::cumulative() const
 {
     std::vector<std::pair<double, std::uint64_t>> out;
-    auto const& bins = counts_.axis();
-    std::uint64_t total = counts_.at(-1);
+    auto const& counts = counts_->histogram;
+    auto const& bins = counts.axis();
+    std::uint64_t total = counts.at(-1);
     for (int i = 0; i < bins.size(); ++i)
     {
-        total += counts_.at(i);
+        total += counts.at(i);
         out.emplace_back(bins.bin(i).upper(), total);
     }
     return out;
--- a/libraries/savorymount/runtime/metrics.hpp
+++ b/libraries/savorymount/runtime/metrics.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <boost/histogram.hpp>
-
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -61,6 +59,9 @@
 {
 public:
     explicit metric_histogram(metric_buckets buckets);
+    ~metric_histogram();
+    metric_histogram(metric_histogram const&) = delete;
+    metric_histogram& operator=(metric_histogram const&) = delete;
 
     /// Counts a value; values that are not numbers are ignored.
     void record(double value);
@@ -72,11 +73,10 @@
     std::vector<std::pair<double, std::uint64_t>> cumulative() const;
 
 private:
-    using axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-    using counts = boost::histogram::histogram<std::tuple<axis>,
-                                               boost::histogram::dense_storage<std::uint64_t>>;
+    /// Defined in the source, since the histogram library's header is slow to compile.
+    struct bucket_counts;
 
-    counts counts_;
+    std::unique_ptr<bucket_counts> counts_;
     std::uint64_t count_ = 0;
     double sum_ = 0;
 };
--- a/libraries/savorymount/runtime/settings_parser.cpp
+++ b/libraries/savorymount/runtime/settings_parser.cpp
@@ -1,5 +1,7 @@
 #include <savorymount/runtime/settings_parser.hpp>
 
+#include <boost/program_options.hpp>
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
@@ -42,6 +44,17 @@
     return parse_settings_file(text.str(), reason);
 }
 
+/// The flags of a program; `declarations` have `name` and `meaning`.
+po::options_description describe_options(auto const& declarations)
+{
+    po::options_description out("Settings");
+    out.add_options()("help", "show this text and exit")("version", "show the version and exit")(
+        "print-settings", "show the values in force and exit");
+    for (auto const& it : declarations)
+        out.add_options()(it.name.c_str(), po::value<std::string>(), it.meaning.c_str());
+    return out;
+}
+
 } // namespace
 
 std::optional<settings_file> parse_settings_file(std::string const& text, base::error& reason)
@@ -67,13 +80,7 @@
     return out;
 }
 
-settings_parser::settings_parser(std::string program)
-    : program_(std::move(program)), options_("Settings")
-{
-    options_.add_options()("help", "show this text and exit")(
-        "version", "show the version and exit")("print-settings",
-                                                "show the values in force and exit");
-}
+settings_parser::settings_parser(std::string program) : program_(std::move(program)) {}
 
 settings_parser& settings_parser::add(std::string const& name, std::optional<std::string> fallback,
                                       std::string const& meaning, bool secret)
@@ -81,18 +88,18 @@
     std::string text = meaning + " [" + environment_name(name) + "]";
     if (fallback && !fallback->empty())
         text += " (default " + *fallback + ")";
-    options_.add_options()(name.c_str(), po::value<std::string>(), text.c_str());
-    declarations_.push_back({name, std::move(fallback), secret});
+    declarations_.push_back({name, std::move(fallback), std::move(text), secret});
     return *this;
 }
 
 std::optional<parsed_settings> settings_parser::parse(int argc, char const* const* argv,
                                                       base::error& reason) const
 {
+    auto const options = describe_options(declarations_);
     po::variables_map flags;
     try
     {
-        po::store(po::command_line_parser(argc, argv).options(options_).run(), flags);
+        po::store(po::command_line_parser(argc, argv).options(options).run(), flags);
     }
     catch (po::error const& ec)
     {
@@ -132,7 +139,7 @@
 std::string settings_parser::help() const
 {
     std::ostringstream out;
-    out << "Usage: " << program_ << " [SETTINGS]\n" << options_;
+    out << "Usage: " << program_ << " [SETTINGS]\n" << describe_options(declarations_);
     return out.str();
 }
 
--- a/libraries/savorymount/runtime/settings_parser.hpp
+++ b/libraries/savorymount/runtime/settings_parser.hpp
@@ -2,8 +2,7 @@
 
 #include <savorymount/base/error.hpp>
 
-#include <boost/program_options.hpp>
-
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -71,12 +70,13 @@
     {
         std::string name;
         std::optional<std::string> fallback;
+        /// What `--help` shows.
+        std::string meaning;
         bool secret;
     };
 
     std::string program_;
     std::vector<declaration> declarations_;
-    boost::program_options::options_description options_;
 };
 
 /// A whole number in [minimum, maximum]; `reason` names the setting and the bounds.
--- a/tests/libraries/deduplication/claim_test.cpp
+++ b/tests/libraries/deduplication/claim_test.cpp
@@ -2,6 +2,7 @@
 #include <savorymount/deduplication/claim_batch.hpp>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace savorymount::deduplication
 {
