Keep the group sizes of the peer table up to date with each change

register_peer counted all instances by data centre anew for each member of a page of the store, which is quadratic in a page of 300. Besides, a report without a data centre from a restarted instance left it counted in the data centre of its earlier incarnation: the reset emptied the field before it was compared. Found by the new test.

Every change of an instance's data centre, and every addition and removal, goes through three functions that adjust the sizes.

--- a/libraries/savorymount/membership/peer_table.cpp
+++ b/libraries/savorymount/membership/peer_table.cpp
@@ -33,12 +33,11 @@
     if (instance == local_instance_ ||
         (removed != removed_incarnations_.end() && removed->second == incarnation))
         return;
-    auto& it = peers_[instance];
+    auto& it = find_or_add(instance);
     it.address = address;
-    it.data_centre = data_centre;
+    move_to_group(it, data_centre);
     if (it.incarnation != incarnation)
         it = {address, incarnation, data_centre, 0, 0, 0, now, false};
-    count_groups();
 }
 
 bool peer_table::apply_report(base::time_point now, peer_report const& report)
@@ -49,34 +48,35 @@
     {
         removed_incarnations_[report.instance] = report.incarnation;
         left_incarnations_[report.instance] = report.incarnation;
-        bool const removed = peers_.erase(report.instance) > 0;
-        count_groups();
-        return removed;
+        auto const position = peers_.find(report.instance);
+        if (position == peers_.end())
+            return false;
+        remove(position);
+        return true;
     }
     auto const left = left_incarnations_.find(report.instance);
     if (left != left_incarnations_.end() && left->second == report.incarnation)
         return false;
-    auto const [position, added] = peers_.try_emplace(report.instance);
-    auto& it = position->second;
+    auto& it = find_or_add(report.instance);
     if (it.incarnation != report.incarnation)
+    {
+        move_to_group(it, {});
         it = {};
+    }
     // A relayed report may arrive after a newer partial one.
     auto const newest = report.partial ? it.sequence : it.full_sequence;
     if (it.has_reported && report.sequence <= newest)
         return false;
     removed_incarnations_.erase(report.instance);
-    bool const moved = added || it.data_centre != report.data_centre;
     it.incarnation = report.incarnation;
     it.address = report.address;
-    it.data_centre = report.data_centre;
+    move_to_group(it, report.data_centre);
     it.relay_weight = report.relay_weight;
     it.sequence = std::max(it.sequence, report.sequence);
     if (!report.partial)
         it.full_sequence = report.sequence;
     it.last_seen_at = now;
     it.has_reported = true;
-    if (moved)
-        count_groups();
     return true;
 }
 
@@ -97,8 +97,7 @@
             continue;
         }
         removed_incarnations_[it->first] = it->second.incarnation;
-        it = peers_.erase(it);
-        count_groups();
+        it = remove(it);
     }
 }
 
@@ -147,12 +146,34 @@
     return local_report_interval() + (uses_relays() ? relay_interval : base::duration::zero());
 }
 
-void peer_table::count_groups()
+peer_table::peer& peer_table::find_or_add(std::string const& instance)
+{
+    auto const [position, added] = peers_.try_emplace(instance);
+    if (added)
+        ++group_sizes_[position->second.data_centre];
+    return position->second;
+}
+
+void peer_table::move_to_group(peer& it, std::string const& data_centre)
+{
+    if (it.data_centre == data_centre)
+        return;
+    leave_group(it);
+    it.data_centre = data_centre;
+    ++group_sizes_[data_centre];
+}
+
+peer_table::peer_map::iterator peer_table::remove(peer_map::iterator position)
+{
+    leave_group(position->second);
+    return peers_.erase(position);
+}
+
+void peer_table::leave_group(peer const& it)
 {
-    group_sizes_.clear();
-    ++group_sizes_[options_.local_data_centre];
-    for (auto const& it : peers_)
-        ++group_sizes_[it.second.data_centre];
+    auto const group = group_sizes_.find(it.data_centre);
+    if (--group->second == 0)
+        group_sizes_.erase(group);
 }
 
 } // namespace savorymount::membership
--- a/libraries/savorymount/membership/peer_table.hpp
+++ b/libraries/savorymount/membership/peer_table.hpp
@@ -51,7 +51,7 @@
     peer_table(std::string local_instance, peer_table_options options)
         : local_instance_(std::move(local_instance)), options_(std::move(options))
     {
-        count_groups();
+        ++group_sizes_[options_.local_data_centre];
     }
 
     /// Adds an instance that the store lists. An incarnation that was removed is not added again.
@@ -89,22 +89,26 @@
     /// Time until all instances have a report of the local one.
     base::duration report_delay() const;
 
-    std::map<std::string, peer> const& peers() const { return peers_; }
+    using peer_map = std::map<std::string, peer>;
+    peer_map const& peers() const { return peers_; }
 
 private:
     /// Number of instances that get the reports of an instance of the data centre directly.
     std::size_t report_group_size(std::string const& data_centre) const;
-    /// Call it after a change of `peers_`.
-    void count_groups();
+    // Every change of `peers_` or of a data centre goes through these; they keep `group_sizes_`.
+    peer& find_or_add(std::string const& instance);
+    void move_to_group(peer& it, std::string const& data_centre);
+    peer_map::iterator remove(peer_map::iterator position);
+    void leave_group(peer const& it);
 
     std::string local_instance_;
     peer_table_options options_;
-    std::map<std::string, peer> peers_;
+    peer_map peers_;
     /// Last incarnation that reported its shutdown, by instance. Relayed reports of it may follow.
     std::map<std::string, std::string> left_incarnations_;
     /// Last removed incarnation by instance, because the store continues to list it.
     std::map<std::string, std::string> removed_incarnations_;
-    /// Number of instances by data centre, including the local one.
+    /// Number of instances by data centre, including the local one; never zero.
     std::map<std::string, std::size_t> group_sizes_;
 };
 
--- a/tests/libraries/membership/peer_table_test.cpp
+++ b/tests/libraries/membership/peer_table_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+#include <set>
 #include <tests/libraries/time_points.hpp>
 
 namespace savorymount::membership
@@ -93,5 +95,58 @@
     EXPECT_EQ(table.instance_count(), 2U);
 }
 
+std::string name_of(char kind, unsigned number)
+{
+    return kind + std::to_string(number);
+}
+
+// Guards against group sizes that drift from the instances as these are listed, report, move,
+// restart, leave and expire: report intervals and the use of relays depend on them.
+TEST(peer_table, group_sizes_agree_with_the_instances)
+{
+    constexpr unsigned data_centres = 4;
+    constexpr unsigned instances = 40;
+    std::mt19937 random(7);
+    auto const below = [&](unsigned n)
+    {
+        return static_cast<unsigned>(random() % n);
+    };
+    peer_table_options options;
+    options.local_data_centre = name_of('c', 0);
+    peer_table table("local", options);
+    bool used_relays = false;
+    for (unsigned step = 0; step < 5000; ++step)
+    {
+        auto const now = at(step * 20ms);
+        auto const instance = name_of('i', below(instances));
+        auto const incarnation = std::to_string(step / 500 + below(2));
+        auto const data_centre = below(20) == 0 ? "" : name_of('c', below(data_centres));
+        if (below(3) == 0)
+            table.register_peer(now, instance, incarnation, "10.0.0.2:7600", data_centre);
+        else
+        {
+            auto report = make_report(instance, incarnation, step);
+            report.data_centre = data_centre;
+            report.leaving = below(10) == 0;
+            table.apply_report(now, report);
+        }
+        // Nothing expires while half of the steps go on, so that the table grows as well.
+        if (step / 1000 % 2 == 1)
+            table.remove_expired(now);
+        std::set<std::string> groups{options.local_data_centre};
+        std::size_t local = 1;
+        for (auto const& it : table.peers())
+        {
+            groups.insert(it.second.data_centre);
+            local += it.second.data_centre == options.local_data_centre ? 1 : 0;
+        }
+        bool const relays = table.instance_count() > 12 && groups.size() > 1;
+        used_relays = used_relays || relays;
+        ASSERT_EQ(table.uses_relays(), relays) << "step " << step;
+        ASSERT_EQ(table.direct_count(), relays ? local : table.instance_count()) << "step " << step;
+    }
+    EXPECT_TRUE(used_relays);
+}
+
 } // namespace
 } // namespace savorymount::membership
