Parse the addresses of report receivers only when the routes change

send_to parsed the text of each receiver's address for every datagram. The parsed addresses are now kept beside the routes and made anew when these differ.

The cost saved was not measured.

--- a/libraries/savorymount/gateway/peer_exchange.cpp
+++ b/libraries/savorymount/gateway/peer_exchange.cpp
@@ -18,6 +18,19 @@
 // Keeps a datagram of relayed reports well below the largest size of a datagram.
 constexpr std::size_t max_reports_per_datagram = 12;
 
+/// Leaves out addresses that are not `IP:port`; they come from other instances and the store.
+std::vector<runtime::network_address> parse_addresses(std::vector<std::string> const& texts)
+{
+    std::vector<runtime::network_address> out;
+    base::error ignored;
+    for (auto const& it : texts)
+    {
+        if (auto const address = runtime::parse_address("peer", it, ignored))
+            out.push_back(*address);
+    }
+    return out;
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(runtime::event_loop& loop, runtime::timer_service& timers,
@@ -56,8 +69,13 @@
 
 void peer_exchange::update_routes(base::time_point now)
 {
+    auto routes = membership::find_report_routes(now, cluster_.peer_table());
+    if (routes == routes_)
+        return;
     bool const was_relay = routes_.local_is_relay;
-    routes_ = membership::find_report_routes(now, cluster_.peer_table());
+    routes_ = std::move(routes);
+    neighbours_ = parse_addresses(routes_.neighbours);
+    remote_relays_ = parse_addresses(routes_.remote_relays);
     if (routes_.local_is_relay == was_relay)
         return;
     relay_buffer_.clear();
@@ -77,7 +95,7 @@
         complete(report);
         if (routes_.local_is_relay)
             relay_buffer_.record(report);
-        send_to(routes_.neighbours, encode_peer_report(report));
+        send_to(neighbours_, encode_peer_report(report));
     }
     if (routes_.local_is_relay && now - last_relay_at_ >= membership::relay_interval)
         send_relayed_reports(now);
@@ -94,7 +112,7 @@
         complete(datagram);
         for (std::size_t i = first; i < last; ++i)
             datagram.relayed.push_back(std::move(reports[i]));
-        send_to(routes_.remote_relays, encode_peer_report(datagram));
+        send_to(remote_relays_, encode_peer_report(datagram));
     }
 }
 
@@ -115,7 +133,7 @@
     auto report = cluster_.make_report(timers_.now(), ++sequence_, true);
     complete(report);
     report.store_updates.push_back(std::move(update));
-    send_to(routes_.neighbours, encode_peer_report(report));
+    send_to(neighbours_, encode_peer_report(report));
 }
 
 void peer_exchange::send_shutdown_report()
@@ -131,8 +149,8 @@
 {
     complete(report);
     auto const bytes = encode_peer_report(report);
-    send_to(routes_.neighbours, bytes);
-    send_to(routes_.remote_relays, bytes);
+    send_to(neighbours_, bytes);
+    send_to(remote_relays_, bytes);
 }
 
 void peer_exchange::complete(membership::peer_report& report) const
@@ -142,14 +160,11 @@
     report.lease_offset = callbacks_.leader_lease_offset(timers_.now());
 }
 
-void peer_exchange::send_to(std::vector<std::string> const& addresses, std::string_view bytes) const
+void peer_exchange::send_to(std::vector<runtime::network_address> const& receivers,
+                            std::string_view bytes) const
 {
-    base::error ignored;
-    for (auto const& it : addresses)
-    {
-        if (auto const address = runtime::parse_address("peer", it, ignored))
-            socket_.send(*address, bytes);
-    }
+    for (auto const& it : receivers)
+        socket_.send(it, bytes);
 }
 
 void peer_exchange::receive(std::string_view bytes)
@@ -184,7 +199,7 @@
     else if (is_local)
         relay_buffer_.record(*report);
     else if (!is_local)
-        send_to(routes_.neighbours, bytes);
+        send_to(neighbours_, bytes);
 }
 
 void peer_exchange::note_leader(base::time_point now, membership::peer_report const& report)
--- a/libraries/savorymount/gateway/peer_exchange.hpp
+++ b/libraries/savorymount/gateway/peer_exchange.hpp
@@ -59,7 +59,8 @@
     void send_relayed_reports(base::time_point now);
     /// Sends to the neighbours, and to the relays of the other data centres.
     void broadcast(membership::peer_report report);
-    void send_to(std::vector<std::string> const& addresses, std::string_view bytes) const;
+    void send_to(std::vector<runtime::network_address> const& receivers,
+                 std::string_view bytes) const;
     void receive(std::string_view bytes);
     void note_leader(base::time_point now, membership::peer_report const& report);
 
@@ -75,6 +76,9 @@
     /// A partial report was put off.
     bool partial_report_due_ = false;
     membership::report_routes routes_;
+    /// The addresses of `routes_`, parsed.
+    std::vector<runtime::network_address> neighbours_;
+    std::vector<runtime::network_address> remote_relays_;
     membership::relay_buffer relay_buffer_;
     runtime::timer_service::subscription tick_timer_;
 };
