Find the reachable holders in one place of the limits simulation

request_grant_from_owner and report_usage_to_owner had the same loop over the processes that hold the newest lease and are connected. It is reachable_holders now; the order of random draws is the same.

--- a/tests/libraries/limits/limits_simulation.cpp
+++ b/tests/libraries/limits/limits_simulation.cpp
@@ -379,16 +379,26 @@
     }
 }
 
-void limits_simulation::request_grant_from_owner(simulated_agent& it,
-                                                 limits::request_grant const& action)
+std::vector<limits_simulation::simulated_agent const*>
+limits_simulation::reachable_holders(simulated_agent const& it) const
 {
+    std::vector<simulated_agent const*> out;
     auto const* const holder = it.directory.newest_lease(workspace);
     if (holder == nullptr)
-        return;
+        return out;
     for (auto const& candidate : agents_)
     {
-        if (candidate->list_entry_id() != holder->list_entry_id() || !connected(it, *candidate))
-            continue;
+        if (candidate->list_entry_id() == holder->list_entry_id() && connected(it, *candidate))
+            out.push_back(candidate.get());
+    }
+    return out;
+}
+
+void limits_simulation::request_grant_from_owner(simulated_agent& it,
+                                                 limits::request_grant const& action)
+{
+    for (auto const* const candidate : reachable_holders(it))
+    {
         deliver(candidate->number, candidate->process, random_delay(),
                 [this, action, number = it.number, process = it.process](simulated_agent& owner)
                 {
@@ -431,13 +441,8 @@
 void limits_simulation::report_usage_to_owner(simulated_agent& it,
                                               limits::report_usage const& action)
 {
-    auto const* const holder = it.directory.newest_lease(workspace);
-    if (holder == nullptr)
-        return;
-    for (auto const& candidate : agents_)
+    for (auto const* const candidate : reachable_holders(it))
     {
-        if (candidate->list_entry_id() != holder->list_entry_id() || !connected(it, *candidate))
-            continue;
         auto const apply_report = [this, action](simulated_agent& owner)
         {
             if (owner.bucket && owner.bucket->fencing_token() == action.fencing_token)
--- a/tests/libraries/limits/limits_simulation.hpp
+++ b/tests/libraries/limits/limits_simulation.hpp
@@ -144,6 +144,9 @@
     void perform_lease_actions(simulated_agent& it,
                                std::vector<limits::lease_action> const& actions);
     void perform_grant_actions(simulated_agent& it);
+    /// The processes that hold the newest lease that `it` knows of, as far as it is connected to
+    /// them.
+    std::vector<simulated_agent const*> reachable_holders(simulated_agent const& it) const;
     void request_grant_from_owner(simulated_agent& it, limits::request_grant const& action);
     void report_usage_to_owner(simulated_agent& it, limits::report_usage const& action);
     struct simulated_request
