--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -217,13 +217,16 @@
     EXPECT_EQ(system.book(1, "request-3").status, 200);
 }
 
-// Guards against an instance that takes its configuration for outdated while nothing changes in it,
-// and answers a withdrawn key as if it might have been granted elsewhere.
-TEST(gateway, goes_on_refusing_an_unknown_key_while_the_configuration_does_not_change)
+// Guards against an instance that takes its configuration for outdated although it follows it, and
+// answers an unknown key as if it might have been granted elsewhere.
+TEST(gateway, goes_on_refusing_an_unknown_key_before_and_after_a_change_of_the_configuration)
 {
     platform_deployment system(1);
     for (int i = 0; i < 40; ++i)
     {
+        // The first change ends a read that has been held open for a while.
+        if (i == 14)
+            system.control({{"configuration", 2}, {"keys", {"key-a"}}});
         EXPECT_EQ(system.book(0, "request-" + std::to_string(i), "key-c").status, 401) << i;
         usleep(100'000);
     }
