Judge the crashes by a prompt part in the soak

The product refuses such a part now, so the promise holds: at most three crashes by it later than three seconds after the fifth one, over real processes.

--- a/tests/soak/promise_checker.hpp
+++ b/tests/soak/promise_checker.hpp
@@ -40,8 +40,7 @@
     /// From the fifth crash by a prompt part to the end of its being sent to engines.
     base::duration crash_reaction = std::chrono::milliseconds(3000);
     /// Crashes by the part after that time. Empty: they are counted but not judged.
-    /// FIXME: Set this to 3 once requests with a part that crashes engines are refused.
-    std::optional<std::size_t> late_crashes;
+    std::optional<std::size_t> late_crashes = 3;
 
     bool operator==(promise_bounds const&) const = default;
 };
