--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -241,6 +241,19 @@
     EXPECT_GE(reads, 2);
 }
 
+// Guards against an instance that reads the store only now and then after its relay has ended.
+TEST_F(topic_follower_test, reads_the_store_continuously_after_updates_have_stopped)
+{
+    max_update_age = 1s;
+    follow({snapshot(10), page(10), page(10), page(10), page(10), page(10)});
+    run_until_reads(1);
+    follower->apply_update({"keyed.test", 10, 10, {}, false, 0ms}, timers.now());
+    run_until_reads(2);
+    auto const first_own_read = timers.now();
+    run_until_reads(5);
+    EXPECT_LT(timers.now() - first_own_read, max_update_age);
+}
+
 // Guards against a page with many changes that every instance has to read from the store, and
 // against records or offsets that no update covers.
 TEST(update_splitter, updates_cover_the_whole_page)
