Let the soak accept refusals of a part that has crashed an engine

The checker excuses only a 503 for a prompt that has the part, after a crash by it; its new test holds the other cases.

--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -73,6 +73,15 @@
                             { return it.from <= to && it.to + bounds_.stable >= from; });
     }
 
+    /// Whether the call's prompt has the crashing part, and the part had crashed an engine. Such a
+    /// prompt may be refused for minutes, also when the part crashes nothing any more.
+    bool crashed_an_engine_before(call_record const& call) const
+    {
+        return call.has_crashing_part &&
+               std::any_of(history_.crashes.begin(), history_.crashes.end(),
+                           [&](crash_record const& it) { return it.at < call.started; });
+    }
+
     void report(std::string promise, std::string what)
     {
         found_.push_back({std::move(promise), std::move(what)});
@@ -118,6 +127,8 @@
             return;
         if (call.key == limited_key() && call.status == status_too_many)
             return;
+        if (call.status == status_unavailable && crashed_an_engine_before(call))
+            return;
         bool const crossed_close = call.kept_connection && call.status == 0 && runs_of(call) == 0 &&
                                    call.ended - call.started < bounds_.loss_slack;
         if (!crossed_close)
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -62,6 +62,8 @@
     call_.id = name_ + "-" + std::to_string(sent_++);
     call_.kind = random_.uniform_real() < stream_share ? call_kind::stream : call_kind::booking;
     call_.key = choose_key();
+    call_.has_crashing_part =
+        call_.kind == call_kind::stream && sent_ % crashing_part_interval == 0;
     call_.gateway = gateway_;
     call_.started = timers_.now();
     runtime::call_hooks hooks;
@@ -108,8 +110,8 @@
     out += "Host: chat.example\r\nX-Request-Id: " + call_.id + "\r\n";
     out += "X-Deadline-Ms: " + std::to_string(time_limit.count() / 1000) + "\r\n";
     out += "Authorization: Bearer " + call_.key + "\r\n";
-    bool const crashing = sent_ % crashing_part_interval == 0;
-    auto const parts = (crashing ? crashing_part() + ":200," : "aa:200,") + name_ + ":100";
+    auto const parts =
+        (call_.has_crashing_part ? crashing_part() + ":200," : "aa:200,") + name_ + ":100";
     if (stream)
         out += "X-Model: crew\r\nX-Token-Count: 300,8\r\nX-Prompt-Prefix: " + parts + "\r\n";
     return out + "Content-Length: " + std::to_string(call_.id.size()) + "\r\n\r\n";
--- a/tests/soak/soak_history.hpp
+++ b/tests/soak/soak_history.hpp
@@ -21,6 +21,8 @@
     std::string id;
     call_kind kind = call_kind::stream;
     std::string key;
+    /// Its prompt has the crashing part.
+    bool has_crashing_part = false;
     std::size_t gateway = 0;
     base::time_point started{};
     base::time_point ended{};
--- a/tests/system/soak/promise_checker_test.cpp
+++ b/tests/system/soak/promise_checker_test.cpp
@@ -111,6 +111,27 @@
     EXPECT_EQ(broken_promises(history), promises{});
 }
 
+// Guards against a checker that excuses refusals of other prompts by the crashing part, or of that
+// part before it crashed anything.
+TEST(promise_checker, excuses_only_refusals_of_a_part_that_has_crashed_an_engine)
+{
+    auto history = good_history();
+    history.crashes = {{"engine-0.0", "c1", at(500ms)}};
+    auto& call = history.calls[0];
+    call.status = 503;
+    call.stamped = false;
+    call.body = "";
+    history.runs.erase(history.runs.begin());
+    EXPECT_EQ(broken_promises(history), promises{"planned work loses nothing"});
+    call.has_crashing_part = true;
+    EXPECT_EQ(broken_promises(history), promises{});
+    call.status = 502;
+    EXPECT_EQ(broken_promises(history), promises{"planned work loses nothing"});
+    call.status = 503;
+    history.crashes[0].at = at(1500ms);
+    EXPECT_EQ(broken_promises(history), promises{"planned work loses nothing"});
+}
+
 // Guards against a checker that misses a key that is served after its withdrawal.
 TEST(promise_checker, finds_a_withdrawn_key_that_is_served)
 {
