--- a/tests/stand_ins/fault_relay/relay_link.cpp
+++ b/tests/stand_ins/fault_relay/relay_link.cpp
@@ -83,6 +83,7 @@
     auto* const link = static_cast<relay_link*>(self);
     std::string bytes = take_all(buffer);
     bool const lost = link->answers_muted_ && buffer == link->downwards_.from;
+    link->answers_lost_ = link->answers_lost_ || lost;
     if (!link->silent_ && !lost)
         link->enqueue(link->from(buffer), std::move(bytes), false);
 }
@@ -116,7 +117,9 @@
             link->end();
         return;
     }
-    if ((what & BEV_EVENT_EOF) != 0)
+    // No network loses bytes and delivers the orderly close behind them.
+    bool const is_incomplete = link->answers_lost_ && &way == &link->downwards_;
+    if ((what & BEV_EVENT_EOF) != 0 && !is_incomplete)
     {
         link->enqueue(way, "", true);
         return;
--- a/tests/stand_ins/fault_relay/relay_link.hpp
+++ b/tests/stand_ins/fault_relay/relay_link.hpp
@@ -81,6 +81,8 @@
     direction downwards_;
     bool silent_ = false;
     bool answers_muted_ = false;
+    /// Bytes towards the client were lost.
+    bool answers_lost_ = false;
     bool ended_ = false;
     bool reset_on_close_ = true;
     std::shared_ptr<char> const alive_ = std::make_shared<char>();
