Decode the limit that an upstream names, and log when it begins and ends

The header is decoded into response_metadata, upstream_limits keeps what the responses say, and events 512 and 513 show the process, the limit and its end. No request goes another way by it yet. The stand-in of an upstream can name a limit.

--- a/libraries/savorymount/gateway/caller_request.hpp
+++ b/libraries/savorymount/gateway/caller_request.hpp
@@ -81,6 +81,9 @@
     std::optional<routing::server_load> load;
     /// Weight version that produced the response.
     std::optional<std::uint64_t> weight_version;
+    /// Requests a second that the upstream takes from all instances together; empty if it names no
+    /// limit.
+    std::optional<double> request_limit;
 
     bool operator==(response_metadata const&) const = default;
 };
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -4,6 +4,7 @@
 #include <savorymount/configuration/deployment.hpp>
 #include <savorymount/gateway/gateway_settings.hpp>
 #include <savorymount/limits/shared_bucket.hpp>
+#include <savorymount/limits/upstream_limits.hpp>
 #include <savorymount/membership/peer_report.hpp>
 #include <savorymount/membership/peer_table.hpp>
 #include <savorymount/orders/desired_weights.hpp>
@@ -58,6 +59,7 @@
     membership::peer_table& peer_table() { return peer_table_; }
     retries::crash_quarantine& quarantine() { return quarantine_; }
     retries::crash_attribution& crash_attribution() { return crash_attribution_; }
+    limits::upstream_limits& upstream_limits() { return upstream_limits_; }
     retries::retry_quota& retry_quota(std::string const& service);
 
     /// Null for a workspace that is not in the configuration.
@@ -136,6 +138,7 @@
     membership::peer_table peer_table_;
     retries::crash_quarantine quarantine_;
     retries::crash_attribution crash_attribution_;
+    limits::upstream_limits upstream_limits_;
     std::map<std::string, retries::retry_quota> retry_quotas_;
     std::map<std::string, limits::shared_bucket> buckets_;
     /// When the process last made a decision; see `observe_time`.
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -57,6 +57,15 @@
                  {{"part_digests", digests}, {"upstreams", cause.upstreams}});
 }
 
+void log_upstream_limit(std::string const& upstream, std::optional<double> limit)
+{
+    if (limit)
+        runtime::log(events::upstream_limit_named,
+                     {{"upstream", upstream}, {"requests_per_second", *limit}});
+    else
+        runtime::log(events::upstream_limit_ended, {{"upstream", upstream}});
+}
+
 std::int64_t to_ms(base::duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -139,6 +148,7 @@
             runtime::log(events::process_resumed, {{"paused_ms", to_ms(pause)}});
         });
     cluster_.crash_attribution().on_cause_changed(log_crash_cause);
+    cluster_.upstream_limits().on_changed(log_upstream_limit);
     loop_->on_termination([this] { start_draining(); });
     watch_settings_file();
     follow_platform();
--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -110,6 +110,7 @@
         upstreams.load_reported(context_.timers.now(), id, *metadata_.load);
     if (metadata_.weight_version && !model_.empty())
         upstreams.weights_observed(id, model_, *metadata_.weight_version);
+    record_limit();
     bool const not_authentic = metadata_.request_id.empty() || !metadata_.stamped;
     untrusted_ = not_authentic && !metadata_.not_executed;
     if (metadata_.upstream == id)
@@ -119,6 +120,17 @@
         record_first_byte();
 }
 
+void upstream_attempt::record_limit()
+{
+    bool const other_upstream =
+        !metadata_.upstream.empty() && metadata_.upstream != placement_.upstream.id;
+    // A limit ends only by a response that surely comes from the upstream.
+    if (!other_upstream && (metadata_.request_limit || metadata_.stamped))
+        context_.cluster.upstream_limits().record_response(
+            context_.timers.now(), placed_at_, membership::process_name(placement_.upstream),
+            metadata_.request_limit);
+}
+
 void upstream_attempt::handle_body(std::string_view bytes)
 {
     context_.cluster.upstreams().response_progressed(context_.timers.now(), placement_.upstream.id);
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -95,6 +95,11 @@
 inline constexpr log_event prompt_parts_accepted{
     511, log_level::info, "prompt_parts_accepted",
     "Prompts with these parts are accepted again: a response was completed or the time is over."};
+inline constexpr log_event upstream_limit_named{
+    512, log_level::warning, "upstream_limit_named",
+    "An upstream names how many requests a second it takes from all instances."};
+inline constexpr log_event upstream_limit_ended{513, log_level::info, "upstream_limit_ended",
+                                                "The upstream names no limit any more."};
 inline constexpr log_event lease_acquired{600, log_level::info, "lease_acquired",
                                           "This agent owns a workspace's token bucket."};
 inline constexpr log_event lease_lost{601, log_level::warning, "lease_lost",
@@ -161,6 +166,8 @@
                                 upstream_lost,
                                 prompt_parts_refused,
                                 prompt_parts_accepted,
+                                upstream_limit_named,
+                                upstream_limit_ended,
                                 lease_acquired,
                                 lease_lost,
                                 duty_acquired,
--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -128,6 +128,23 @@
     auto const completed = decode_response_metadata(head);
     EXPECT_TRUE(completed.stamped);
     EXPECT_EQ(completed.weight_version, 4U);
+    EXPECT_FALSE(completed.request_limit);
+}
+
+// Guards against a limit that is overlooked, or read into bytes that are no number.
+TEST(request_codec, decodes_the_limit_that_an_upstream_names)
+{
+    auto const limit_in = [](std::string const& text)
+    {
+        runtime::http_head head;
+        head.headers = {{"server-limit", text}};
+        return decode_response_metadata(head).request_limit;
+    };
+    EXPECT_EQ(limit_in("1"), 1.0);
+    EXPECT_EQ(limit_in("1.3"), 1.3);
+    EXPECT_EQ(limit_in("0"), 0.0);
+    for (char const* invalid : {"", "-1", "inf", "nan", "1e400", "1 a second", "0x10"})
+        EXPECT_FALSE(limit_in(invalid)) << invalid;
 }
 
 } // namespace
--- a/tests/stand_ins/users_platform/fake_upstream.cpp
+++ b/tests/stand_ins/users_platform/fake_upstream.cpp
@@ -164,9 +164,11 @@
                      {"workspace", header(exchange, "X-Tenant")},
                      {"salt", header(exchange, "X-Cache-Salt")},
                      {"key", header(exchange, "Authorization")}});
-    runtime::http_headers const headers{{"X-Request-Id", request},
-                                        {"X-Response-Stamp", "stamp-of-" + id_},
-                                        {"X-Weight-Versions", std::to_string(version_)}};
+    runtime::http_headers headers{{"X-Request-Id", request},
+                                  {"X-Response-Stamp", "stamp-of-" + id_},
+                                  {"X-Weight-Versions", std::to_string(version_)}};
+    if (!limit_.empty())
+        headers.push_back({"Server-Limit", limit_});
     if (crashes_on(exchange))
     {
         crash(request);
--- a/tests/stand_ins/users_platform/fake_upstream.hpp
+++ b/tests/stand_ins/users_platform/fake_upstream.hpp
@@ -46,6 +46,8 @@
     /// one: it resets its connections, is away for `downtime` and comes back with another id and
     /// without its weights. An empty part ends this.
     void crash_on_part(std::string part, base::duration downtime);
+    /// Answers name this limit in requests a second; an empty text ends it.
+    void name_limit(std::string limit) { limit_ = std::move(limit); }
     /// Starts of this upstream, the first one included.
     unsigned starts() const { return starts_; }
     /// The next answers break off after so many events.
@@ -87,6 +89,7 @@
     bool ends_with_connection_ = false;
     unsigned closes_inside_event_ = 0;
     std::string crash_part_;
+    std::string limit_;
     base::duration downtime_{};
     unsigned starts_ = 1;
     bool crashing_ = false;
