--- /dev/null
+++ b/tests/platform/named_limit_test.cpp
@@ -0,0 +1,57 @@
+#include <gtest/gtest.h>
+
+#include <tests/platform/request_harness.hpp>
+#include <tests/stand_ins/users_platform/fake_upstream.hpp>
+
+namespace savorymount::tests
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t requests = 40;
+constexpr base::duration request_interval = 20ms;
+constexpr double limit = 1;
+// What the limit allows in any 4 s: one and a half times that rate, and five requests.
+constexpr double tolerated_rate = 1.5 * limit;
+constexpr double tolerated_requests = 5;
+
+std::size_t runs_of(stand_ins::fake_upstream const& it)
+{
+    return it.executions().size();
+}
+
+/// Sends one request after the other and waits for their ends.
+void send_requests(request_harness& system, std::string const& target)
+{
+    std::vector<std::unique_ptr<raw_client>> callers;
+    for (std::size_t i = 0; i < requests; ++i)
+    {
+        callers.push_back(system.send(target, "request-" + std::to_string(i)));
+        bool paused = true;
+        auto const timer = system.timers.after(request_interval, [&paused] { paused = false; });
+        system.run_until([&paused] { return !paused; });
+    }
+    system.run_until_ended(requests);
+}
+
+// Guards against sending an upstream that named a limit its usual share of the requests.
+TEST(named_limit, an_upstream_gets_no_more_requests_than_it_named)
+{
+    request_harness system;
+    stand_ins::fake_upstream in_need(system.loop, "desk-1", false);
+    stand_ins::fake_upstream sound(system.loop, "desk-2", false);
+    in_need.name_limit("1");
+    system.add_upstream("desk-1", "desk", {"127.0.0.1", in_need.port()});
+    system.add_upstream("desk-2", "desk", {"127.0.0.1", sound.port()});
+    auto const started_at = system.timers.now();
+    send_requests(system, "/safe/ask");
+    auto const seconds = std::chrono::duration<double>(system.timers.now() - started_at).count();
+    EXPECT_LE(static_cast<double>(runs_of(in_need)), tolerated_requests + tolerated_rate * seconds);
+    for (auto const& it : system.outcomes)
+        EXPECT_EQ(it.status, 200) << it.reason;
+}
+
+} // namespace
+} // namespace savorymount::tests
