Share the limit that an upstream names among all instances

Class of fault: a bound on a sum over all instances that each instance meets only as a fact about its own connection.

An instance records the limit from each response, for the process that named it; only a response to a request sent afterwards ends it. Nothing is sent before the instances are known. Placement leaves a limited upstream out, also for retries and resumed streams; when no other is left, the caller gets 503 at once with the time of the next request.

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -23,6 +23,7 @@
 // A report fits into one datagram.
 constexpr std::size_t max_reported_losses = 20;
 constexpr std::size_t max_reported_sound_parts = 40;
+constexpr std::size_t max_reported_limits = 40;
 // The process runs at least every 50 ms unless it or its machine was suspended.
 constexpr base::duration max_time_between_runs = 1s;
 constexpr double initial_fill_after_restart = 0.3;
@@ -54,7 +55,8 @@
     : settings_(settings), started_at_(now),
       peer_table_(settings.instance, {.local_data_centre = settings.data_centre,
                                       .local_relay_weight = settings.relay_weight}),
-      quarantine_(retries::crash_quarantine_options{.quarantine_duration = crash_quarantine_time})
+      quarantine_(retries::crash_quarantine_options{.quarantine_duration = crash_quarantine_time}),
+      upstream_limits_(settings.instance)
 {
 }
 
@@ -86,8 +88,10 @@
 void cluster_state::upstream_listed(base::time_point now, membership::upstream_record record)
 {
     auto const id = record.id;
+    auto const process = membership::process_name(record);
     if (upstreams_.apply_listing(now, std::move(record)))
         part_locations_.invalidate_engine(id);
+    apply_limit(process);
 }
 
 void cluster_state::upstream_unlisted(base::time_point now, std::string const& id)
@@ -148,6 +152,56 @@
     crash_attribution_.record_loss(now, now, std::move(loss));
 }
 
+void cluster_state::limit_observed(base::time_point now, base::time_point sent_at,
+                                   membership::upstream_record const& upstream,
+                                   std::optional<double> limit)
+{
+    auto const process = membership::process_name(upstream);
+    upstream_limits_.record_response(now, sent_at, process, limit);
+    apply_limit(process);
+}
+
+void cluster_state::request_sent(base::time_point now, membership::upstream_record const& upstream)
+{
+    auto const process = membership::process_name(upstream);
+    upstream_limits_.record_sent(now, process);
+    apply_limit(process);
+}
+
+void cluster_state::request_not_sent(membership::upstream_record const& upstream)
+{
+    auto const process = membership::process_name(upstream);
+    upstream_limits_.withdraw_sent(process);
+    apply_limit(process);
+}
+
+void cluster_state::apply_limit(std::string const& process)
+{
+    auto const id = process.substr(0, process.rfind('/'));
+    auto const* const state = upstreams_.find(id);
+    if (state != nullptr && membership::process_name(state->record) == process)
+        upstreams_.set_limited(
+            id, upstream_limits_.next_request_at(process).value_or(base::time_point{}));
+}
+
+void cluster_state::update_limit_shares(base::time_point now)
+{
+    upstream_limits_.remove_expired(now,
+                                    [this](std::string const& process)
+                                    {
+                                        auto const id = process.substr(0, process.rfind('/'));
+                                        auto const* const state = upstreams_.find(id);
+                                        return state != nullptr &&
+                                               membership::process_name(state->record) == process;
+                                    });
+    if (!members_known_ || limit_shares_of_ == peer_table_.change_count())
+        return;
+    limit_shares_of_ = peer_table_.change_count();
+    upstream_limits_.set_instances(peer_table_.instance_names());
+    for (auto const& it : upstream_limits_.upstreams())
+        apply_limit(it);
+}
+
 void cluster_state::record_sent_parts(base::time_point now,
                                       std::vector<std::uint64_t> const& digests,
                                       std::string const& engine)
@@ -207,6 +261,15 @@
         crash_attribution_.record_loss(now, now - it.age, it.loss, false);
     for (auto const& it : report.sound_parts)
         crash_attribution_.record_completion(now, now - it.age, {it.part}, false);
+    // The report was under way for up to this time. A limit counts as of the latest possible time,
+    // its end as of the earliest one.
+    auto const delay = now - earliest_arrival(now) + peer_table_.report_delay();
+    for (auto const& it : report.limits)
+    {
+        auto const learned_at = now - it.age - (it.notice.limit ? base::duration::zero() : delay);
+        upstream_limits_.apply_notice(now, learned_at, it.notice);
+        apply_limit(it.notice.upstream);
+    }
 }
 
 membership::peer_report cluster_state::make_report(base::time_point now, std::uint64_t sequence,
@@ -229,6 +292,8 @@
     for (auto const& [age, part] :
          crash_attribution_.reportable_completions(now, max_reported_sound_parts))
         out.sound_parts.push_back({part, to_ms(age)});
+    for (auto& [age, notice] : upstream_limits_.reportable_notices(now, max_reported_limits))
+        out.limits.push_back({std::move(notice), to_ms(age)});
     if (partial)
         return out;
     for (auto const& [workspace, bucket] : buckets_)
@@ -258,6 +323,9 @@
     if (resumed_callback_)
         resumed_callback_(pause);
     peer_table_.process_resumed(now);
+    upstream_limits_.process_resumed(now);
+    for (auto const& it : upstream_limits_.upstreams())
+        apply_limit(it);
     for (auto& [workspace, bucket] : buckets_)
         bucket.process_resumed(now);
 }
@@ -273,6 +341,7 @@
     observe_time(now);
     peer_table_.remove_expired(now);
     upstreams_.expire(now);
+    update_limit_shares(now);
     auto const instances = peer_table_.instance_count();
     auto const silent = peer_table_.silent_count(now);
     for (auto& [workspace, bucket] : buckets_)
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -60,6 +60,15 @@
     retries::crash_quarantine& quarantine() { return quarantine_; }
     retries::crash_attribution& crash_attribution() { return crash_attribution_; }
     limits::upstream_limits& upstream_limits() { return upstream_limits_; }
+    /// An upstream responded to a request that was sent at `sent_at`; `limit` is empty if the
+    /// response names none.
+    void limit_observed(base::time_point now, base::time_point sent_at,
+                        membership::upstream_record const& upstream, std::optional<double> limit);
+    /// A request is sent to the upstream, or the last one did not reach it after all.
+    void request_sent(base::time_point now, membership::upstream_record const& upstream);
+    void request_not_sent(membership::upstream_record const& upstream);
+    /// The store's list of the instances was read and applied to the peer table.
+    void members_read() { members_known_ = true; }
     retries::retry_quota& retry_quota(std::string const& service);
 
     /// Null for a workspace that is not in the configuration.
@@ -126,6 +135,9 @@
     void set_settings(base::time_point now, gateway_settings settings);
 
 private:
+    /// Lets placement know when the upstream's process takes the next request of this instance.
+    void apply_limit(std::string const& process);
+    void update_limit_shares(base::time_point now);
     void apply_notices(base::time_point now, membership::peer_report const& report);
     void apply_full_report(base::time_point now, membership::peer_report const& report);
 
@@ -139,6 +151,9 @@
     retries::crash_quarantine quarantine_;
     retries::crash_attribution crash_attribution_;
     limits::upstream_limits upstream_limits_;
+    bool members_known_ = false;
+    /// The state of the peer table from which the shares of limits follow.
+    std::optional<std::uint64_t> limit_shares_of_;
     std::map<std::string, retries::retry_quota> retry_quotas_;
     std::map<std::string, limits::shared_bucket> buckets_;
     /// When the process last made a decision; see `observe_time`.
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -14,6 +14,8 @@
 // The upstream stops at the deadline it was given; the gateway waits this much longer.
 constexpr base::duration timeout_margin = 60ms;
 constexpr base::duration overload_retry_delay = 120ms;
+// Another instance may use a limited upstream sooner than this one.
+constexpr base::duration max_limit_retry_delay = 1s;
 // A repeatable request is retried if no response starts within this ratio of its timeout.
 constexpr double stall_timeout_ratio = 0.3;
 constexpr base::duration min_stall_timeout = 300ms;
@@ -355,7 +357,17 @@
     else if (may_have_run_)
         fail(status_bad_gateway, reason);
     else
-        refuse({{base::error_kind::overloaded, reason}, overload_retry_delay, 0, 0});
+        refuse({{base::error_kind::overloaded, reason}, overload_retry_time(), 0, 0});
+}
+
+base::duration gateway_request::overload_retry_time() const
+{
+    auto const now = context_.timers.now();
+    auto const limited_until = context_.cluster.upstreams().limited_until(now, service_);
+    if (!limited_until)
+        return overload_retry_delay;
+    auto const next_request_at = std::min(*limited_until, now + max_limit_retry_delay);
+    return std::max(next_request_at - now, overload_retry_delay);
 }
 
 void gateway_request::abort_stream(std::string const& reason)
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -52,6 +52,8 @@
     void retry_or_give_up(attempt_failure failure, std::string const& reason);
     void give_up(std::string const& reason);
     /// Closes the connection of a caller that has received part of a stream.
+    /// When a caller whose request no upstream can take should send it again.
+    base::duration overload_retry_time() const;
     void abort_stream(std::string const& reason);
     void deliver_response(runtime::http_head const& head, std::string const& body);
     void apply_backpressure();
--- a/libraries/savorymount/gateway/peer_exchange.cpp
+++ b/libraries/savorymount/gateway/peer_exchange.cpp
@@ -64,6 +64,7 @@
     for (auto const& it : members)
         cluster_.peer_table().register_peer(now, it.instance, it.incarnation, it.address,
                                             it.data_centre);
+    cluster_.members_read();
     update_routes(now);
 }
 
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -96,6 +96,14 @@
                    to.setPart(it.part);
                    to.setAgeMilliseconds(clamp_to_uint32(it.age.count()));
                });
+    write_list(out.initLimits(count(report.limits)), report.limits,
+               [](wire::UpstreamLimit::Builder to, membership::limit_notice const& it)
+               {
+                   to.setUpstream(it.notice.upstream);
+                   to.setRequestsPerSecond(it.notice.limit.value_or(0));
+                   to.setEnded(!it.notice.limit);
+                   to.setAgeMilliseconds(clamp_to_uint32(it.age.count()));
+               });
     write_list(out.initReads(count(report.assigned_prefixes)), report.assigned_prefixes,
                [](wire::EngineReads::Builder to, auto const& it)
                {
@@ -151,6 +159,16 @@
     return out;
 }
 
+membership::limit_notice read_limit(wire::UpstreamLimit::Reader in)
+{
+    membership::limit_notice out;
+    out.notice.upstream = in.getUpstream().cStr();
+    if (!in.getEnded())
+        out.notice.limit = in.getRequestsPerSecond();
+    out.age = std::chrono::milliseconds(in.getAgeMilliseconds());
+    return out;
+}
+
 membership::peer_report read_report(wire::PeerReport::Reader in)
 {
     membership::peer_report out;
@@ -184,6 +202,8 @@
     for (auto const it : in.getSoundParts())
         out.sound_parts.push_back(
             {it.getPart(), std::chrono::milliseconds(it.getAgeMilliseconds())});
+    for (auto const it : in.getLimits())
+        out.limits.push_back(read_limit(it));
     for (auto const it : in.getReads())
     {
         auto& digests = out.assigned_prefixes[it.getUpstream().cStr()];
--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -40,6 +40,7 @@
     auto const& upstream = placement_.upstream;
     placed_at_ = context_.timers.now();
     context_.cluster.upstreams().request_sent(placed_at_, upstream.id, placement_.size);
+    context_.cluster.request_sent(placed_at_, upstream);
     base::error reason;
     auto const address = runtime::parse_address("upstream", upstream.address, reason);
     if (!address)
@@ -126,9 +127,8 @@
         !metadata_.upstream.empty() && metadata_.upstream != placement_.upstream.id;
     // A limit ends only by a response that surely comes from the upstream.
     if (!other_upstream && (metadata_.request_limit || metadata_.stamped))
-        context_.cluster.upstream_limits().record_response(
-            context_.timers.now(), placed_at_, membership::process_name(placement_.upstream),
-            metadata_.request_limit);
+        context_.cluster.limit_observed(context_.timers.now(), placed_at_, placement_.upstream,
+                                        metadata_.request_limit);
 }
 
 void upstream_attempt::handle_body(std::string_view bytes)
@@ -222,6 +222,7 @@
     switch (kind)
     {
     case runtime::call_failure::not_sent:
+        context_.cluster.request_not_sent(placement_.upstream);
         report_result(attempt_result::not_sent, reason);
         return;
     case runtime::call_failure::lost:
--- a/libraries/savorymount/membership/peer_report.cpp
+++ b/libraries/savorymount/membership/peer_report.cpp
@@ -45,12 +45,21 @@
     return is_name(it.loss.upstream) && it.loss.parts.size() <= max_parts && is_age(it.age);
 }
 
+bool is_limit(limit_notice const& it)
+{
+    auto const& limit = it.notice.limit;
+    bool const is_rate = !limit || (std::isfinite(*limit) && *limit >= 0);
+    return is_name(it.notice.upstream) && is_rate && is_age(it.age);
+}
+
 bool has_plausible_notices(peer_report const& report)
 {
     auto const& losses = report.losses;
     auto const& sound_parts = report.sound_parts;
     return losses.size() <= max_notices && sound_parts.size() <= max_notices &&
+           report.limits.size() <= max_notices &&
            std::all_of(losses.begin(), losses.end(), is_loss) &&
+           std::all_of(report.limits.begin(), report.limits.end(), is_limit) &&
            std::all_of(sound_parts.begin(), sound_parts.end(),
                        [](auto const& it) { return is_age(it.age); });
 }
--- a/libraries/savorymount/membership/peer_report.hpp
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <savorymount/base/time.hpp>
+#include <savorymount/limits/upstream_limits.hpp>
 #include <savorymount/membership/store_update.hpp>
 #include <savorymount/retries/upstream_loss.hpp>
 #include <savorymount/routing/upstream_table.hpp>
@@ -55,6 +56,15 @@
     bool operator==(sound_part_notice const&) const = default;
 };
 
+/// A limit that an upstream named to the sender, or its end.
+struct limit_notice
+{
+    limits::upstream_limit_notice notice;
+    std::chrono::milliseconds age{};
+
+    bool operator==(limit_notice const&) const = default;
+};
+
 /// The report that each instance sends to all others at short intervals.
 struct peer_report
 {
@@ -65,7 +75,7 @@
     std::uint64_t sequence = 0;
     /// The process is shutting down and accepts no more requests.
     bool leaving = false;
-    /// The report contains only weight loads, crashes and losses; the other values of the previous
+    /// The report contains only weight loads and notices; the other values of the previous
     /// report stay valid.
     bool partial = false;
     /// Time since the process started, in whole milliseconds.
@@ -80,6 +90,7 @@
     std::vector<crash_notice> crashes;
     std::vector<loss_notice> losses;
     std::vector<sound_part_notice> sound_parts;
+    std::vector<limit_notice> limits;
     /// Digests of shared prompt parts in requests that were sent to an engine, by engine.
     std::map<std::string, std::vector<std::uint64_t>> assigned_prefixes;
     /// Data centre of the sender; empty if it did not tell.
--- a/libraries/savorymount/membership/peer_table.cpp
+++ b/libraries/savorymount/membership/peer_table.cpp
@@ -107,6 +107,14 @@
         peers_.begin(), peers_.end(), [&](auto const& it) { return is_silent(now, it.second); }));
 }
 
+std::vector<std::string> peer_table::instance_names() const
+{
+    std::vector<std::string> out{local_instance_};
+    for (auto const& [instance, it] : peers_)
+        out.push_back(instance);
+    return out;
+}
+
 bool peer_table::is_silent(base::time_point now, peer const& it) const
 {
     auto expected = report_interval(report_group_size(it.data_centre));
@@ -150,7 +158,10 @@
 {
     auto const [position, added] = peers_.try_emplace(instance);
     if (added)
+    {
         ++group_sizes_[position->second.data_centre];
+        ++change_count_;
+    }
     return position->second;
 }
 
@@ -166,6 +177,7 @@
 peer_table::peer_map::iterator peer_table::remove(peer_map::iterator position)
 {
     leave_group(position->second);
+    ++change_count_;
     return peers_.erase(position);
 }
 
--- a/libraries/savorymount/membership/peer_table.hpp
+++ b/libraries/savorymount/membership/peer_table.hpp
@@ -4,8 +4,10 @@
 #include <savorymount/membership/peer_report.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace savorymount::membership
 {
@@ -72,6 +74,10 @@
 
     /// Number of instances, including the local one.
     std::size_t instance_count() const { return peers_.size() + 1; }
+    /// Changes whenever an instance is added or removed.
+    std::uint64_t change_count() const { return change_count_; }
+    /// Names of all instances, the local one included.
+    std::vector<std::string> instance_names() const;
     std::size_t silent_count(base::time_point now) const;
     bool is_silent(base::time_point now, peer const& it) const;
 
@@ -110,6 +116,7 @@
     std::map<std::string, std::string> removed_incarnations_;
     /// Number of instances by data centre, including the local one; never zero.
     std::map<std::string, std::size_t> group_sizes_;
+    std::uint64_t change_count_ = 0;
 };
 
 } // namespace savorymount::membership
--- a/libraries/savorymount/routing/upstream_table.cpp
+++ b/libraries/savorymount/routing/upstream_table.cpp
@@ -104,7 +104,7 @@
     std::vector<upstream_state*> unhealthy;
     for (auto& [id, state] : states_)
     {
-        if (state.record.service != service || state.record.draining)
+        if (state.record.service != service || state.record.draining || now < state.limited_until)
             continue;
         bool const is_unhealthy = now < state.backoff_until || is_stalled(now, state);
         (is_unhealthy ? unhealthy : out).push_back(&state);
@@ -211,6 +211,25 @@
     state->record.weights[model] = listed_differs ? listed->second : 0;
 }
 
+void upstream_table::set_limited(std::string const& id, base::time_point until)
+{
+    if (auto* const state = find(id))
+        state->limited_until = until;
+}
+
+std::optional<base::time_point> upstream_table::limited_until(base::time_point now,
+                                                              std::string const& service) const
+{
+    std::optional<base::time_point> out;
+    for (auto const& [id, state] : states_)
+    {
+        bool const is_limited = !state.record.draining && now < state.limited_until;
+        if (state.record.service == service && is_limited)
+            out = std::min(out.value_or(state.limited_until), state.limited_until);
+    }
+    return out;
+}
+
 void upstream_table::set_loading(std::string const& id, base::time_point until)
 {
     if (auto* const state = find(id))
--- a/libraries/savorymount/routing/upstream_table.hpp
+++ b/libraries/savorymount/routing/upstream_table.hpp
@@ -65,6 +65,9 @@
     base::time_point backoff_until{};
     std::uint32_t consecutive_failures = 0;
 
+    /// This instance may send no request before then, since the upstream named a limit.
+    base::time_point limited_until{};
+
     /// The upstream loads new weights until then.
     base::time_point loading_until{};
     /// The upstream is drained before a weight load until then: it should get no new requests.
@@ -131,6 +134,12 @@
     /// Records that the upstream rejected a request because it does not have `version`. Falls back
     /// to the version in the list.
     void weights_rejected(std::string const& id, std::string const& model, std::uint64_t version);
+    /// `until` is `time_point::max()` if other instances use the whole limit of the upstream.
+    void set_limited(std::string const& id, base::time_point until);
+    /// The first time at which a limited upstream of the service takes a request of this instance;
+    /// empty if none of its upstreams is limited now.
+    std::optional<base::time_point> limited_until(base::time_point now,
+                                                  std::string const& service) const;
     void set_loading(std::string const& id, base::time_point until);
     void set_draining(std::string const& id, base::time_point until);
     void set_peer_use(std::string const& peer, std::map<std::string, upstream_use> const& use);
--- a/libraries/savorymount/wire/peer_report.capnp
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -42,6 +42,8 @@
   losses @18 :List(UpstreamLoss);
   # Prompt parts of such requests with which the sender completed a response.
   soundParts @19 :List(SoundPart);
+  # Limits that upstreams named to the sender lately, or their ends.
+  limits @20 :List(UpstreamLimit);
 }
 
 struct StoreUpdate {
@@ -109,3 +111,11 @@
   # Age of the newest completed response.
   ageMilliseconds @1 :UInt32;
 }
+
+struct UpstreamLimit {
+  upstream @0 :Text;
+  # Meaningless if the limit ended.
+  requestsPerSecond @1 :Float64;
+  ended @2 :Bool;
+  ageMilliseconds @3 :UInt32;
+}
--- a/libraries/savorymount/wire/peer_report.capnp.h
+++ b/libraries/savorymount/wire/peer_report.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(a92a2d63556bbc75);
 CAPNP_DECLARE_SCHEMA(fa602cb758f198a0);
 CAPNP_DECLARE_SCHEMA(fef2a85930b71191);
+CAPNP_DECLARE_SCHEMA(a9b73ec6630eb2cc);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -41,7 +42,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 4, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 4, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -183,6 +184,21 @@
   };
 };
 
+struct UpstreamLimit {
+  UpstreamLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a9b73ec6630eb2cc, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class PeerReport::Reader {
@@ -255,6 +271,9 @@
   inline bool hasSoundParts() const;
   inline  ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>::Reader getSoundParts() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -395,6 +414,13 @@
   inline void adoptSoundParts(::capnp::Orphan< ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::SoundPart,  ::capnp::Kind::STRUCT>> disownSoundParts();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1287,6 +1313,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class UpstreamLimit::Reader {
+public:
+  typedef UpstreamLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline double getRequestsPerSecond() const;
+
+  inline bool getEnded() const;
+
+  inline  ::uint32_t getAgeMilliseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamLimit::Builder {
+public:
+  typedef UpstreamLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline double getRequestsPerSecond();
+  inline void setRequestsPerSecond(double value);
+
+  inline bool getEnded();
+  inline void setEnded(bool value);
+
+  inline  ::uint32_t getAgeMilliseconds();
+  inline void setAgeMilliseconds( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamLimit::Pipeline {
+public:
+  typedef UpstreamLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool PeerReport::Reader::hasInstance() const {
@@ -1829,6 +1951,40 @@
       ::capnp::bounded<12>() * ::capnp::POINTERS));
 }
 
+inline bool PeerReport::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setLimits( ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
 inline bool StoreUpdate::Reader::hasTopic() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2551,6 +2707,82 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool UpstreamLimit::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamLimit::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UpstreamLimit::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UpstreamLimit::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UpstreamLimit::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UpstreamLimit::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamLimit::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UpstreamLimit::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double UpstreamLimit::Reader::getRequestsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double UpstreamLimit::Builder::getRequestsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setRequestsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamLimit::Reader::getEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool UpstreamLimit::Builder::getEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UpstreamLimit::Reader::getAgeMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamLimit::Builder::getAgeMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setAgeMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -1,4 +1,5 @@
 #include <savorymount/gateway/cluster_state.hpp>
+#include <savorymount/membership/relay_buffer.hpp>
 
 #include <gtest/gtest.h>
 
@@ -57,6 +58,11 @@
     EXPECT_EQ(cluster.part_locations().cached_prefix_length(at(2500ms), parts, "engine-1"), 2U);
 }
 
+bool takes_request(cluster_state& cluster, base::time_point now)
+{
+    return cluster.upstreams().candidates(now, "bench").size() == 1;
+}
+
 membership::peer_report report_of(cluster_state& from, base::time_point now, std::uint64_t sequence)
 {
     auto out = from.make_report(now, sequence, false);
@@ -65,6 +71,68 @@
     return out;
 }
 
+// Guards against an instance that goes on as before until an upstream tells it of a limit itself.
+TEST(cluster_state, learns_a_limit_and_its_end_from_the_report_of_another_instance)
+{
+    cluster_state first({}, at(0s));
+    first.limit_observed(at(1s), at(900ms), engine(1), 0.5);
+    cluster_state second({}, at(0s));
+    second.members_read();
+    second.upstream_listed(at(0s), engine(1));
+    EXPECT_TRUE(takes_request(second, at(1s)));
+    EXPECT_TRUE(second.apply_report(at(1100ms), report_of(first, at(1100ms), 1)));
+    second.tick(at(1100ms));
+    // It shares half a request a second with the other instance.
+    EXPECT_FALSE(takes_request(second, at(5s)));
+    EXPECT_TRUE(takes_request(second, at(5200ms)));
+    second.request_sent(at(5200ms), engine(1));
+    EXPECT_FALSE(takes_request(second, at(9s)));
+    first.limit_observed(at(5600ms), at(5500ms), engine(1), std::nullopt);
+    EXPECT_TRUE(second.apply_report(at(5700ms), report_of(first, at(5700ms), 2)));
+    EXPECT_TRUE(takes_request(second, at(5700ms)));
+}
+
+// Guards against a limit that is learned through a relay and does not reach the next data centre.
+TEST(cluster_state, a_limit_passes_through_a_relay)
+{
+    cluster_state first({}, at(0s));
+    first.limit_observed(at(1s), at(900ms), engine(1), 0.5);
+    membership::relay_buffer relay;
+    relay.record(report_of(first, at(1100ms), 1));
+    auto const relayed = relay.take();
+    ASSERT_EQ(relayed.size(), 1U);
+    cluster_state second({}, at(0s));
+    second.upstream_listed(at(0s), engine(1));
+    EXPECT_TRUE(second.apply_report(at(1600ms), relayed.front()));
+    EXPECT_EQ(second.upstream_limits().limit_of("engine-1/1"), 0.5);
+    EXPECT_FALSE(takes_request(second, at(60s)));
+}
+
+// Guards against the limit of a process that holds back its successor under the same id.
+TEST(cluster_state, a_restarted_upstream_has_no_limit)
+{
+    cluster_state cluster({}, at(0s));
+    cluster.upstream_listed(at(0s), engine(1));
+    cluster.limit_observed(at(1s), at(900ms), engine(1), 0.5);
+    EXPECT_FALSE(takes_request(cluster, at(1s)));
+    cluster.upstream_listed(at(2s), engine(2));
+    EXPECT_TRUE(takes_request(cluster, at(2s)));
+}
+
+// Guards against trying upstreams beyond their limits since no other upstream is left.
+TEST(cluster_state, says_when_a_service_takes_the_next_request_if_all_its_upstreams_are_limited)
+{
+    cluster_state cluster({}, at(0s));
+    cluster.members_read();
+    cluster.upstream_listed(at(0s), engine(1));
+    cluster.tick(at(0s));
+    EXPECT_FALSE(cluster.upstreams().limited_until(at(1s), "bench"));
+    cluster.limit_observed(at(1s), at(900ms), engine(1), 0.5);
+    EXPECT_TRUE(cluster.upstreams().candidates(at(1s), "bench").empty());
+    EXPECT_EQ(cluster.upstreams().limited_until(at(1s), "bench"), at(3s));
+    EXPECT_FALSE(cluster.upstreams().limited_until(at(3s), "bench"));
+}
+
 // Guards against an instance that starts while prompts with a crashing part arrive and sends them
 // to engines until it has seen enough crashes itself.
 TEST(cluster_state, learns_a_crashing_part_from_the_report_of_another_instance)
