--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -263,6 +263,10 @@
     {
         store_failed(it);
     };
+    callbacks.store_restored = [this](std::uint64_t era)
+    {
+        store_restored(era);
+    };
     callbacks.store_read = [this](membership::store_update it)
     {
         peer_exchange_.send_store_update(std::move(it));
@@ -290,6 +294,12 @@
         runtime::log(events::log_unavailable, {{"reason", reason.message}});
 }
 
+void gateway::store_restored(std::uint64_t era)
+{
+    auto const version = cluster_.deployment() ? cluster_.deployment()->data().version : 0;
+    runtime::log(events::store_restored, {{"era", era}, {"configuration", version}});
+}
+
 void gateway::announce_instance()
 {
     auto const& settings = cluster_.settings();
--- a/libraries/savorymount/gateway/gateway.hpp
+++ b/libraries/savorymount/gateway/gateway.hpp
@@ -57,6 +57,7 @@
     void handle_readiness_request(std::shared_ptr<runtime::http_exchange> const& exchange);
     void handle_metrics_request(std::shared_ptr<runtime::http_exchange> const& exchange);
     void store_responded();
+    void store_restored(std::uint64_t era);
     void store_failed(base::error const& reason);
     bool ready() const;
     void start_draining();
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -36,6 +36,9 @@
     /// A read of the store succeeded or failed.
     std::function<void()> store_responded;
     std::function<void(base::error const& reason)> store_failed;
+    /// The store came back from an older copy: what was written there since is gone. `era` counts
+    /// how often that has happened.
+    std::function<void(std::uint64_t era)> store_restored;
     /// A read of a topic succeeded; for the other instances of the data centre.
     std::function<void(membership::store_update)> store_read;
 };
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -53,6 +53,9 @@
 inline constexpr log_event cache_store_available{
     305, log_level::info, "cache_store_available",
     "The store of KV cache answers; engines fetch missing parts from it."};
+inline constexpr log_event store_restored{
+    306, log_level::warning, "store_restored",
+    "The platform's store came back from an older copy; what was written since is gone."};
 inline constexpr log_event peer_connected{
     400, log_level::info, "peer_connected",
     "A connection to another instance is open and authenticated."};
@@ -149,6 +152,7 @@
                                 list_available,
                                 cache_store_unavailable,
                                 cache_store_available,
+                                store_restored,
                                 peer_connected,
                                 peer_lost,
                                 peer_rejected,
