Add failing tests: a store that comes back from an older copy

The stand-in of the store can come back from an older copy: later records go, their offsets are given out again, answers carry Store-Era, reads beyond the end get 410, and operators and upstreams write again.

topic_follower_test: the record at offset 5 of the second era is dropped, since the key was known at offset 9 ("newer" instead of "newest"). gateway: two processes do not adopt version 7 within 60 s of it.

--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -25,9 +25,10 @@
     return out;
 }
 
-std::string answer(std::string const& body)
+std::string answer(std::string const& body, std::string const& fields = "")
 {
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
 }
 
 std::string snapshot(std::uint64_t end)
@@ -35,6 +36,43 @@
     return answer(R"({"items":[],"more":false,"end":)" + std::to_string(end) + "}");
 }
 
+/// A record of a snapshot; the values are in base64.
+struct snapshot_item
+{
+    std::string key;
+    std::string value;
+    std::uint64_t offset = 0;
+};
+
+std::string era_field(std::uint64_t era)
+{
+    return "Store-Era: " + std::to_string(era) + "\r\n";
+}
+
+std::string snapshot_of(std::uint64_t era, std::uint64_t end,
+                        std::vector<snapshot_item> const& items)
+{
+    std::string list;
+    for (auto const& it : items)
+        list += std::string(list.empty() ? "" : ",") + R"({"key":")" + it.key + R"(","value":")" +
+                it.value + R"(","offset":)" + std::to_string(it.offset) + "}";
+    return answer(R"({"items":[)" + list + R"(],"more":false,"end":)" + std::to_string(end) + "}",
+                  era_field(era));
+}
+
+std::string page_of(std::uint64_t era, std::uint64_t end, std::string const& records = "")
+{
+    return answer(big_endian(end) + big_endian(0) + records, era_field(era));
+}
+
+std::string offset_is_gone(std::uint64_t era)
+{
+    return "HTTP/1.1 410 Gone\r\n" + era_field(era) + "Content-Length: 0\r\n\r\n";
+}
+
+constexpr char const* base64_of_old = "b2xk";
+constexpr char const* base64_of_newer = "bmV3ZXI=";
+
 /// A read that returns the given records up to `end`.
 std::string page(std::uint64_t end, std::string const& records = "")
 {
@@ -254,6 +292,17 @@
     EXPECT_LT(timers.now() - first_own_read, max_update_age);
 }
 
+// Guards against changes that are ignored because their offsets were given out before the store
+// came back from an older copy.
+TEST_F(topic_follower_test, applies_changes_with_offsets_that_are_given_out_again)
+{
+    follow({snapshot_of(1, 10, {{"config", base64_of_newer, 9}}), page_of(1, 10), offset_is_gone(2),
+            snapshot_of(2, 5, {{"config", base64_of_old, 3}}),
+            page_of(2, 6, serialize_record("config", "newest")), page_of(2, 6)});
+    run_until_reads(2);
+    EXPECT_EQ(records.at("config"), "newest");
+}
+
 // Guards against a page with many changes that every instance has to read from the store, and
 // against records or offsets that no update covers.
 TEST(update_splitter, updates_cover_the_whole_page)
--- a/tests/stand_ins/users_platform/keyed_topics.cpp
+++ b/tests/stand_ins/users_platform/keyed_topics.cpp
@@ -34,7 +34,7 @@
     auto const target = parse_target(exchange->target());
     if (fault_ == "refuse" && target.path.starts_with("/-/log-"))
     {
-        respond(exchange, 503, {});
+        reply(exchange, 503, {});
         return true;
     }
     if (target.path == "/-/log-newest")
@@ -54,9 +54,33 @@
         first_[topic] = all.size();
 }
 
+void keyed_topics::restore(base::duration age)
+{
+    auto const copied_at = timers_.now() - age;
+    ++era_;
+    for (auto& [topic, all] : topics_)
+    {
+        std::erase_if(all, [&](record const& it) { return it.appended_at > copied_at; });
+        first_[topic] = std::min(first_[topic], all.size());
+        wake_readers(topic);
+    }
+}
+
+void keyed_topics::append_record(std::string const& topic, std::string key, std::string value)
+{
+    topics_[topic].push_back({std::move(key), std::move(value), timers_.now()});
+}
+
+void keyed_topics::reply(exchange_ptr const& exchange, int status, json const& body) const
+{
+    exchange->respond(status,
+                      {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era_)}},
+                      body.dump() + "\n");
+}
+
 void keyed_topics::put(std::string const& topic, std::string const& key, std::string const& value)
 {
-    topics_[topic].push_back({key, value});
+    append_record(topic, key, value);
     wake_readers(topic);
 }
 
@@ -73,15 +97,15 @@
             items.push_back(
                 {{"key", key}, {"value", encode_base64(all[offset].value)}, {"offset", offset}});
     }
-    respond(exchange, 200, {{"items", items}, {"more", false}, {"end", all.size()}});
+    reply(exchange, 200, {{"items", items}, {"more", false}, {"end", all.size()}});
 }
 
 void keyed_topics::read(exchange_ptr const& exchange, request_target const& target)
 {
     auto const& topic = target.query.at("topic");
     auto const from = static_cast<std::size_t>(target.number("from", 0));
-    if (from < first_[topic])
-        respond(exchange, 410, {});
+    if (from < first_[topic] || from > topics_[topic].size())
+        reply(exchange, 410, {{"first", first_[topic]}});
     else if (from < topics_[topic].size() || target.number("waitMs", 0) == 0)
         answer_read(exchange, topic, from);
     else
@@ -109,26 +133,31 @@
     auto& all = topics_[topic];
     if (target.query.contains("at") && target.number("at", 0) != all.size())
     {
-        respond(exchange, 412, {{"end", all.size()}});
+        reply(exchange, 412, {{"end", all.size()}});
         return;
     }
     // One record: four bytes of length, one of the key's length, key and value.
     constexpr std::size_t key_length_at = 4;
     std::string_view const body = exchange->body();
     auto const key_length = static_cast<unsigned char>(body.at(key_length_at));
-    all.push_back({std::string(body.substr(key_length_at + 1, key_length)),
-                   std::string(body.substr(key_length_at + 1 + key_length))});
+    append_record(topic, std::string(body.substr(key_length_at + 1, key_length)),
+                  std::string(body.substr(key_length_at + 1 + key_length)));
     if (fault_ == "lose_appends")
         exchange->abort();
     else
-        respond(exchange, 200, {{"offset", all.size() - 1}, {"end", all.size()}});
+        reply(exchange, 200, {{"offset", all.size() - 1}, {"end", all.size()}});
     wake_readers(topic);
 }
 
 void keyed_topics::answer_read(exchange_ptr const& exchange, std::string const& topic,
-                               std::size_t from)
+                               std::size_t from) const
 {
-    auto const& all = topics_[topic];
+    auto const& all = topics_.at(topic);
+    if (from > all.size())
+    {
+        reply(exchange, 410, {{"first", 0}});
+        return;
+    }
     std::string body = big_endian(all.size(), 8) + big_endian(0, 8);
     for (std::size_t i = from; i < all.size(); ++i)
     {
@@ -137,7 +166,7 @@
         body += static_cast<char>(it.key.size());
         body += it.key + it.value;
     }
-    exchange->respond(200, {}, body);
+    exchange->respond(200, {{"Store-Era", std::to_string(era_)}}, body);
 }
 
 void keyed_topics::wake_readers(std::string const& topic)
--- a/tests/stand_ins/users_platform/keyed_topics.hpp
+++ b/tests/stand_ins/users_platform/keyed_topics.hpp
@@ -24,6 +24,10 @@
     /// Drops all records but the newest of each key.
     void compact();
 
+    /// Comes back from a copy of the time `age` ago: later records are gone and their offsets are
+    /// given out again. The answers carry the next era.
+    void restore(base::duration age);
+
     /// Appends a record; an empty value drops the key.
     void put(std::string const& topic, std::string const& key, std::string const& value);
 
@@ -32,6 +36,7 @@
     {
         std::string key;
         std::string value;
+        base::time_point appended_at{};
     };
 
     struct waiting_read
@@ -41,10 +46,14 @@
         std::size_t from;
     };
 
+    void append_record(std::string const& topic, std::string key, std::string value);
+    /// Answers with a JSON body and the era.
+    void reply(exchange_ptr const& exchange, int status, json const& body) const;
     void newest(exchange_ptr const& exchange, request_target const& target);
     void read(exchange_ptr const& exchange, request_target const& target);
     void append(exchange_ptr const& exchange, request_target const& target);
-    void answer_read(exchange_ptr const& exchange, std::string const& topic, std::size_t from);
+    void answer_read(exchange_ptr const& exchange, std::string const& topic,
+                     std::size_t from) const;
     /// Answers a read that still waits at its time limit without records.
     void end_wait(exchange_ptr const& exchange);
     void wake_readers(std::string const& topic);
@@ -53,6 +62,7 @@
     std::map<std::string, std::vector<record>> topics_;
     /// First offset that can still be read, by topic.
     std::map<std::string, std::size_t> first_;
+    std::uint64_t era_ = 1;
     std::string fault_;
     std::vector<waiting_read> waiting_;
 };
--- a/tests/stand_ins/users_platform/main.cpp
+++ b/tests/stand_ins/users_platform/main.cpp
@@ -1,3 +1,5 @@
+#include <map>
+#include <string>
 #include <tests/stand_ins/users_platform/fake_upstream.hpp>
 #include <tests/stand_ins/users_platform/keyed_topics.hpp>
 #include <vector>
@@ -15,7 +17,7 @@
 {
 public:
     users_platform(runtime::event_loop& loop, std::int64_t engines, std::int64_t desks)
-        : topics_(loop)
+        : timers_(loop), topics_(loop)
     {
         for (std::int64_t i = 0; i < engines; ++i)
             add_engine(loop, i);
@@ -23,7 +25,7 @@
             upstreams_.push_back(
                 std::make_unique<fake_upstream>(loop, "desk-" + std::to_string(i), false));
         configure(1, {"key-a", "key-b"});
-        topics_.put(operator_topic, "version/crew", R"({"model":"crew","version":1})");
+        publish("version/crew", R"({"model":"crew","version":1})");
         for (auto const& it : upstreams_)
             list(*it, "ready");
     }
@@ -48,7 +50,7 @@
         upstream_hooks hooks;
         hooks.restarted = [this, index](std::string const& former_id)
         {
-            topics_.put(upstream_topic, former_id, "");
+            write_entry(former_id, "");
             list(*upstreams_[index], "ready");
         };
         upstreams_.push_back(std::make_unique<fake_upstream>(
@@ -78,7 +80,41 @@
                           {{{"name", "pool"}, {"engine", {{"slots", 8}, {"kvTokens", 90000}}}},
                            {{"name", "desk"}}}},
                          {"tenants", {tenant, limited}}};
-        topics_.put(operator_topic, "config", whole.dump());
+        publish("config", whole.dump());
+    }
+
+    /// Writes what operators publish; it is written again after a restore.
+    void publish(std::string const& key, std::string const& value)
+    {
+        published_[key] = value;
+        topics_.put(operator_topic, key, value);
+    }
+
+    /// Brings the store back from a copy of the time `age` ago. After `silence`, operators and
+    /// upstreams write what they had written.
+    void restore(base::duration age, base::duration silence)
+    {
+        topics_.restore(age);
+        topics_.set_fault("pass");
+        run_after(timers_, silence, [this] { write_again(); });
+    }
+
+    void write_again()
+    {
+        for (auto const& [key, value] : published_)
+            topics_.put(operator_topic, key, value);
+        for (auto const& [id, value] : listed_)
+            topics_.put(upstream_topic, id, value);
+    }
+
+    /// Writes an upstream's entry; an empty value removes it.
+    void write_entry(std::string const& id, std::string const& value)
+    {
+        if (value.empty())
+            listed_.erase(id);
+        else
+            listed_[id] = value;
+        topics_.put(upstream_topic, id, value);
     }
 
     void list(fake_upstream const& it, std::string const& upstream_state)
@@ -94,7 +130,7 @@
                          {"models", models},
                          {"sequence", 1},
                          {"born", it.starts()}};
-        topics_.put(upstream_topic, it.id(), entry.dump());
+        write_entry(it.id(), entry.dump());
     }
 
     void control(exchange_ptr const& exchange)
@@ -106,17 +142,20 @@
             configure(body->at("configuration").get<std::uint64_t>(),
                       body->at("keys").get<std::vector<std::string>>());
         if (body->contains("weights"))
-            topics_.put(operator_topic, "version/crew",
-                        json{{"model", "crew"}, {"version", body->at("weights")}}.dump());
+            publish("version/crew",
+                    json{{"model", "crew"}, {"version", body->at("weights")}}.dump());
         if (body->contains("unreadable"))
             topics_.put(upstream_topic, "ghost", body->at("unreadable").get<std::string>());
         if (body->contains("entry"))
-            topics_.put(upstream_topic, body->at("entry").at("id").get<std::string>(),
+            write_entry(body->at("entry").at("id").get<std::string>(),
                         body->at("entry").at("value").get<std::string>());
         if (body->contains("store"))
             topics_.set_fault(body->at("store").get<std::string>());
         if (body->contains("compact"))
             topics_.compact();
+        if (body->contains("restore_ms"))
+            restore(std::chrono::milliseconds(body->at("restore_ms").get<std::int64_t>()),
+                    std::chrono::milliseconds(body->value("silence_ms", 0)));
         for (auto const& it : upstreams_)
         {
             if (body->contains("orders"))
@@ -127,13 +166,15 @@
                 it->end_answers_with_connection(body->at("ends_with_connection").get<bool>());
             if (body->value("close_inside_event", "") == it->id())
                 it->close_inside_event(1);
+            if (body->value("limited", "") == it->id())
+                it->name_limit(body->at("limit").get<std::string>());
             if (body->contains("crash_on_part"))
                 it->crash_on_part(body->at("crash_on_part").get<std::string>(),
                                   std::chrono::milliseconds(body->value("crash_ms", 2000)));
             if (body->value("drain", "") == it->id())
                 list(*it, "draining");
             if (body->value("remove", "") == it->id())
-                topics_.put(upstream_topic, it->id(), "");
+                write_entry(it->id(), "");
         }
         respond(exchange, 200, {{"ok", true}});
     }
@@ -147,7 +188,11 @@
         return out;
     }
 
+    runtime::timer_service timers_;
     keyed_topics topics_;
+    /// The newest values of the operators' keys and of the upstreams' entries.
+    std::map<std::string, std::string> published_;
+    std::map<std::string, std::string> listed_;
     std::vector<std::unique_ptr<fake_upstream>> upstreams_;
 };
 
--- a/tests/stand_ins/users_upstream/main.cpp
+++ b/tests/stand_ins/users_upstream/main.cpp
@@ -15,6 +15,8 @@
         it.end_answers_with_connection(body->at("ends_with_connection").get<bool>());
     if (body->contains("close_inside_event"))
         it.close_inside_event(body->at("close_inside_event").get<unsigned>());
+    if (body->contains("limit"))
+        it.name_limit(body->at("limit").get<std::string>());
     if (body->contains("crash_on_part"))
         it.crash_on_part(body->at("crash_on_part").get<std::string>(),
                          std::chrono::milliseconds(body->at("crash_ms").get<std::int64_t>()));
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -389,6 +389,33 @@
         EXPECT_EQ(state[it]["executions"].value("request-2", 0), 0);
 }
 
+// Guards against changes that are ignored after the store has come back from an older copy.
+TEST(gateway, follows_a_store_that_came_back_from_an_older_copy)
+{
+    platform_deployment system(2);
+    system.control({{"configuration", 5}, {"keys", {"key-a", "key-b"}}});
+    system.control({{"configuration", 6}, {"keys", {"key-a", "key-b", "key-c"}}});
+    for (std::size_t i = 0; i < 2; ++i)
+        system.gateway(i).wait_for_field("name=configuration_adopted version=6", "event");
+    // The whole log is lost; operators and upstreams write their newest records again.
+    system.control({{"restore_ms", 60'000}, {"silence_ms", 300}});
+    for (std::size_t i = 0; i < 2; ++i)
+        system.gateway(i).wait_for_field("name=store_restored", "era");
+    EXPECT_EQ(system.book(0, "request-1", "key-c").status, 200);
+    system.control({{"configuration", 7}, {"keys", {"key-a", "key-d"}}});
+    for (std::size_t i = 0; i < 2; ++i)
+        system.gateway(i).wait_for_field("name=configuration_adopted version=7", "event");
+    EXPECT_EQ(system.book(1, "request-2", "key-d").status, 200);
+    // Until the store is known to be complete again, an unknown key is not refused for good.
+    int requests = 0;
+    system.wait_until(
+        [&]
+        {
+            auto const id = "asks-" + std::to_string(++requests);
+            return system.book(0, id, "key-c").status == 401;
+        });
+}
+
 // Guards against a shutdown that cuts a stream or stays in rotation.
 TEST(gateway, finishes_its_streams_after_sigterm)
 {
