Read the store anew when it came back from an older copy

Cause: records were told apart by offsets that the store gives out again after it came back from an older copy (hypothesis 1). Class of fault: an identity that is valid within one history of its source is compared across two.

Until the store holds the version in force again, and for 2.5 s in any case, an unknown route or key gets 503 instead of 404 or 401, and an upstream that the copy lacks is kept as after an outage.

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -14,6 +14,9 @@
 constexpr base::duration max_configuration_age = 1800ms;
 // Upstreams whose entries expired during an outage of the store are listed again within this time.
 constexpr base::duration store_failure_window = 2500ms;
+// After the store came back from an older copy, operators write again what it lacks within this
+// time.
+constexpr base::duration store_rewrite_time = 2500ms;
 // Age at the start of a weight version that is found then; its time of publication is unknown.
 // It leaves a started instance 2.5 s in which it uses engines with older weights.
 constexpr base::duration assumed_version_age = 4s;
@@ -62,6 +65,7 @@
 
 bool cluster_state::apply_deployment(base::time_point now, configuration::deployment data)
 {
+    stored_configuration_version_ = std::max(stored_configuration_version_, data.version);
     if (deployment_ && data.version <= deployment_->data().version)
         return false;
     for (auto const& it : data.workspaces)
@@ -122,10 +126,23 @@
     return it == buckets_.end() ? nullptr : &it->second;
 }
 
+void cluster_state::store_restored(base::time_point now)
+{
+    store_failed(now);
+    store_restored_at_ = now;
+    configuration_complete_until_.reset();
+    stored_configuration_version_ = 0;
+}
+
 bool cluster_state::configuration_is_fresh(base::time_point now) const
 {
-    return configuration_complete_until_ &&
-           now - *configuration_complete_until_ < max_configuration_age;
+    bool const is_current = configuration_complete_until_ &&
+                            now - *configuration_complete_until_ < max_configuration_age;
+    bool const store_is_complete =
+        !store_restored_at_ || now - *store_restored_at_ > store_rewrite_time;
+    bool const store_lags =
+        deployment_ && stored_configuration_version_ < deployment_->data().version;
+    return is_current && store_is_complete && !store_lags;
 }
 
 bool cluster_state::store_recently_failed(base::time_point now) const
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -80,6 +80,9 @@
     {
         configuration_complete_until_ = complete_until;
     }
+    /// The store came back from an older copy. Until operators have written again what it lacks, it
+    /// does not show that something does not exist, nor that an upstream has left.
+    void store_restored(base::time_point now);
     /// Whether the configuration is known up to a time that is recent enough to answer that
     /// something does not exist.
     bool configuration_is_fresh(base::time_point now) const;
@@ -165,6 +168,9 @@
     std::optional<base::time_point> store_responded_at_;
     std::optional<base::time_point> configuration_complete_until_;
     std::optional<base::time_point> store_failed_at_;
+    std::optional<base::time_point> store_restored_at_;
+    /// Newest version of the configuration that the store is known to hold.
+    std::uint64_t stored_configuration_version_ = 0;
     bool cache_store_reachable_ = false;
     std::deque<std::pair<base::time_point, membership::crash_notice>> recent_crashes_;
     /// Digests of prompt parts that were sent to engines, by engine, for the next report.
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -296,6 +296,7 @@
 
 void gateway::store_restored(std::uint64_t era)
 {
+    cluster_.store_restored(timers_.now());
     auto const version = cluster_.deployment() ? cluster_.deployment()->data().version : 0;
     runtime::log(events::store_restored, {{"era", era}, {"configuration", version}});
 }
--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -110,6 +110,7 @@
             timers, *store,
             topic_options{"keyed.test", {}, {}, [this] { return reads_store; }, max_update_age},
             callbacks);
+        store->on_restored([this](std::uint64_t) { follower->store_restored(); });
         follower->start();
     }
 
