Keep one leader and rising fencing tokens when the store comes back from a copy

Taking the copy at its word would be worse: an earlier holder in it could act at once, with a token that another one had used.

An era has its own offsets and larger tokens. The holder goes on until its lease expires and records it again; all others wait a whole lease from when they see the era, whatever the copy says. Reports name the era of the lease.

--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -109,9 +109,9 @@
                       [this](auto it) { handle_metrics_request(it); }),
       peer_exchange_(*loop_, timers_, cluster_,
                      {[this](base::time_point now) { return rollout_leader_.loads(now); },
-                      [this](base::time_point now) { return rollout_leader_.lease_offset(now); },
-                      [this](base::time_point now, std::uint64_t offset)
-                      { rollout_leader_.leader_reported(now, offset); },
+                      [this](base::time_point now) { return rollout_leader_.held_lease(now); },
+                      [this](base::time_point now, membership::held_lease const& it)
+                      { rollout_leader_.leader_reported(now, it); },
                       [this](membership::store_update const& it)
                       {
                           platform_.apply_store_update(it,
--- a/libraries/savorymount/gateway/peer_exchange.cpp
+++ b/libraries/savorymount/gateway/peer_exchange.cpp
@@ -158,7 +158,7 @@
 {
     report.address = to_string(address_);
     report.weight_loads = callbacks_.loads(timers_.now());
-    report.lease_offset = callbacks_.leader_lease_offset(timers_.now());
+    report.lease = callbacks_.held_lease(timers_.now());
 }
 
 void peer_exchange::send_to(std::vector<runtime::network_address> const& receivers,
@@ -205,8 +205,8 @@
 
 void peer_exchange::note_leader(base::time_point now, membership::peer_report const& report)
 {
-    if (report.lease_offset)
-        callbacks_.leader_reported(now, *report.lease_offset);
+    if (report.lease)
+        callbacks_.leader_reported(now, *report.lease);
 }
 
 } // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/peer_exchange.hpp
+++ b/libraries/savorymount/gateway/peer_exchange.hpp
@@ -20,10 +20,10 @@
 {
     /// Engines that drain or load by order of this instance.
     std::function<std::vector<membership::weight_load>(base::time_point)> loads;
-    /// Log offset of the lease record if this instance is the leader.
-    std::function<std::optional<std::uint64_t>(base::time_point)> leader_lease_offset;
-    /// Another instance reported that it is the leader, with the log offset of its lease record.
-    std::function<void(base::time_point, std::uint64_t)> leader_reported;
+    /// The record of the lease if this instance is the leader.
+    std::function<std::optional<membership::held_lease>(base::time_point)> held_lease;
+    /// Another instance reported that it is the leader.
+    std::function<void(base::time_point, membership::held_lease const&)> leader_reported;
     /// The relay of the data centre read the platform's store.
     std::function<void(membership::store_update const&)> store_updated;
 };
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -186,7 +186,8 @@
     out.uptime = std::chrono::milliseconds(in.getUptimeMilliseconds());
     out.sequence = in.getSequence();
     if (in.getHoldsDuty())
-        out.lease_offset = in.getDutyOffset();
+        out.lease = membership::held_lease{std::max(in.getDutyEra(), orders::first_log_era),
+                                           in.getDutyOffset()};
     for (auto const it : in.getAdmitted())
         out.admitted_tokens[it.getWorkspace().cStr()] = it.getTokens();
     for (auto const it : in.getUse())
@@ -224,8 +225,10 @@
     root.setPartial(report.partial);
     root.setUptimeMilliseconds(static_cast<std::uint64_t>(report.uptime.count()));
     root.setSequence(report.sequence);
-    root.setHoldsDuty(report.lease_offset.has_value());
-    root.setDutyOffset(report.lease_offset.value_or(0));
+    auto const lease = report.lease.value_or(membership::held_lease{});
+    root.setHoldsDuty(report.lease.has_value());
+    root.setDutyOffset(lease.offset);
+    root.setDutyEra(lease.era);
     write_lists(root, report);
     write_list(root.initStoreUpdates(count(report.store_updates)), report.store_updates,
                write_store_update);
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -70,6 +70,8 @@
     std::vector<member_record> members;
     std::optional<orders::lease_log_entry> lease;
     std::uint64_t end_offset = 0;
+    /// Era of the store.
+    std::uint64_t era = orders::first_log_era;
 
     bool operator==(membership_page const&) const = default;
 };
--- a/libraries/savorymount/gateway/rollout_leader.cpp
+++ b/libraries/savorymount/gateway/rollout_leader.cpp
@@ -74,10 +74,18 @@
     return leader_reported_at_ && now - *leader_reported_at_ < interval * (max_lost_reports + 1);
 }
 
-void rollout_leader::leader_reported(base::time_point now, std::uint64_t offset)
+void rollout_leader::leader_reported(base::time_point now, membership::held_lease const& lease)
 {
     leader_reported_at_ = now;
-    lease_.on_leader_announced(now, offset);
+    lease_.on_leader_announced(now, lease.offset, lease.era);
+}
+
+std::optional<membership::held_lease> rollout_leader::held_lease(base::time_point now) const
+{
+    auto const offset = lease_.held_record_offset(now);
+    if (!offset)
+        return std::nullopt;
+    return membership::held_lease{lease_.era(), *offset};
 }
 
 void rollout_leader::read_membership_if_due()
@@ -113,7 +121,7 @@
 void rollout_leader::handle_membership(membership_page const& page)
 {
     callbacks_.members_read(page.members);
-    lease_.on_log_read(timers_.now(), page.lease, page.end_offset);
+    lease_.on_log_read(timers_.now(), page.lease, page.end_offset, page.era);
     update_lease();
 }
 
--- a/libraries/savorymount/gateway/rollout_leader.hpp
+++ b/libraries/savorymount/gateway/rollout_leader.hpp
@@ -48,13 +48,10 @@
     /// Releases the leader lease; `done` is called when the release is recorded or has failed.
     void release(std::function<void()> done);
 
-    /// Another instance is the leader, with the lease record at `offset`.
-    void leader_reported(base::time_point now, std::uint64_t offset);
-    /// Log offset of the lease record if this instance is the leader.
-    std::optional<std::uint64_t> lease_offset(base::time_point now) const
-    {
-        return lease_.held_record_offset(now);
-    }
+    /// Another instance is the leader.
+    void leader_reported(base::time_point now, membership::held_lease const& lease);
+    /// The record of the lease if this instance is the leader.
+    std::optional<membership::held_lease> held_lease(base::time_point now) const;
 
     /// Engines that drain or load by order of this instance.
     std::vector<membership::weight_load> loads(base::time_point now) const;
--- a/libraries/savorymount/membership/peer_report.hpp
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -3,6 +3,7 @@
 #include <savorymount/base/time.hpp>
 #include <savorymount/limits/upstream_limits.hpp>
 #include <savorymount/membership/store_update.hpp>
+#include <savorymount/orders/leader_lease.hpp>
 #include <savorymount/retries/upstream_loss.hpp>
 #include <savorymount/routing/upstream_table.hpp>
 
@@ -65,6 +66,16 @@
     bool operator==(limit_notice const&) const = default;
 };
 
+/// The record by which an instance holds the leader lease.
+struct held_lease
+{
+    /// Era of the store; offsets are given out again in the next one.
+    std::uint64_t era = orders::first_log_era;
+    std::uint64_t offset = 0;
+
+    bool operator==(held_lease const&) const = default;
+};
+
 /// The report that each instance sends to all others at short intervals.
 struct peer_report
 {
@@ -84,8 +95,8 @@
     std::map<std::string, double> admitted_tokens;
     /// Requests of the sender in progress and the tokens that they may occupy, by upstream.
     std::map<std::string, routing::upstream_use> upstream_use;
-    /// Offset of the lease record if the sender holds the leader lease.
-    std::optional<std::uint64_t> lease_offset;
+    /// Set if the sender holds the leader lease.
+    std::optional<held_lease> lease;
     std::vector<weight_load> weight_loads;
     std::vector<crash_notice> crashes;
     std::vector<loss_notice> losses;
--- a/libraries/savorymount/orders/leader_lease.cpp
+++ b/libraries/savorymount/orders/leader_lease.cpp
@@ -5,21 +5,41 @@
 
 namespace savorymount::orders
 {
+namespace
+{
+
+// Far above the number of leaders in one era, and small enough for a JSON number in any era.
+constexpr std::uint64_t tokens_per_era = 1'000'000;
+
+/// Fencing tokens of the era are larger.
+std::uint64_t token_base(std::uint64_t era)
+{
+    return era <= first_log_era ? 0 : (era - first_log_era) * tokens_per_era;
+}
+
+} // namespace
 
 void leader_lease::on_log_read(base::time_point now, std::optional<lease_log_entry> const& newest,
-                               std::uint64_t log_end)
+                               std::uint64_t log_end, std::uint64_t era)
 {
+    if (era < era_)
+        return;
+    if (era > era_)
+        begin_era(now, era);
     // A read that overlapped an accepted append may return an older state than the known one.
     if (log_end_ && log_end < *log_end_)
         return;
     bool const is_first_read = !log_end_;
     log_end_ = log_end;
-    auto const offset = newest ? std::optional(newest->offset) : std::nullopt;
-    if (!is_first_read && offset == newest_offset_)
+    // A record of an earlier era says nothing of what followed it there.
+    bool const is_current = newest && newest->record.fencing_token > token_base(era_);
+    auto const offset = is_current ? std::optional(newest->offset) : std::nullopt;
+    if (offset == newest_offset_ && (!is_first_read || !offset))
         return;
     newest_offset_ = offset;
-    newest_ = newest ? std::optional(newest->record) : std::nullopt;
-    newest_seen_at_ = offset && offset == announced_offset_ ? announced_at_ : now;
+    newest_ = is_current ? std::optional(newest->record) : std::nullopt;
+    bool const was_announced = offset == announced_offset_ && announced_era_ == era_;
+    newest_seen_at_ = offset && was_announced ? announced_at_ : now;
     if (!newest_ || !is_own(*newest_))
     {
         held_since_.reset();
@@ -36,19 +56,41 @@
     }
 }
 
-void leader_lease::on_leader_announced(base::time_point now, std::uint64_t offset)
+void leader_lease::begin_era(base::time_point now, std::uint64_t era)
+{
+    era_ = era;
+    era_seen_at_ = now;
+    newest_.reset();
+    newest_offset_.reset();
+    log_end_.reset();
+    pending_.reset();
+    unknown_append_sent_at_.reset();
+}
+
+bool leader_lease::may_be_held_without_record(base::time_point now) const
+{
+    return era_seen_at_ && !fencing_token(now) &&
+           now - *era_seen_at_ <= options_.lease_duration + options_.safety_margin;
+}
+
+void leader_lease::on_leader_announced(base::time_point now, std::uint64_t offset,
+                                       std::uint64_t era)
 {
-    if (announced_offset_ && offset <= *announced_offset_)
+    bool const is_newer =
+        era > announced_era_ || (era == announced_era_ && offset > announced_offset_.value_or(0));
+    if (announced_offset_ && !is_newer)
         return;
     announced_offset_ = offset;
+    announced_era_ = era;
     announced_at_ = now;
 }
 
 std::optional<conditional_lease_append> leader_lease::next_append(base::time_point now)
 {
-    if (!log_end_ || pending_)
+    if (!log_end_ || pending_ || (!newest_ && may_be_held_without_record(now)))
         return std::nullopt;
-    leader_lease_record record{options_.instance, options_.incarnation, 1, false, {}};
+    leader_lease_record record{
+        options_.instance, options_.incarnation, token_base(era_) + 1, false, {}};
     if (newest_)
     {
         bool const is_renewal = is_own(*newest_) && !newest_->released;
--- a/libraries/savorymount/orders/leader_lease.hpp
+++ b/libraries/savorymount/orders/leader_lease.hpp
@@ -43,6 +43,9 @@
     bool operator==(conditional_lease_append const&) const = default;
 };
 
+/// The era of a log that never came back from an older copy.
+inline constexpr std::uint64_t first_log_era = 1;
+
 struct leader_lease_options
 {
     std::string instance;
@@ -60,6 +63,11 @@
 /// instances measure it from when they saw the record. A successor therefore starts only after the
 /// previous holder has stopped, however long messages between them are delayed. All times must come
 /// from a clock that keeps running while the instance is suspended.
+///
+/// The log may come back from an older copy, which begins a new era: its newest records are gone
+/// and their offsets are given out again. The holder goes on until its lease expires and records it
+/// again; all others wait for a whole lease, whatever the copy says. Fencing tokens of a later era
+/// are larger.
 class leader_lease
 {
 public:
@@ -68,12 +76,13 @@
     /// Handles a read of the log up to `log_end`. `newest` is the newest lease record, if any;
     /// records of other kinds may follow it.
     void on_log_read(base::time_point now, std::optional<lease_log_entry> const& newest,
-                     std::uint64_t log_end);
+                     std::uint64_t log_end, std::uint64_t era = first_log_era);
 
     /// Handles the announcement of another instance that it holds the lease by the accepted record
     /// at `offset`. If a later read finds this record to be the newest, its lease counts from
     /// `now`.
-    void on_leader_announced(base::time_point now, std::uint64_t offset);
+    void on_leader_announced(base::time_point now, std::uint64_t offset,
+                             std::uint64_t era = first_log_era);
 
     /// The record to append now, if any. The caller must report the result by one of the
     /// `on_append_*` functions.
@@ -103,18 +112,27 @@
     }
 
     std::optional<leader_lease_record> const& newest() const { return newest_; }
+    /// The era of the log that was read last.
+    std::uint64_t era() const { return era_; }
 
 private:
+    void begin_era(base::time_point now, std::uint64_t era);
+    /// The lease of an earlier era may still be in force, without a record of it.
+    bool may_be_held_without_record(base::time_point now) const;
     bool is_own(leader_lease_record const& record) const;
 
     leader_lease_options options_;
     std::optional<leader_lease_record> newest_;
     std::optional<std::uint64_t> newest_offset_;
     std::optional<std::uint64_t> log_end_;
+    std::uint64_t era_ = first_log_era;
+    /// When a later era than the first was seen; empty in the first one.
+    std::optional<base::time_point> era_seen_at_;
     /// When the newest record was first read or announced.
     base::time_point newest_seen_at_{};
     /// The newest record that another instance announced, and when it was first announced.
     std::optional<std::uint64_t> announced_offset_;
+    std::uint64_t announced_era_ = first_log_era;
     base::time_point announced_at_{};
     /// The append that is in flight, and when it was sent.
     std::optional<conditional_lease_append> pending_;
--- a/libraries/savorymount/wire/peer_report.capnp
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -44,6 +44,8 @@
   soundParts @19 :List(SoundPart);
   # Limits that upstreams named to the sender lately, or their ends.
   limits @20 :List(UpstreamLimit);
+  # Era of the store to which `dutyOffset` belongs; 0 from a sender that does not tell.
+  dutyEra @21 :UInt64;
 }
 
 struct StoreUpdate {
--- a/libraries/savorymount/wire/peer_report.capnp.h
+++ b/libraries/savorymount/wire/peer_report.capnp.h
@@ -42,7 +42,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 4, 14)
+    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 5, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -274,6 +274,8 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline  ::uint64_t getDutyEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -421,6 +423,9 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline  ::uint64_t getDutyEra();
+  inline void setDutyEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1985,6 +1990,20 @@
       ::capnp::bounded<13>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t PeerReport::Reader::getDutyEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getDutyEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setDutyEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StoreUpdate::Reader::hasTopic() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/libraries/gateway/peer_report_codec_test.cpp
+++ b/tests/libraries/gateway/peer_report_codec_test.cpp
@@ -19,7 +19,7 @@
     out.incarnation = "9f";
     out.address = "10.0.0.1:7600";
     out.sequence = 12;
-    out.lease_offset = 7;
+    out.lease = membership::held_lease{3, 7};
     out.admitted_tokens = {{"workspace-1", 812.5}};
     out.upstream_use = {{"engine-1", {3, 900}}};
     out.weight_loads = {{"engine-2", "model-1", 4, 250ms, false}, {"engine-3", "", 0, 400ms, true}};
--- a/tests/libraries/membership/relay_buffer_test.cpp
+++ b/tests/libraries/membership/relay_buffer_test.cpp
@@ -107,12 +107,12 @@
     buffer.record(report);
     auto partial = report_of("a", 2);
     partial.partial = true;
-    partial.lease_offset = 9;
+    partial.lease = held_lease{2, 9};
     buffer.record(partial);
     auto const taken = buffer.take();
     ASSERT_EQ(taken.size(), 1U);
     EXPECT_EQ(taken[0].admitted_tokens.at("w"), 5);
-    EXPECT_EQ(taken[0].lease_offset, 9U);
+    EXPECT_EQ(taken[0].lease, (held_lease{2, 9}));
     EXPECT_FALSE(taken[0].partial);
 }
 
