Keep an instance that reports when the store lists an earlier process of it

Found by reading for the class of the restored store: register_peer replaced a live incarnation by any other one that the store lists. An older copy lists the process before the last restart: reports would go to its address, and the sequence numbers of the live one would count from the start, so that reports that were already applied count again. The new test failed without the check (the incarnation was "1").

--- a/libraries/savorymount/membership/peer_table.cpp
+++ b/libraries/savorymount/membership/peer_table.cpp
@@ -33,6 +33,12 @@
     if (instance == local_instance_ ||
         (removed != removed_incarnations_.end() && removed->second == incarnation))
         return;
+    auto const known = peers_.find(instance);
+    bool const reports_itself =
+        known != peers_.end() && known->second.has_reported && !is_silent(now, known->second);
+    // A copy of the store may list an earlier process of the instance.
+    if (reports_itself && known->second.incarnation != incarnation)
+        return;
     auto& it = find_or_add(instance);
     it.address = address;
     move_to_group(it, data_centre);
--- a/tests/libraries/membership/peer_table_test.cpp
+++ b/tests/libraries/membership/peer_table_test.cpp
@@ -148,5 +148,20 @@
     EXPECT_TRUE(used_relays);
 }
 
+// Guards against an older copy of the store that lists an earlier process of an instance: its
+// address may be another one, and reports of its successor would count from the start.
+TEST(peer_table, an_instance_that_reports_is_not_replaced_by_what_the_store_lists)
+{
+    peer_table table("local", {});
+    EXPECT_TRUE(table.apply_report(at(0s), make_report("a", "2", 5)));
+    table.register_peer(at(100ms), "a", "1", "10.0.0.9:7600");
+    EXPECT_EQ(table.peers().at("a").incarnation, "2");
+    EXPECT_EQ(table.peers().at("a").address, "10.0.0.1:7600");
+    EXPECT_FALSE(table.apply_report(at(200ms), make_report("a", "2", 5)));
+    // Once it is silent, the store may know its next process.
+    table.register_peer(at(5s), "a", "3", "10.0.0.9:7600");
+    EXPECT_EQ(table.peers().at("a").incarnation, "3");
+}
+
 } // namespace
 } // namespace savorymount::membership
