--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -299,6 +299,8 @@
     cluster_.store_restored(timers_.now());
     auto const version = cluster_.deployment() ? cluster_.deployment()->data().version : 0;
     runtime::log(events::store_restored, {{"era", era}, {"configuration", version}});
+    // The announcement may be missing from the copy.
+    announce_instance();
 }
 
 void gateway::announce_instance()
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -63,6 +63,17 @@
 
     json state() { return client.request(store_, "GET", "/state").json(); }
 
+    /// The keys that a topic of the store holds.
+    std::set<std::string> records(std::string const& topic)
+    {
+        auto const page =
+            client.request(store_, "GET", "/-/log-newest?topic=" + topic + "&part=0").json();
+        std::set<std::string> out;
+        for (auto const& it : page["items"])
+            out.insert(it["key"].get<std::string>());
+        return out;
+    }
+
     process& platform() { return platform_; }
 
     runtime::http_headers headers(std::string const& id, std::string const& key) const
@@ -422,6 +433,42 @@
         });
 }
 
+// Guards against requests to an upstream that has left and that an older copy of the store lists.
+TEST(gateway, uses_no_upstream_that_only_an_older_copy_of_the_store_lists)
+{
+    platform_deployment system(1);
+    EXPECT_EQ(system.book(0, "request-1").status, 200);
+    usleep(1'500'000);
+    system.control({{"remove", "desk-0"}});
+    system.wait_for_line(0, "name=upstream_unlisted upstream=desk-0");
+    // The copy was made before the upstream left.
+    system.control({{"restore_ms", 1'000}, {"silence_ms", 60'000}});
+    system.gateway(0).wait_for_field("name=store_restored", "era");
+    usleep(500'000);
+    EXPECT_EQ(system.book(0, "request-2").status, 503);
+    EXPECT_EQ(system.state()["desk-0"]["executions"].value("request-2", 0), 0);
+}
+
+// Guards against an instance whose announcement is gone, so that instances which start later do not
+// find it, and against a rollout without a leader.
+TEST(gateway, announces_itself_and_leads_again_after_a_restore)
+{
+    platform_deployment system(2);
+    system.control({{"restore_ms", 60'000}, {"silence_ms", 200}});
+    for (std::size_t i = 0; i < 2; ++i)
+        system.gateway(i).wait_for_field("name=store_restored", "era");
+    system.wait_until(
+        [&]
+        {
+            auto const records = system.records("keyed.savorymount");
+            return records.contains("member/gateway-0") && records.contains("member/gateway-1") &&
+                   records.contains("lease/weights");
+        });
+    system.control({{"weights", 2}});
+    for (char const* it : {"engine-0", "engine-1"})
+        system.wait_until([&] { return system.state()[it]["version"] == 2; });
+}
+
 // Guards against a shutdown that cuts a stream or stays in rotation.
 TEST(gateway, finishes_its_streams_after_sigterm)
 {
