Tell the era of the store in the updates that relays pass on

Cause, same class: a relay that has not seen yet that the store came back from a copy passes on records under offsets of the era before, and its updates let the others leave the store unread; or the relay sees it first. Updates now carry the era.

--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -122,6 +122,7 @@
 void write_store_update(wire::StoreUpdate::Builder out, membership::store_update const& update)
 {
     out.setTopic(update.topic);
+    out.setEra(update.era);
     out.setBegin(update.begin);
     out.setEnd(update.end);
     out.setIncomplete(update.incomplete);
@@ -144,6 +145,7 @@
 {
     membership::store_update out;
     out.topic = in.getTopic().cStr();
+    out.era = in.getEra();
     out.begin = in.getBegin();
     out.end = in.getEnd();
     out.incomplete = in.getIncomplete();
--- a/libraries/savorymount/membership/store_update.hpp
+++ b/libraries/savorymount/membership/store_update.hpp
@@ -25,6 +25,9 @@
 struct store_update
 {
     std::string topic;
+    /// Era of the store in which it was read; 0 if the sender does not know it. Offsets hold within
+    /// one era.
+    std::uint64_t era = 0;
     /// The update covers the offsets from `begin` to before `end`.
     std::uint64_t begin = 0;
     std::uint64_t end = 0;
--- a/libraries/savorymount/wire/peer_report.capnp
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -46,6 +46,8 @@
   limits @20 :List(UpstreamLimit);
   # Era of the store to which `dutyOffset` belongs; 0 from a sender that does not tell.
   dutyEra @21 :UInt64;
+  # Version of the configuration in force at the sender.
+  configuration @22 :UInt64;
 }
 
 struct StoreUpdate {
@@ -61,6 +63,8 @@
   endsRead @5 :Bool;
   # With `endsRead`: how long ago the sender knew every record of the topic.
   ageMilliseconds @6 :UInt32;
+  # Era of the store in which it was read; 0 if it is not known.
+  era @7 :UInt64;
 }
 
 struct StoreRecord {
--- a/libraries/savorymount/wire/peer_report.capnp.h
+++ b/libraries/savorymount/wire/peer_report.capnp.h
@@ -42,7 +42,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 5, 14)
+    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 6, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -57,7 +57,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed196174270fe5d5, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ed196174270fe5d5, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -276,6 +276,8 @@
 
   inline  ::uint64_t getDutyEra() const;
 
+  inline  ::uint64_t getConfiguration() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -426,6 +428,9 @@
   inline  ::uint64_t getDutyEra();
   inline void setDutyEra( ::uint64_t value);
 
+  inline  ::uint64_t getConfiguration();
+  inline void setConfiguration( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -485,6 +490,8 @@
 
   inline  ::uint32_t getAgeMilliseconds() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -542,6 +549,9 @@
   inline  ::uint32_t getAgeMilliseconds();
   inline void setAgeMilliseconds( ::uint32_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2004,6 +2014,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PeerReport::Reader::getConfiguration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getConfiguration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setConfiguration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StoreUpdate::Reader::hasTopic() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2142,6 +2166,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StoreUpdate::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StoreUpdate::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StoreUpdate::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StoreRecord::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/platform/decoder_fuzz_test.cpp
+++ b/tests/platform/decoder_fuzz_test.cpp
@@ -53,7 +53,7 @@
     out.sound_parts = {{7, 20ms}};
     out.assigned_prefixes = {{"engine-1", {1, 2, 3}}};
     out.store_updates = {
-        {"topic", 1, 3, {{"key", "value", 1}, {"gone", std::nullopt, 2}}, false, 20ms}};
+        {"topic", 2, 1, 3, {{"key", "value", 1}, {"gone", std::nullopt, 2}}, false, 20ms}};
     auto relayed = out;
     relayed.store_updates.clear();
     out.relayed = {relayed, relayed};
--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -149,12 +149,13 @@
     follow({snapshot(10), page(10), page(10)});
     run_until_reads(1);
     follower->apply_update(
-        {"keyed.test", 10, 14, {{"a", "1", 11}, {"b", std::nullopt, 13}}, false, {}}, timers.now());
+        {"keyed.test", 0, 10, 14, {{"a", "1", 11}, {"b", std::nullopt, 13}}, false, {}},
+        timers.now());
     run_for(200ms);
     EXPECT_EQ(reads, 1);
     EXPECT_EQ(records, (std::map<std::string, std::string>{{"a", "1"}, {"b", "deleted"}}));
     // The same update from a second relay changes nothing.
-    follower->apply_update({"keyed.test", 10, 14, {{"a", "1", 11}}, false, {}}, timers.now());
+    follower->apply_update({"keyed.test", 0, 10, 14, {{"a", "1", 11}}, false, {}}, timers.now());
     EXPECT_EQ(records.at("a"), "1");
 }
 
@@ -164,8 +165,8 @@
     auto const record = serialize_record("missed", "2");
     follow({snapshot(10), page(10), page(14, record + serialize_record("a", "3")), page(14)});
     run_until_reads(1);
-    follower->apply_update({"keyed.test", 10, 11, {}, false, {}}, timers.now());
-    follower->apply_update({"keyed.test", 12, 14, {{"late", "x", 13}}, false, {}}, timers.now());
+    follower->apply_update({"keyed.test", 0, 10, 11, {}, false, {}}, timers.now());
+    follower->apply_update({"keyed.test", 0, 12, 14, {{"late", "x", 13}}, false, {}}, timers.now());
     run_until_reads(2);
     EXPECT_EQ(records.at("missed"), "2");
 }
@@ -175,7 +176,7 @@
 {
     follow({snapshot(10), page(10), page(11, serialize_record("config", "large")), page(11)});
     run_until_reads(1);
-    follower->apply_update({"keyed.test", 10, 11, {}, true, {}}, timers.now());
+    follower->apply_update({"keyed.test", 0, 10, 11, {}, true, {}}, timers.now());
     run_until_reads(2);
     EXPECT_EQ(records.at("config"), "large");
 }
@@ -185,7 +186,7 @@
 {
     follow({snapshot(10), page(10), page(12), page(12), page(12)});
     run_until_reads(1);
-    follower->apply_update({"keyed.test", 10, 12, {}, false, {}}, timers.now());
+    follower->apply_update({"keyed.test", 0, 10, 12, {}, false, {}}, timers.now());
     reads_store = true;
     run_until_reads(2);
     EXPECT_EQ(responses, 4);
@@ -234,13 +235,13 @@
     run_until_reads(1);
     auto const before = *follower->complete_until();
     auto const arrived_at = before + 3s;
-    follower->apply_update({"keyed.test", 10, 12, {}, false, 1000ms}, arrived_at);
+    follower->apply_update({"keyed.test", 0, 10, 12, {}, false, 1000ms}, arrived_at);
     EXPECT_EQ(follower->complete_until(), arrived_at - 1s);
     // More updates of the same read follow.
-    follower->apply_update({"keyed.test", 12, 14, {}, false, {}}, arrived_at + 5s);
+    follower->apply_update({"keyed.test", 0, 12, 14, {}, false, {}}, arrived_at + 5s);
     EXPECT_EQ(follower->complete_until(), arrived_at - 1s);
     // An older update arrives late.
-    follower->apply_update({"keyed.test", 10, 12, {}, false, 0ms}, arrived_at + 6s);
+    follower->apply_update({"keyed.test", 0, 10, 12, {}, false, 0ms}, arrived_at + 6s);
     EXPECT_EQ(follower->complete_until(), arrived_at - 1s);
 }
 
@@ -255,7 +256,7 @@
     on_record = [&]
     {
         on_record = nullptr;
-        follower->apply_update({"keyed.test", 10, 12, {{"b", "2", 11}}, false, 0ms}, later);
+        follower->apply_update({"keyed.test", 0, 10, 12, {{"b", "2", 11}}, false, 0ms}, later);
     };
     run_until_reads(2);
     EXPECT_EQ(follower->complete_until(), later);
@@ -272,7 +273,7 @@
     run_until_reads(1);
     auto const update = [this]
     {
-        follower->apply_update({"keyed.test", 10, 10, {}, false, {}}, timers.now());
+        follower->apply_update({"keyed.test", 0, 10, 10, {}, false, {}}, timers.now());
     };
     update();
     auto const updates = timers.every(20ms, update);
@@ -286,7 +287,7 @@
     max_update_age = 1s;
     follow({snapshot(10), page(10), page(10), page(10), page(10), page(10)});
     run_until_reads(1);
-    follower->apply_update({"keyed.test", 10, 10, {}, false, 0ms}, timers.now());
+    follower->apply_update({"keyed.test", 0, 10, 10, {}, false, 0ms}, timers.now());
     run_until_reads(2);
     auto const first_own_read = timers.now();
     run_until_reads(5);
@@ -304,6 +305,52 @@
     EXPECT_EQ(records.at("config"), "newest");
 }
 
+// Guards against updates of a relay that has not seen yet that the store came back from an older
+// copy, and against an instance that relies on updates while its relay has seen it first.
+TEST_F(topic_follower_test, takes_no_update_of_another_era)
+{
+    follow({snapshot_of(2, 10, {}), page_of(2, 10), page_of(2, 11, serialize_record("a", "1")),
+            page_of(2, 11)});
+    run_until_reads(1);
+    auto const update = [this](std::uint64_t era, std::string const& key)
+    {
+        follower->apply_update({"keyed.test", era, 10, 12, {{key, "x", 11}}, false, 0ms},
+                               timers.now());
+    };
+    update(1, "former");
+    EXPECT_FALSE(records.contains("former"));
+    follower->apply_update({"keyed.test", 2, 10, 10, {}, false, 0ms}, timers.now());
+    run_for(200ms);
+    EXPECT_EQ(reads, 1);
+    // The store itself has to show the later era; until then its state is read.
+    update(3, "later");
+    EXPECT_FALSE(records.contains("later"));
+    run_until_reads(2);
+    EXPECT_EQ(records.at("a"), "1");
+}
+
+// Guards against records that are read at an old offset of a store that has written past it since
+// it came back from an older copy.
+TEST_F(topic_follower_test, drops_a_page_of_another_era_at_a_known_offset)
+{
+    follow({snapshot_of(1, 10, {}), page_of(1, 10),
+            page_of(2, 12, serialize_record("late", "2") + serialize_record("later", "3")),
+            snapshot_of(2, 12, {{"first", base64_of_newer, 4}, {"late", base64_of_newer, 10}}),
+            page_of(2, 12)});
+    run_until_reads(2);
+    EXPECT_EQ(records, (std::map<std::string, std::string>{{"first", "newer"}, {"late", "newer"}}));
+}
+
+// Guards against keys that stay although the store lacks them after it came back from a copy.
+TEST_F(topic_follower_test, reports_keys_that_the_older_copy_lacks)
+{
+    follow({snapshot_of(1, 10, {{"kept", base64_of_old, 2}, {"lost", base64_of_old, 9}}),
+            page_of(1, 10), offset_is_gone(2), snapshot_of(2, 5, {{"kept", base64_of_old, 2}}),
+            page_of(2, 5)});
+    run_until_reads(2);
+    EXPECT_EQ(records, (std::map<std::string, std::string>{{"kept", "old"}, {"lost", "deleted"}}));
+}
+
 // Guards against a page with many changes that every instance has to read from the store, and
 // against records or offsets that no update covers.
 TEST(update_splitter, updates_cover_the_whole_page)
@@ -313,8 +360,8 @@
         page.records.push_back({"key-" + std::to_string(i), std::string(400, 'x'), 100 + i});
     page.records[150].value = std::string(40'000, 'x');
     page.next_offset = 400;
-    auto const updates =
-        split_into_updates("topic", 100, page, [](auto const& it) { return it.offset % 2 == 0; });
+    auto const updates = split_into_updates("topic", 4, 100, page,
+                                            [](auto const& it) { return it.offset % 2 == 0; });
     EXPECT_GE(updates.size(), 3U);
     std::uint64_t next = 100;
     std::size_t records = 0;
@@ -322,6 +369,7 @@
     for (auto const& it : updates)
     {
         EXPECT_EQ(it.begin, next);
+        EXPECT_EQ(it.era, 4U);
         next = it.end;
         records += it.records.size();
         incomplete += it.incomplete ? 1 : 0;
