Let an instance that starts on an older copy wait for the newest configuration

Cause, same class: a process that starts after the store came back from a copy knows no newer version that it could keep. It would serve routes and keys that were dropped since, and answer that those added since do not exist. Reports name the version in force at the sender. An instance that has started within 10 s and is behind them is not ready and answers 503; any instance that is behind them answers 503 instead of 404 and 401.

Both new tests of cluster_state fail with the comparison taken out (on a scratch copy).

--- a/libraries/savorymount/gateway/admission.cpp
+++ b/libraries/savorymount/gateway/admission.cpp
@@ -151,6 +151,11 @@
                    0};
         return false;
     }
+    if (cluster.started_on_outdated_configuration(now))
+    {
+        refused = outdated_configuration();
+        return false;
+    }
     out.route = out.deployment->find_route(request.host, request.target);
     if (out.route == nullptr)
     {
--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -17,6 +17,8 @@
 // After the store came back from an older copy, operators write again what it lacks within this
 // time.
 constexpr base::duration store_rewrite_time = 2500ms;
+// An instance that started this long ago has the newest configuration, unless the store lacks it.
+constexpr base::duration startup_time = 10s;
 // Age at the start of a weight version that is found then; its time of publication is unknown.
 // It leaves a started instance 2.5 s in which it uses engines with older weights.
 constexpr base::duration assumed_version_age = 4s;
@@ -142,7 +144,18 @@
         !store_restored_at_ || now - *store_restored_at_ > store_rewrite_time;
     bool const store_lags =
         deployment_ && stored_configuration_version_ < deployment_->data().version;
-    return is_current && store_is_complete && !store_lags;
+    return is_current && store_is_complete && !store_lags && !lags_behind_others();
+}
+
+bool cluster_state::lags_behind_others() const
+{
+    return deployment_ && deployment_->data().version < reported_configuration_version_;
+}
+
+bool cluster_state::started_on_outdated_configuration(base::time_point now) const
+{
+    // Later on, being behind the others for a moment is usual.
+    return lags_behind_others() && now - started_at_ < startup_time;
 }
 
 bool cluster_state::store_recently_failed(base::time_point now) const
@@ -254,6 +267,8 @@
     observe_time(now);
     if (!peer_table_.apply_report(now, report))
         return false;
+    reported_configuration_version_ =
+        std::max(reported_configuration_version_, report.configuration_version);
     if (!report.partial)
         apply_full_report(now, report);
     for (auto const& it : report.weight_loads)
@@ -297,6 +312,7 @@
     out.incarnation = settings_.incarnation;
     out.data_centre = settings_.data_centre;
     out.relay_weight = settings_.relay_weight;
+    out.configuration_version = deployment_ ? deployment_->data().version : 0;
     out.sequence = sequence;
     out.partial = partial;
     out.uptime = std::chrono::duration_cast<std::chrono::milliseconds>(now - started_at_);
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -86,6 +86,9 @@
     /// Whether the configuration is known up to a time that is recent enough to answer that
     /// something does not exist.
     bool configuration_is_fresh(base::time_point now) const;
+    /// The process started from a store that shows an older configuration than the one in force at
+    /// other instances, as a store does that came back from an older copy.
+    bool started_on_outdated_configuration(base::time_point now) const;
     /// Whether a read of the store failed within the last few seconds.
     bool store_recently_failed(base::time_point now) const;
     void store_failed(base::time_point now) { store_failed_at_ = now; }
@@ -138,6 +141,8 @@
     void set_settings(base::time_point now, gateway_settings settings);
 
 private:
+    /// Another instance has a newer configuration.
+    bool lags_behind_others() const;
     /// Lets placement know when the upstream's process takes the next request of this instance.
     void apply_limit(std::string const& process);
     void update_limit_shares(base::time_point now);
@@ -171,6 +176,8 @@
     std::optional<base::time_point> store_restored_at_;
     /// Newest version of the configuration that the store is known to hold.
     std::uint64_t stored_configuration_version_ = 0;
+    /// Newest version in force at another instance.
+    std::uint64_t reported_configuration_version_ = 0;
     bool cache_store_reachable_ = false;
     std::deque<std::pair<base::time_point, membership::crash_notice>> recent_crashes_;
     /// Digests of prompt parts that were sent to engines, by engine, for the next report.
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -374,7 +374,8 @@
 
 bool gateway::ready() const
 {
-    return cluster_.deployment() && upstreams_known_ && !draining_since_;
+    return cluster_.deployment() && upstreams_known_ && !draining_since_ &&
+           !cluster_.started_on_outdated_configuration(timers_.now());
 }
 
 void gateway::handle_readiness_request(std::shared_ptr<runtime::http_exchange> const& exchange)
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -187,6 +187,7 @@
     out.partial = in.getPartial();
     out.uptime = std::chrono::milliseconds(in.getUptimeMilliseconds());
     out.sequence = in.getSequence();
+    out.configuration_version = in.getConfiguration();
     if (in.getHoldsDuty())
         out.lease = membership::held_lease{std::max(in.getDutyEra(), orders::first_log_era),
                                            in.getDutyOffset()};
@@ -231,6 +232,7 @@
     root.setHoldsDuty(report.lease.has_value());
     root.setDutyOffset(lease.offset);
     root.setDutyEra(lease.era);
+    root.setConfiguration(report.configuration_version);
     write_lists(root, report);
     write_list(root.initStoreUpdates(count(report.store_updates)), report.store_updates,
                write_store_update);
--- a/libraries/savorymount/membership/peer_report.hpp
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -104,6 +104,8 @@
     std::vector<limit_notice> limits;
     /// Digests of shared prompt parts in requests that were sent to an engine, by engine.
     std::map<std::string, std::vector<std::uint64_t>> assigned_prefixes;
+    /// Version of the configuration in force at the sender; 0 if it has none.
+    std::uint64_t configuration_version = 0;
     /// Data centre of the sender; empty if it did not tell.
     std::string data_centre;
     /// Suitability as the relay of its data centre; the highest goes first.
--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -198,6 +198,38 @@
     EXPECT_TRUE(takes_request(cluster, at(20s)));
 }
 
+// Guards against an instance that starts on an older copy of the store and serves what newer
+// versions do not allow, or answers that what they added does not exist.
+TEST(cluster_state, an_instance_that_starts_on_an_older_configuration_waits_for_the_newest)
+{
+    cluster_state other({}, at(0s));
+    other.apply_deployment(at(0s), deployment(9));
+    cluster_state started({}, at(100s));
+    started.apply_deployment(at(100s), deployment(7));
+    started.configuration_read(at(100s));
+    EXPECT_FALSE(started.started_on_outdated_configuration(at(100s)));
+    EXPECT_TRUE(started.apply_report(at(100s), report_of(other, at(100s), 1)));
+    EXPECT_TRUE(started.started_on_outdated_configuration(at(100s)));
+    EXPECT_FALSE(started.configuration_is_fresh(at(100s)));
+    started.apply_deployment(at(101s), deployment(9));
+    EXPECT_FALSE(started.started_on_outdated_configuration(at(101s)));
+    EXPECT_TRUE(started.configuration_is_fresh(at(101s)));
+}
+
+// Guards against an instance that stops to serve, since others apply a new version a moment
+// earlier.
+TEST(cluster_state, an_instance_that_runs_for_longer_serves_while_others_have_a_newer_version)
+{
+    cluster_state other({}, at(0s));
+    other.apply_deployment(at(0s), deployment(9));
+    cluster_state running({}, at(0s));
+    running.apply_deployment(at(0s), deployment(7));
+    running.configuration_read(at(60s));
+    EXPECT_TRUE(running.apply_report(at(60s), report_of(other, at(60s), 1)));
+    EXPECT_FALSE(running.started_on_outdated_configuration(at(60s)));
+    EXPECT_FALSE(running.configuration_is_fresh(at(60s)));
+}
+
 // Guards against an instance that starts while prompts with a crashing part arrive and sends them
 // to engines until it has seen enough crashes itself.
 TEST(cluster_state, learns_a_crashing_part_from_the_report_of_another_instance)
--- a/tests/libraries/gateway/peer_report_codec_test.cpp
+++ b/tests/libraries/gateway/peer_report_codec_test.cpp
@@ -20,6 +20,7 @@
     out.address = "10.0.0.1:7600";
     out.sequence = 12;
     out.lease = membership::held_lease{3, 7};
+    out.configuration_version = 31;
     out.admitted_tokens = {{"workspace-1", 812.5}};
     out.upstream_use = {{"engine-1", {3, 900}}};
     out.weight_loads = {{"engine-2", "model-1", 4, 250ms, false}, {"engine-3", "", 0, 400ms, true}};
@@ -61,9 +62,14 @@
     auto report = sample_report();
     report.data_centre = "dc";
     report.relayed = {sample_report(), sample_report()};
-    report.store_updates = {
-        {"topic", 5, 9, {{"key", std::string("a\0b", 3), 7}, {"gone", std::nullopt, 8}}, true, {}},
-        {"topic", 9, 9, {}, false, std::chrono::milliseconds(1200)}};
+    report.store_updates = {{"topic",
+                             2,
+                             5,
+                             9,
+                             {{"key", std::string("a\0b", 3), 7}, {"gone", std::nullopt, 8}},
+                             true,
+                             {}},
+                            {"topic", 2, 9, 9, {}, false, std::chrono::milliseconds(1200)}};
     auto const decoded = decode_peer_report(encode_peer_report(report));
     ASSERT_TRUE(decoded);
     EXPECT_EQ(*decoded, report);
