Let a response clear a prompt part for 2 s of later losses instead of 10

Cause: a part that was sound until it begins to crash engines was cleared by its responses of the last 10 s. Responses after a loss clear a part anyway, and only prompts with all suspected parts are refused, so the window before a loss has to cover the order of losses and responses only.

--- a/libraries/savorymount/retries/crash_attribution.hpp
+++ b/libraries/savorymount/retries/crash_attribution.hpp
@@ -23,7 +23,7 @@
     /// How long a loss counts, and how long its cause is refused.
     base::duration memory = std::chrono::minutes(10);
     /// A response that was completed so long before a loss still shows that a part is sound.
-    base::duration completion_window = std::chrono::seconds(10);
+    base::duration completion_window = std::chrono::seconds(2);
     /// An upstream that responds to a new request within this time after a loss did not crash.
     /// Restarts take longer.
     base::duration restart_time = std::chrono::seconds(1);
--- a/tests/libraries/retries/crash_attribution_test.cpp
+++ b/tests/libraries/retries/crash_attribution_test.cpp
@@ -65,6 +65,27 @@
     EXPECT_TRUE(refuses(attribution, 4s, {house, 78, bad}));
 }
 
+// Guards against a part whose earlier responses clear it while it already crashes upstreams.
+TEST(crash_attribution, a_part_that_was_sound_until_it_began_to_crash_is_refused_in_time)
+{
+    crash_attribution attribution;
+    for (base::duration since_start{}; since_start <= 10s; since_start += 100ms)
+        attribution.record_completion(at(since_start), at(since_start), {house, client, bad});
+    int losses = 0;
+    for (base::duration since_start = 10200ms; since_start < 20s; since_start += 500ms)
+    {
+        attribution.record_completion(at(since_start), at(since_start), {house, client});
+        if (!refuses(attribution, since_start, {house, client, bad}))
+        {
+            lose(attribution, since_start, losses, 100 + losses, {house, client, bad});
+            ++losses;
+        }
+    }
+    // Five upstreams may be lost, and those of the 3 s after the fifth.
+    EXPECT_LE(losses, 5 + 6);
+    EXPECT_FALSE(refuses(attribution, 20s, {house, client}));
+}
+
 // Guards against taking one request that was retried, or one moment in which many engines ended,
 // for a crashing part.
 TEST(crash_attribution, one_request_or_one_moment_is_not_enough)
