Soak a store that comes back from an older copy, and upstreams that name limits

Two kinds of faults with a generator of their own, so that earlier seeds play the same steps. The store is away and comes back from a copy 3 s older than its outage; operators and upstreams write again after 0.5 s. An upstream names 2 requests a second for 8 s and more; the checker counts its runs in each 4 s, from 3 s after the naming, but around outages of gateways. The checker's own test plays a history that breaks the bound by one.

--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -16,7 +16,17 @@
 // Several steps at once from time to time.
 constexpr double series_share = 0.3;
 constexpr base::duration longest_gap_of_later_kinds = 6s;
-constexpr std::uint64_t later_kinds_seed = 0x6c61746572;
+
+/// Kinds that came later than those of the first generator, with a generator of their own.
+struct later_kinds
+{
+    std::uint64_t seed = 0;
+    std::size_t first = 0;
+    std::size_t end = 0;
+};
+
+constexpr later_kinds second_kinds{0x6c61746572, first_fault_kinds, second_fault_kinds};
+constexpr later_kinds third_kinds{0x7468697264, second_fault_kinds, fault_kinds};
 
 bool is_upstream_fault(fault_kind kind)
 {
@@ -31,18 +41,19 @@
 
 /// Steps of the kinds that the first generator does not draw.
 std::vector<planned_fault> make_later_steps(std::uint64_t seed, base::duration length,
-                                            deployment_size const& size)
+                                            deployment_size const& size, later_kinds const& kinds)
 {
-    base::random_source random(seed ^ later_kinds_seed);
+    base::random_source random(seed ^ kinds.seed);
     std::vector<planned_fault> out;
     base::duration at = draw(random, base::duration::zero(), longest_gap_of_later_kinds);
     while (at < length)
     {
         planned_fault step;
         step.at = at;
-        step.kind = static_cast<fault_kind>(first_fault_kinds +
-                                            random.uniform_below(fault_kinds - first_fault_kinds));
-        bool const any_upstream = step.kind == fault_kind::end_answers_with_connection;
+        step.kind =
+            static_cast<fault_kind>(kinds.first + random.uniform_below(kinds.end - kinds.first));
+        bool const any_upstream = step.kind == fault_kind::end_answers_with_connection ||
+                                  step.kind == fault_kind::name_limit;
         step.target = random.uniform_below(any_upstream ? size.upstreams() : size.engines);
         step.length = draw(random, shortest_fault, longest_fault);
         out.push_back(step);
@@ -102,9 +113,13 @@
     case fault_kind::close_inside_event:
         return "close_inside_event";
     case fault_kind::crash_on_part:
+        return "crash_on_part";
+    case fault_kind::restore_store:
+        return "restore_store";
+    case fault_kind::name_limit:
         break;
     }
-    return "crash_on_part";
+    return "name_limit";
 }
 
 bool is_planned_work(fault_kind kind)
@@ -146,10 +161,13 @@
         if (random.uniform_real() > series_share)
             at += draw(random, base::duration::zero(), longest_gap);
     }
-    for (auto const& step : make_later_steps(seed, length, size))
+    for (auto const& kinds : {second_kinds, third_kinds})
     {
-        if (!planned_only || is_planned_work(step.kind))
-            out.push_back(step);
+        for (auto const& step : make_later_steps(seed, length, size, kinds))
+        {
+            if (!planned_only || is_planned_work(step.kind))
+                out.push_back(step);
+        }
     }
     std::stable_sort(out.begin(), out.end(),
                      [](planned_fault const& a, planned_fault const& b) { return a.at < b.at; });
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -51,14 +51,21 @@
     /// Some streams of an engine are closed in order inside an event.
     close_inside_event,
     /// A prompt part crashes every engine that begins to answer it.
-    crash_on_part
+    crash_on_part,
+    /// The platform's store is away and comes back from an older copy; operators and upstreams
+    /// write again what they had written.
+    restore_store,
+    /// An upstream names how many requests a second it takes.
+    name_limit
 };
 
-/// Kinds that the first generator of a plan draws from. Kinds that came later have a generator of
+/// Kinds that the first generator of a plan draws from. Kinds that came later have generators of
 /// their own, so that the seeds of earlier failures still play the steps that failed.
 inline constexpr std::size_t first_fault_kinds =
     static_cast<std::size_t>(fault_kind::name_weights) + 1;
-inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(fault_kind::crash_on_part) + 1;
+inline constexpr std::size_t second_fault_kinds =
+    static_cast<std::size_t>(fault_kind::crash_on_part) + 1;
+inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(fault_kind::name_limit) + 1;
 
 std::string_view to_string(fault_kind kind);
 
--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -50,7 +50,9 @@
             check_planned_work(it);
             check_withdrawn_key(it);
         }
-        check_limit();
+        check_workspace_limit();
+        for (auto const& it : history_.limits)
+            check_upstream_limit(it);
         check_versions();
         check_fences();
         check_crashes();
@@ -155,7 +157,7 @@
 
     /// Counts the bookings of the limited workspace that ran in each window, by when they were
     /// sent.
-    void check_limit()
+    void check_workspace_limit()
     {
         std::vector<base::time_point> sent;
         for (auto const& it : history_.calls)
@@ -182,6 +184,44 @@
         }
     }
 
+    bool has_gateway_outage(base::time_point from, base::time_point to) const
+    {
+        auto const& outages = history_.gateway_outages;
+        return std::any_of(outages.begin(), outages.end(),
+                           [&](disturbance const& it)
+                           { return it.from <= to && it.to + bounds_.stable >= from; });
+    }
+
+    /// Counts the runs at an upstream in each span while it named a limit.
+    void check_upstream_limit(named_limit const& limit)
+    {
+        std::vector<base::time_point> times;
+        for (auto const& it : history_.runs)
+        {
+            bool const in_force = it.at >= limit.from + bounds_.limit_reaction && it.at <= limit.to;
+            if (it.upstream == limit.upstream && in_force)
+                times.push_back(it.at);
+        }
+        std::sort(times.begin(), times.end());
+        auto const most =
+            bounds_.limit_factor * limit.requests_per_second * seconds(bounds_.limit_window) +
+            bounds_.limit_slack;
+        std::size_t first = 0;
+        for (std::size_t i = 0; i < times.size(); ++i)
+        {
+            while (times[i] - times[first] > bounds_.limit_window)
+                ++first;
+            bool const judged = !has_gateway_outage(times[first], times[i]);
+            if (!judged || static_cast<double>(i - first + 1) <= most)
+                continue;
+            report("limits that upstreams name",
+                   limit.upstream + " ran " + std::to_string(i - first + 1) +
+                       " requests in one span with a limit of " +
+                       std::to_string(limit.requests_per_second) + " a second");
+            return;
+        }
+    }
+
     void check_versions()
     {
         for (auto const& run : history_.runs)
--- a/tests/soak/promise_checker.hpp
+++ b/tests/soak/promise_checker.hpp
@@ -41,6 +41,12 @@
     base::duration crash_reaction = std::chrono::milliseconds(3000);
     /// Crashes by the part after that time. Empty: they are counted but not judged.
     std::optional<std::size_t> late_crashes = 3;
+    /// From the naming of an upstream's limit to its use by all instances.
+    base::duration limit_reaction = std::chrono::milliseconds(3000);
+    /// Requests that a limit allows in any span of this length: a multiple of its rate, and some.
+    base::duration limit_window = std::chrono::milliseconds(4000);
+    double limit_factor = 1.5;
+    double limit_slack = 5;
 
     bool operator==(promise_bounds const&) const = default;
 };
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -34,6 +34,13 @@
 constexpr base::duration additional_crash_time = 6s;
 // A disturbance that has no length of its own counts for so long.
 constexpr base::duration longest_effect = 2s;
+// The store comes back from a copy that is so much older than its outage.
+constexpr base::duration copy_age = 3s;
+// From then until operators and upstreams write again.
+constexpr base::duration rewrite_time = 500ms;
+constexpr double named_requests_per_second = 2;
+// Added to the length of a limit, so that it is judged for a while.
+constexpr base::duration additional_limit_time = 8s;
 constexpr unsigned streams_closed_inside_event = 4;
 constexpr std::int64_t link_delay_ms = 150;
 constexpr std::int64_t store_link_delay_ms = 300;
@@ -230,6 +237,7 @@
     case fault_kind::kill_gateway:
         return kill_gateway(step.target, step.length);
     case fault_kind::pause_gateway:
+        gateway_outage(step.length);
         return pause(*gateways_[step.target].program, gateways_[step.target].busy, step.length);
     case fault_kind::stop_gateway:
         return stop_gateway(step.target);
@@ -275,6 +283,10 @@
         return close_inside_event(step.target);
     case fault_kind::crash_on_part:
         return crash_on_part(step.length + additional_crash_time);
+    case fault_kind::restore_store:
+        return restore_store(step.length);
+    case fault_kind::name_limit:
+        return name_limit(step.target, step.length + additional_limit_time);
     }
 }
 
@@ -288,6 +300,7 @@
     it.is_ready = false;
     ended_outputs_.emplace_back("gateway-" + std::to_string(index), it.program->output());
     disturbed(length);
+    gateway_outage(length);
     later(length,
           [this, index]
           {
@@ -323,6 +336,7 @@
     if (!all_ready() || std::exchange(gateways_[index].busy, true))
         return;
     gateways_[index].ending = true;
+    gateway_outage(grace);
     gateways_[index].program->send_signal(SIGTERM);
     await_exit(index, timers_.now());
 }
@@ -511,6 +525,43 @@
           });
 }
 
+void soak_deployment::restore_store(base::duration length)
+{
+    if (std::exchange(store_busy_, true))
+        return;
+    control(store_, {{"store", "refuse"}});
+    disturbed(length + rewrite_time);
+    later(length,
+          [this, length]
+          {
+              control(store_, {{"restore_ms", (length + copy_age) / 1ms},
+                               {"silence_ms", rewrite_time / 1ms}});
+              store_busy_ = false;
+          });
+}
+
+void soak_deployment::name_limit(std::size_t index, base::duration length)
+{
+    auto& it = upstreams_[index];
+    if (std::exchange(it.busy, true))
+        return;
+    control(it.control, {{"limit", std::to_string(named_requests_per_second)}});
+    auto const now = timers_.now();
+    history_.limits.push_back({it.id, named_requests_per_second, now, now + length});
+    disturbed(length);
+    later(length,
+          [this, index]
+          {
+              control(upstreams_[index].control, {{"limit", ""}});
+              upstreams_[index].busy = false;
+          });
+}
+
+void soak_deployment::gateway_outage(base::duration length)
+{
+    history_.gateway_outages.push_back({timers_.now(), timers_.now() + length});
+}
+
 void soak_deployment::collect()
 {
     for (std::size_t i = 0; i < gateways_.size(); ++i)
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -105,6 +105,10 @@
     void disturb_upstream_link(std::size_t index, nlohmann::json const& fault,
                                base::duration length);
     void disturb_store_link(std::size_t index, nlohmann::json const& fault, base::duration length);
+    void restore_store(base::duration length);
+    void name_limit(std::size_t index, base::duration length);
+    /// Notes that a gateway is away or suspended from now until `length` has passed.
+    void gateway_outage(base::duration length);
     void disturb_store(std::string const& fault, base::duration length);
     /// Runs `mend` after `delay`.
     void later(base::duration delay, std::function<void()> mend);
--- a/tests/soak/soak_history.hpp
+++ b/tests/soak/soak_history.hpp
@@ -81,6 +81,17 @@
     bool operator==(crash_record const&) const = default;
 };
 
+/// An upstream named a limit in each of its answers from `from` until `to`.
+struct named_limit
+{
+    std::string upstream;
+    double requests_per_second = 0;
+    base::time_point from{};
+    base::time_point to{};
+
+    bool operator==(named_limit const&) const = default;
+};
+
 /// Operators named a weight version.
 struct weights_named
 {
@@ -116,6 +127,9 @@
     std::vector<order_record> orders;
     std::vector<crash_record> crashes;
     std::vector<disturbance> disturbances;
+    /// Stretches in which a gateway was away or suspended.
+    std::vector<disturbance> gateway_outages;
+    std::vector<named_limit> limits;
     std::vector<weights_named> weights;
     std::vector<key_change> key_changes;
     std::vector<unexpected_exit> exits;
--- a/tests/system/soak/promise_checker_test.cpp
+++ b/tests/system/soak/promise_checker_test.cpp
@@ -220,5 +220,28 @@
     EXPECT_EQ(broken_promises(history), promises{"serves again"});
 }
 
+// Guards against a run that does not see an upstream that gets more requests than it named.
+TEST(soak, notices_requests_beyond_the_limit_of_an_upstream)
+{
+    auto history = good_history();
+    history.limits = {{"engine-9.0", 1, at(0s), at(20s)}};
+    for (int i = 0; i < 12; ++i)
+        history.runs.push_back({"engine-9.0", "run-" + std::to_string(i), 1, at(5s + i * 100ms)});
+    EXPECT_EQ(broken_promises(history), std::vector<std::string>{"limits that upstreams name"});
+    auto allowed = history;
+    allowed.runs.pop_back();
+    EXPECT_TRUE(broken_promises(allowed).empty());
+    // Before all instances know of it, after its end, and around the outage of an instance.
+    auto excused = history;
+    excused.limits[0].from = at(4s);
+    EXPECT_TRUE(broken_promises(excused).empty());
+    excused = history;
+    excused.limits[0].to = at(5s);
+    EXPECT_TRUE(broken_promises(excused).empty());
+    excused = history;
+    excused.gateway_outages = {{at(1s), at(2s)}};
+    EXPECT_TRUE(broken_promises(excused).empty());
+}
+
 } // namespace
 } // namespace savorymount::soak
