--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -449,6 +449,31 @@
     EXPECT_EQ(system.state()["desk-0"]["executions"].value("request-2", 0), 0);
 }
 
+// Guards against instances that all start on an older copy of the store and take what it lacks for
+// unknown.
+TEST(gateway, a_start_on_an_older_copy_of_the_store_does_not_refuse_newer_keys_for_good)
+{
+    platform_deployment system(1);
+    usleep(1'500'000);
+    system.control({{"configuration", 5}, {"keys", {"key-a", "key-c"}}});
+    system.wait_for_line(0, "name=configuration_adopted version=5");
+    system.control({{"restore_ms", 1'000}, {"silence_ms", 1'500}});
+    system.gateway(0).send_signal(SIGKILL);
+    system.gateway(0).wait();
+    system.start_gateway(1);
+    std::set<int> statuses;
+    int requests = 0;
+    system.wait_until(
+        [&]
+        {
+            auto const id = "asks-" + std::to_string(++requests);
+            statuses.insert(system.book(1, id, "key-c").status);
+            return statuses.contains(200);
+        });
+    EXPECT_FALSE(statuses.contains(401));
+    EXPECT_TRUE(statuses.contains(503));
+}
+
 // Guards against an instance whose announcement is gone, so that instances which start later do not
 // find it, and against a rollout without a leader.
 TEST(gateway, announces_itself_and_leads_again_after_a_restore)
