--- a/libraries/savorymount/base/time.hpp
+++ b/libraries/savorymount/base/time.hpp
@@ -22,4 +22,10 @@
 /// A point in time on the monotonic clock, in microseconds.
 using time_point = monotonic_clock::time_point;
 
+/// Whole milliseconds of a duration, rounded towards zero.
+constexpr std::int64_t to_milliseconds(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 } // namespace savorymount::base
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -66,11 +66,6 @@
         runtime::log(events::upstream_limit_ended, {{"upstream", upstream}});
 }
 
-std::int64_t to_ms(base::duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 } // namespace
 
 std::unique_ptr<gateway> gateway::make(gateway_settings const& settings, base::error& reason)
@@ -145,7 +140,7 @@
     configure_log(settings);
     cluster_.on_resumed(
         [](base::duration pause) {
-            runtime::log(events::process_resumed, {{"paused_ms", to_ms(pause)}});
+            runtime::log(events::process_resumed, {{"paused_ms", base::to_milliseconds(pause)}});
         });
     cluster_.crash_attribution().on_cause_changed(log_crash_cause);
     cluster_.upstream_limits().on_changed(log_upstream_limit);
@@ -233,7 +228,7 @@
         runtime::log(events::weights_wanted,
                      {{"model", model},
                       {"version", version},
-                      {"max_age_ms", not_before ? to_ms(now - *not_before) : -1}});
+                      {"max_age_ms", not_before ? base::to_milliseconds(now - *not_before) : -1}});
         rollout_leader_.advance();
     };
     callbacks.upstream_listed = [this](membership::upstream_record it)
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -33,13 +33,6 @@
     return text;
 }
 
-bool has_header(runtime::http_head const& head, std::string_view name)
-{
-    return std::any_of(head.headers.begin(), head.headers.end(),
-                       [name](auto const& it)
-                       { return runtime::equal_header_names(it.name, name); });
-}
-
 runtime::http_headers text_headers()
 {
     return {{"Content-Type", "text/plain"}};
@@ -225,7 +218,8 @@
 {
     auto const& head = attempt_->head();
     // The end of a response without a length may also be the end of its upstream.
-    bool const is_delimited = head.content_length || has_header(head, "Transfer-Encoding");
+    bool const is_delimited =
+        head.content_length || runtime::find_header(head.headers, "Transfer-Encoding");
     bool const has_content = streaming_ || !attempt_->body().empty();
     bool const succeeded = head.status < first_error_status;
     if (!is_delimited || !has_content || !succeeded)
--- a/libraries/savorymount/gateway/request_log.cpp
+++ b/libraries/savorymount/gateway/request_log.cpp
@@ -20,11 +20,6 @@
     return runtime::log_sampler(static_cast<double>(lines_per_second) * sampled_ratio);
 }
 
-std::int64_t to_ms(base::duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 runtime::log_event const& event_of(request_end end)
 {
     switch (end)
@@ -67,13 +62,13 @@
                         {"digest", it.request_digest},
                         {"parts", list_of(it.shared_parts)},
                         {"response_started", attempt.response_started ? 1 : 0},
-                        {"at_ms", to_ms(attempt.time_since_arrival)}}});
+                        {"at_ms", base::to_milliseconds(attempt.time_since_arrival)}}});
     for (auto const& attempt : it.failed_attempts)
         out.push_back({&events::request_repeated,
                        {{"request", it.id},
                         {"upstream", attempt.upstream},
                         {"reason", attempt.reason},
-                        {"at_ms", to_ms(attempt.time_since_arrival)}}});
+                        {"at_ms", base::to_milliseconds(attempt.time_since_arrival)}}});
     out.push_back({&event_of(it.end),
                    {{"request", it.id},
                     {"route", it.route},
@@ -84,14 +79,14 @@
                     {"attempts", it.attempts},
                     {"configuration", it.configuration_version},
                     {"weights", it.weight_version},
-                    {"weights_superseded_ms", to_ms(it.weights_superseded_for)},
-                    {"store_age_ms", to_ms(it.store_age)},
-                    {"expected_ms", to_ms(it.expected_wait)},
+                    {"weights_superseded_ms", base::to_milliseconds(it.weights_superseded_for)},
+                    {"store_age_ms", base::to_milliseconds(it.store_age)},
+                    {"expected_ms", base::to_milliseconds(it.expected_wait)},
                     {"upstream_running", static_cast<int>(it.upstream_requests)},
                     {"tokens", static_cast<std::int64_t>(it.requested_tokens)},
                     {"bucket_level", static_cast<std::int64_t>(it.bucket_level)},
-                    {"first_byte_ms", to_ms(it.time_to_first_byte)},
-                    {"total_ms", to_ms(it.total_time)}}});
+                    {"first_byte_ms", base::to_milliseconds(it.time_to_first_byte)},
+                    {"total_ms", base::to_milliseconds(it.total_time)}}});
     return out;
 }
 
