--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -191,8 +191,10 @@
     apply_limit(process);
 }
 
-void cluster_state::request_sent(base::time_point now, membership::upstream_record const& upstream)
+void cluster_state::request_sent(base::time_point now, membership::upstream_record const& upstream,
+                                 routing::request_size const& size)
 {
+    upstreams_.request_sent(now, upstream.id, size);
     auto const process = membership::process_name(upstream);
     upstream_limits_.record_sent(now, process);
     apply_limit(process);
@@ -205,25 +207,23 @@
     apply_limit(process);
 }
 
+bool cluster_state::is_listed(std::string const& process) const
+{
+    auto const* const state = upstreams_.find(membership::upstream_of(process));
+    return state != nullptr && membership::process_name(state->record) == process;
+}
+
 void cluster_state::apply_limit(std::string const& process)
 {
-    auto const id = process.substr(0, process.rfind('/'));
-    auto const* const state = upstreams_.find(id);
-    if (state != nullptr && membership::process_name(state->record) == process)
-        upstreams_.set_limited(
-            id, upstream_limits_.next_request_at(process).value_or(base::time_point{}));
+    auto const next_request_at = upstream_limits_.next_request_at(process);
+    if (is_listed(process))
+        upstreams_.set_limited(membership::upstream_of(process),
+                               next_request_at.value_or(base::time_point{}));
 }
 
 void cluster_state::update_limit_shares(base::time_point now)
 {
-    upstream_limits_.remove_expired(now,
-                                    [this](std::string const& process)
-                                    {
-                                        auto const id = process.substr(0, process.rfind('/'));
-                                        auto const* const state = upstreams_.find(id);
-                                        return state != nullptr &&
-                                               membership::process_name(state->record) == process;
-                                    });
+    upstream_limits_.remove_expired(now, [this](std::string const& it) { return is_listed(it); });
     if (!members_known_ || limit_shares_of_ == peer_table_.change_count())
         return;
     limit_shares_of_ = peer_table_.change_count();
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -64,8 +64,10 @@
     /// response names none.
     void limit_observed(base::time_point now, base::time_point sent_at,
                         membership::upstream_record const& upstream, std::optional<double> limit);
-    /// A request is sent to the upstream, or the last one did not reach it after all.
-    void request_sent(base::time_point now, membership::upstream_record const& upstream);
+    /// A request is sent to the upstream.
+    void request_sent(base::time_point now, membership::upstream_record const& upstream,
+                      routing::request_size const& size);
+    /// The last request that was sent did not reach the upstream after all.
     void request_not_sent(membership::upstream_record const& upstream);
     /// The store's list of the instances was read and applied to the peer table.
     void members_read() { members_known_ = true; }
@@ -143,6 +145,8 @@
 private:
     /// Another instance has a newer configuration.
     bool lags_behind_others() const;
+    /// Whether the upstream's current entry in the list belongs to the process.
+    bool is_listed(std::string const& process) const;
     /// Lets placement know when the upstream's process takes the next request of this instance.
     void apply_limit(std::string const& process);
     void update_limit_shares(base::time_point now);
--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -39,8 +39,7 @@
         model_ = request.prompt->model;
     auto const& upstream = placement_.upstream;
     placed_at_ = context_.timers.now();
-    context_.cluster.upstreams().request_sent(placed_at_, upstream.id, placement_.size);
-    context_.cluster.request_sent(placed_at_, upstream);
+    context_.cluster.request_sent(placed_at_, upstream, placement_.size);
     base::error reason;
     auto const address = runtime::parse_address("upstream", upstream.address, reason);
     if (!address)
--- a/libraries/savorymount/membership/upstream_record.hpp
+++ b/libraries/savorymount/membership/upstream_record.hpp
@@ -36,4 +36,10 @@
     return upstream.id + "/" + std::to_string(upstream.started_unix_ms);
 }
 
+/// Id of the upstream whose process has this name.
+inline std::string upstream_of(std::string const& process)
+{
+    return process.substr(0, process.rfind('/'));
+}
+
 } // namespace savorymount::membership
--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -92,7 +92,7 @@
         second.tick(now);
         if (!takes_request(second, now))
             continue;
-        second.request_sent(now, engine(1));
+        second.request_sent(now, engine(1), {});
         sent.push_back(since_start);
     }
     // It shares half a request a second with the other instance, until the limit ends.
