Date what appears after a restore by what was known before it

Its horizon had been dropped with the offsets, so the version was dated by the start of the process, and no engine with the older weights could be used: 503 for all prompts.

--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -342,6 +342,23 @@
     EXPECT_EQ(records, (std::map<std::string, std::string>{{"first", "newer"}, {"late", "newer"}}));
 }
 
+// Guards against a weight version that counts as older than this process, so that no engine may be
+// used, since it appears in the first snapshot after a restore.
+TEST_F(topic_follower_test, complete_until_outlasts_a_restore)
+{
+    follow({snapshot_of(1, 10, {}), page_of(1, 10), offset_is_gone(2),
+            snapshot_of(2, 5, {{"version", base64_of_newer, 4}}), page_of(2, 5)});
+    run_until_reads(1);
+    auto const before = *follower->complete_until();
+    std::optional<base::time_point> seen_with_record;
+    on_record = [&]
+    {
+        seen_with_record = follower->complete_until();
+    };
+    run_until_reads(2);
+    EXPECT_EQ(seen_with_record, before);
+}
+
 // Guards against keys that stay although the store lacks them after it came back from a copy.
 TEST_F(topic_follower_test, reports_keys_that_the_older_copy_lacks)
 {
