--- a/tests/stand_ins/users_platform/fake_upstream.cpp
+++ b/tests/stand_ins/users_platform/fake_upstream.cpp
@@ -122,7 +122,10 @@
     auto const body = json::parse(exchange->body());
     auto const fence = body.at("fence").get<std::uint64_t>();
     auto const version = body.at("version").get<std::uint64_t>();
-    if (fence < fence_)
+    auto const expected_id = header(exchange, "X-Expect-Instance");
+    if (!expected_id.empty() && expected_id != id_)
+        exchange->respond(421, {{"X-Instance-Id", id_}}, "");
+    else if (fence < fence_)
         respond(exchange, 412, {});
     else if (refuses_orders_ || body.at("precondition").get<std::uint64_t>() != orders_)
         respond(exchange, 409, {});
--- a/tests/stand_ins/users_platform/keyed_topics.cpp
+++ b/tests/stand_ins/users_platform/keyed_topics.cpp
@@ -66,6 +66,22 @@
     }
 }
 
+std::set<std::string> keyed_topics::keys(std::string const& topic) const
+{
+    std::set<std::string> out;
+    auto const all = topics_.find(topic);
+    if (all == topics_.end())
+        return out;
+    for (auto const& it : all->second)
+    {
+        if (it.value.empty())
+            out.erase(it.key);
+        else
+            out.insert(it.key);
+    }
+    return out;
+}
+
 void keyed_topics::append_record(std::string const& topic, std::string key, std::string value)
 {
     topics_[topic].push_back({std::move(key), std::move(value), timers_.now()});
--- a/tests/stand_ins/users_platform/keyed_topics.hpp
+++ b/tests/stand_ins/users_platform/keyed_topics.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tests/stand_ins/stand_in.hpp>
 #include <vector>
@@ -28,6 +29,9 @@
     /// given out again. The answers carry the next era.
     void restore(base::duration age);
 
+    /// The keys that a topic holds.
+    std::set<std::string> keys(std::string const& topic) const;
+
     /// Appends a record; an empty value drops the key.
     void put(std::string const& topic, std::string const& key, std::string const& value);
 
--- a/tests/stand_ins/users_platform/main.cpp
+++ b/tests/stand_ins/users_platform/main.cpp
@@ -11,6 +11,7 @@
 
 constexpr char const* operator_topic = "keyed.op";
 constexpr char const* upstream_topic = "keyed.servers";
+constexpr base::duration heartbeat_interval = std::chrono::milliseconds(1200);
 
 /// The store with its upstreams: some model engines and one plain service.
 class users_platform
@@ -103,6 +104,18 @@
     {
         for (auto const& [key, value] : published_)
             topics_.put(operator_topic, key, value);
+        renew_entries();
+        heartbeat_timer_ = timers_.every(heartbeat_interval, [this] { renew_entries(); });
+        // Entries of upstreams that have left lapse, since nobody renews them.
+        for (auto const& id : topics_.keys(upstream_topic))
+        {
+            if (!listed_.contains(id))
+                topics_.put(upstream_topic, id, "");
+        }
+    }
+
+    void renew_entries()
+    {
         for (auto const& [id, value] : listed_)
             topics_.put(upstream_topic, id, value);
     }
@@ -193,6 +206,8 @@
     /// The newest values of the operators' keys and of the upstreams' entries.
     std::map<std::string, std::string> published_;
     std::map<std::string, std::string> listed_;
+    /// Upstreams renew their entries, from the first restore on.
+    runtime::timer_service::subscription heartbeat_timer_;
     std::vector<std::unique_ptr<fake_upstream>> upstreams_;
 };
 
