Log failed reads of the store, the age of an adopted configuration and a late event loop

The logs cannot tell the hypotheses apart: log_available ends an outage although the configuration is still waited for.

--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -82,6 +82,11 @@
     {
         configuration_complete_until_ = complete_until;
     }
+    /// The time until which every change of the configuration is known; empty if that is unknown.
+    std::optional<base::time_point> configuration_complete_until() const
+    {
+        return configuration_complete_until_;
+    }
     /// The store came back from an older copy. Until operators have written again what it lacks, it
     /// does not show that something does not exist, nor that an upstream has left.
     void store_restored(base::time_point now);
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -121,6 +121,11 @@
                        {
                            metrics_.leadership_changed(is_leader);
                        }}),
+      loop_delay_monitor_(timers_,
+                          [](base::duration delay) {
+                              runtime::log(events::event_loop_late,
+                                           {{"late_ms", base::to_milliseconds(delay)}});
+                          }),
       settings_file_(settings_file_path())
 {
 }
@@ -254,7 +259,7 @@
     {
         store_responded();
     };
-    callbacks.store_failed = [this](base::error const& it)
+    callbacks.store_failed = [this](store_failure const& it)
     {
         store_failed(it);
     };
@@ -281,12 +286,16 @@
         runtime::log(events::log_available);
 }
 
-void gateway::store_failed(base::error const& reason)
+void gateway::store_failed(store_failure const& failure)
 {
     cluster_.store_failed(timers_.now());
     metrics_.store_failed();
     if (std::exchange(store_available_, false))
-        runtime::log(events::log_unavailable, {{"reason", reason.message}});
+        runtime::log(events::log_unavailable, {{"reason", failure.reason.message}});
+    runtime::log(events::store_read_failed, {{"topic", failure.topic},
+                                             {"waited_ms", base::to_milliseconds(failure.waited)},
+                                             {"failures", failure.failures},
+                                             {"reason", failure.reason.message}});
 }
 
 void gateway::store_restored(std::uint64_t era)
@@ -315,11 +324,15 @@
 {
     auto const limits = data.limits;
     auto const version = data.version;
-    if (!cluster_.apply_deployment(timers_.now(), std::move(data)))
+    auto const now = timers_.now();
+    auto const known_until = cluster_.configuration_complete_until();
+    if (!cluster_.apply_deployment(now, std::move(data)))
         return;
     server_.set_limits(limits);
     metrics_.configuration_adopted(version);
-    runtime::log(events::configuration_adopted, {{"version", version}});
+    runtime::log(events::configuration_adopted,
+                 {{"version", version},
+                  {"max_age_ms", known_until ? base::to_milliseconds(now - *known_until) : -1}});
     follow_cache_store();
 }
 
--- a/libraries/savorymount/gateway/gateway.hpp
+++ b/libraries/savorymount/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 #include <savorymount/runtime/event_loop.hpp>
 #include <savorymount/runtime/http_server.hpp>
 #include <savorymount/runtime/inbound_server.hpp>
+#include <savorymount/runtime/loop_delay_monitor.hpp>
 #include <savorymount/runtime/outbound_pool.hpp>
 #include <savorymount/runtime/timer_service.hpp>
 
@@ -58,7 +59,7 @@
     void handle_metrics_request(std::shared_ptr<runtime::http_exchange> const& exchange);
     void store_responded();
     void store_restored(std::uint64_t era);
-    void store_failed(base::error const& reason);
+    void store_failed(store_failure const& failure);
     bool ready() const;
     void start_draining();
     void check_drained();
@@ -83,6 +84,7 @@
     bool store_available_ = false;
     bool upstreams_known_ = false;
     std::optional<base::time_point> draining_since_;
+    runtime::loop_delay_monitor loop_delay_monitor_;
     std::optional<settings_reload> settings_reload_;
     settings_file_watch settings_file_;
     runtime::timer_service::subscription settings_timer_;
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -19,6 +19,19 @@
 namespace savorymount::gateway
 {
 
+/// A read of the platform's store that failed.
+struct store_failure
+{
+    std::string topic;
+    base::error reason;
+    /// Time from sending the read to its failure.
+    base::duration waited{};
+    /// Failed reads of the topic in a row, with this one.
+    std::uint32_t failures = 0;
+
+    bool operator==(store_failure const&) const = default;
+};
+
 /// Callbacks for changes in the platform's store. They run on the event loop.
 struct platform_events
 {
@@ -35,7 +48,7 @@
     std::function<void(base::time_point complete_until)> configuration_read;
     /// A read of the store succeeded or failed.
     std::function<void()> store_responded;
-    std::function<void(base::error const& reason)> store_failed;
+    std::function<void(store_failure const&)> store_failed;
     /// The store came back from an older copy: what was written there since is gone. `era` counts
     /// how often that has happened.
     std::function<void(std::uint64_t era)> store_restored;
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -28,6 +28,9 @@
     "An unexpected error ended one callback; what it worked on was dropped."};
 inline constexpr log_event process_resumed{108, log_level::warning, "process_resumed",
                                            "The process did not run for a while; shows how long."};
+inline constexpr log_event event_loop_late{
+    109, log_level::warning, "event_loop_late",
+    "The process handled a timer late; what arrived meanwhile waited as long."};
 inline constexpr log_event configuration_adopted{200, log_level::info, "configuration_adopted",
                                                  "A newer configuration version is in force here."};
 inline constexpr log_event configuration_rejected{
@@ -56,6 +59,9 @@
 inline constexpr log_event store_restored{
     306, log_level::warning, "store_restored",
     "The platform's store came back from an older copy; what was written since is gone."};
+inline constexpr log_event store_read_failed{
+    307, log_level::info, "store_read_failed",
+    "A read of the platform's store brought no records; shows how long it waited."};
 inline constexpr log_event peer_connected{
     400, log_level::info, "peer_connected",
     "A connection to another instance is open and authenticated."};
@@ -142,6 +148,7 @@
                                 settings_unreadable,
                                 callback_failed,
                                 process_resumed,
+                                event_loop_late,
                                 configuration_adopted,
                                 configuration_rejected,
                                 snapshot_appended,
@@ -153,6 +160,7 @@
                                 cache_store_unavailable,
                                 cache_store_available,
                                 store_restored,
+                                store_read_failed,
                                 peer_connected,
                                 peer_lost,
                                 peer_rejected,
--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -98,7 +98,7 @@
         {
             ++responses;
         };
-        callbacks.on_error = [](base::error const&) {
+        callbacks.on_error = [](failed_read const&) {
         };
         callbacks.on_page = [this](std::uint64_t, record_page const&,
                                    std::optional<base::time_point> complete_until)
