--- a/tests/libraries/runtime/raw_client.hpp
+++ b/tests/libraries/runtime/raw_client.hpp
@@ -48,9 +48,14 @@
         [[maybe_unused]] auto const n =
             write(bufferevent_getfd(buffer_), bytes.data(), bytes.size());
     }
-    void leave() { bufferevent_free(std::exchange(buffer_, nullptr)); }
+    void leave()
+    {
+        if (buffer_ != nullptr)
+            bufferevent_free(std::exchange(buffer_, nullptr));
+    }
 
     std::string received;
+    bool connected = false;
     bool closed = false;
     /// Whether the connection was reset instead of closed in order.
     bool reset = false;
@@ -70,6 +75,7 @@
     static void event(bufferevent*, short what, void* self)
     {
         auto& client = *static_cast<raw_client*>(self);
+        client.connected = client.connected || (what & BEV_EVENT_CONNECTED) != 0;
         client.closed = client.closed || (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
         client.reset = client.reset || (what & BEV_EVENT_ERROR) != 0;
         if (client.changed)
--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -70,6 +70,10 @@
     return "HTTP/1.1 410 Gone\r\n" + era_field(era) + "Content-Length: 0\r\n\r\n";
 }
 
+/// An answer that never comes, as during an outage of the store.
+constexpr char const* no_answer = "";
+constexpr char const* store_is_unavailable =
+    "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 constexpr char const* base64_of_old = "b2xk";
 constexpr char const* base64_of_newer = "bmV3ZXI=";
 
@@ -108,7 +112,8 @@
         };
         follower = std::make_unique<topic_follower>(
             timers, *store,
-            topic_options{"keyed.test", {}, {}, [this] { return reads_store; }, max_update_age},
+            topic_options{
+                "keyed.test", poll_timeout, {}, [this] { return reads_store; }, max_update_age},
             callbacks);
         store->on_restored([this](std::uint64_t) { follower->store_restored(); });
         follower->start();
@@ -140,6 +145,7 @@
     int reads = 0;
     bool reads_store = false;
     base::duration max_update_age = 600s;
+    base::duration poll_timeout{};
 };
 
 // Guards against an instance that reads the store although another one reads it for the data
@@ -294,6 +300,60 @@
     EXPECT_LT(timers.now() - first_own_read, max_update_age);
 }
 
+// Guards against a change that waits for the timeout of a read from an outage, although the store
+// answers other calls again.
+TEST_F(topic_follower_test, a_read_from_an_outage_is_repeated_when_the_store_answers_another_call)
+{
+    poll_timeout = 600s;
+    reads_store = true;
+    follow({snapshot(10), page(10), no_answer, no_answer, page(10),
+            page(11, serialize_record("config", "changed")), page(11)});
+    run_until_reads(1);
+    bool answered = false;
+    // The first of these calls is sent during the outage, the second one after it.
+    store->read("keyed.other", 10, 0s,
+                [&](std::optional<record_page> const&, base::error const&)
+                {
+                    store->read("keyed.other", 10, 0s,
+                                [&](std::optional<record_page> const& it, base::error const&)
+                                { answered = it.has_value(); });
+                });
+    while (!answered)
+        event_base_loop(loop.base(), EVLOOP_ONCE);
+    run_for(2s);
+    EXPECT_EQ(records["config"], "changed");
+}
+
+// Guards against a change that waits for the timeout of a long poll that was sent during an outage.
+TEST_F(topic_follower_test, a_read_after_a_failed_one_is_not_held_open)
+{
+    poll_timeout = 600s;
+    reads_store = true;
+    follow({snapshot(10), page(10), store_is_unavailable, no_answer,
+            page(11, serialize_record("config", "changed")), page(11)});
+    run_until_reads(1);
+    run_for(5s);
+    EXPECT_EQ(records["config"], "changed");
+}
+
+// Guards against an instance that takes over from a silent relay with a long poll, which may be
+// lost, so that a change that it has not seen yet waits for the timeout.
+TEST_F(topic_follower_test, the_first_read_after_updates_have_stopped_is_not_held_open)
+{
+    poll_timeout = 2s;
+    max_update_age = 3s;
+    follow({snapshot(10), page(10), no_answer, page(11, serialize_record("config", "changed")),
+            page(11)});
+    run_until_reads(1);
+    // The relay's last update, which was under way for long.
+    follower->apply_update({"keyed.test", 0, 10, 10, {}, false, 2500ms}, timers.now());
+    std::this_thread::sleep_for(3s);
+    auto const took_over_at = timers.now();
+    run_until_reads(2);
+    EXPECT_EQ(records["config"], "changed");
+    EXPECT_LT(timers.now() - took_over_at, 2s);
+}
+
 // Guards against changes that are ignored because their offsets were given out before the store
 // came back from an older copy.
 TEST_F(topic_follower_test, applies_changes_with_offsets_that_are_given_out_again)
