Repeat a read of the store as soon as it answers another call again

What callers saw: requests handled by a configuration that had been replaced more than 2 s before. Cause: a read that is sent while the store is away is never answered, and the follower waited for it: 1.2 s of long poll, 0.9 s of timeout, up to 0.6 s of backoff, while its other calls were answered (event 307, topic keyed.op, waited_ms=2100, failures=4 at 13.008 s; keyed.servers answered from 11.88 s). Class: a wait that ends by its own clock only, although another observation of the same peer shows that it is in vain.

store_client tells when a call succeeds after a failed one; followers then send a read in flight, or one in backoff, anew.

--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -116,6 +116,7 @@
                 "keyed.test", poll_timeout, {}, [this] { return reads_store; }, max_update_age},
             callbacks);
         store->on_restored([this](std::uint64_t) { follower->store_restored(); });
+        store->on_answers_again([this] { follower->store_answers_again(); });
         follower->start();
     }
 
