Find the engines that hold a prompt's parts once a request, not once an engine

What callers saw: at 103 instances engines worked on for callers that had left (GONE), and changes came late.

Cause: placement asked for each engine which other engine has most of the prompt's parts, looked at all holders of the first part for that, and searched the holders of each part for each of them: the cube of the engines for a part that all engines have. Class: work per request that grows faster than the deployment. Now the holders are found once for each weight version.

--- a/libraries/savorymount/routing/engine_placement.cpp
+++ b/libraries/savorymount/routing/engine_placement.cpp
@@ -54,6 +54,17 @@
     std::string source_address;
 };
 
+/// What is known of the prompt's parts under one weight version; the same for all its engines.
+struct version_prefix
+{
+    std::uint64_t version = 0;
+    std::string salt;
+    std::vector<std::uint64_t> digests;
+    prefix_holders holders;
+    /// Number of leading parts that are in the cache store.
+    std::size_t stored_parts = 0;
+};
+
 struct placement_input
 {
     base::time_point now;
@@ -81,23 +92,43 @@
     return out;
 }
 
-prefill_plan plan_prefill(placement_input const& in, engine_choice const& choice)
+version_prefix find_version_prefix(placement_input const& in, std::uint64_t version)
+{
+    version_prefix out;
+    out.version = version;
+    out.salt = cache_salt(in.request.prompt.model, version, in.request.isolated_workspace);
+    out.digests = part_digests(out.salt, in.request.prompt.parts);
+    out.holders = in.locations.find_prefix_holders(in.now, out.digests);
+    out.stored_parts = in.pool.store_address.empty() ? 0 : stored_prefix_length(in, out.salt);
+    return out;
+}
+
+/// The entry of a version, which is added if it is missing. There are few versions at a time.
+version_prefix const& prefix_of(placement_input const& in, std::vector<version_prefix>& known,
+                                std::uint64_t version)
+{
+    auto const it =
+        std::find_if(known.begin(), known.end(),
+                     [version](auto const& candidate) { return candidate.version == version; });
+    return it == known.end() ? known.emplace_back(find_version_prefix(in, version)) : *it;
+}
+
+prefill_plan plan_prefill(placement_input const& in, version_prefix const& prefix,
+                          std::string const& upstream)
 {
     auto const& parts = in.request.prompt.parts;
     prefill_plan out;
-    auto const engine_parts =
-        in.locations.cached_prefix_length(in.now, choice.digests, choice.upstream);
-    auto const stored_parts =
-        in.pool.store_address.empty() ? std::size_t{0} : stored_prefix_length(in, choice.salt);
-    auto const peer = in.locations.longest_prefix_holder(in.now, choice.digests, choice.upstream);
-    auto const* const engine = peer ? in.table.find(peer->engine) : nullptr;
+    auto const engine_parts = prefix.holders.cached_parts(upstream);
+    auto const stored_parts = prefix.stored_parts;
+    auto const* const peer = prefix.holders.longest(upstream);
+    auto const* const engine = peer != nullptr ? in.table.find(peer->engine) : nullptr;
     bool const peer_available = engine != nullptr && in.now >= engine->backoff_until;
     auto const peer_parts = peer_available ? peer->cached_parts : std::size_t{0};
     auto const available_parts = std::max({engine_parts, stored_parts, peer_parts});
     // Another engine is preferred as source: its link is faster than that of the store, which all
     // engines share. The engine fetches only parts that it has not cached, so a source also helps
     // with parts that were evicted without this instance knowing.
-    bool const probably_evicted = peer && peer->unused_for > unused_part_retention;
+    bool const probably_evicted = peer != nullptr && peer->unused_for > unused_part_retention;
     bool const prefer_store = stored_parts > 0 && stored_parts >= peer_parts && probably_evicted;
     if (peer_parts > 0 && peer_parts >= stored_parts && !prefer_store)
         out.source_address = engine->record.address;
@@ -185,6 +216,7 @@
     if (engines.empty() || prompt.parts.empty())
         return std::nullopt;
     auto const preferred_engine = preferred_engine_of(now, engines, request);
+    std::vector<version_prefix> prefixes;
     std::optional<engine_choice> best;
     double best_cost = 0;
     for (auto const* engine : engines)
@@ -192,9 +224,8 @@
         engine_choice choice;
         choice.upstream = engine->record.id;
         choice.version = engine->weight_version(prompt.model);
-        choice.salt = cache_salt(prompt.model, choice.version, request.isolated_workspace);
-        choice.digests = part_digests(choice.salt, prompt.parts);
-        auto const plan = plan_prefill(in, choice);
+        auto const& prefix = prefix_of(in, prefixes, choice.version);
+        auto const plan = plan_prefill(in, prefix, choice.upstream);
         choice.source_address = plan.source_address;
         choice.write_to_store = !pool.store_address.empty() && plan.uncached_shared_tokens > 0;
         choice.size = {plan.prefill_tokens, prompt.charged_tokens()};
@@ -225,6 +256,11 @@
             best_cost = cost;
         }
     }
+    if (!best)
+        return std::nullopt;
+    auto const& prefix = prefix_of(in, prefixes, best->version);
+    best->salt = prefix.salt;
+    best->digests = prefix.digests;
     return best;
 }
 
--- a/libraries/savorymount/routing/part_locations.cpp
+++ b/libraries/savorymount/routing/part_locations.cpp
@@ -2,6 +2,8 @@
 #include <savorymount/routing/part_locations.hpp>
 
 #include <algorithm>
+#include <string_view>
+#include <utility>
 
 namespace savorymount::routing
 {
@@ -72,24 +74,32 @@
     return n;
 }
 
-std::optional<prefix_holder>
-part_locations::longest_prefix_holder(base::time_point now,
-                                      std::vector<std::uint64_t> const& digests,
-                                      std::string const& excluded_engine) const
+prefix_holders part_locations::find_prefix_holders(base::time_point now,
+                                                   std::vector<std::uint64_t> const& digests) const
 {
-    std::optional<prefix_holder> best;
-    auto const first = digests.empty() ? assignments_.end() : assignments_.find(digests[0]);
-    if (first == assignments_.end())
-        return best;
-    for (auto const& it : first->second)
+    std::vector<prefix_holder> out;
+    std::unordered_map<std::string_view, std::size_t> position_of;
+    for (std::size_t n = 0; n < digests.size(); ++n)
     {
-        if (it.engine == excluded_engine)
-            continue;
-        auto const prefix_length = cached_prefix_length(now, digests, it.engine);
-        if (prefix_length > 0 && (!best || prefix_length >= best->cached_parts))
-            best = prefix_holder{it.engine, prefix_length, now - it.assigned_at};
+        auto const found = assignments_.find(digests[n]);
+        if (found == assignments_.end())
+            break;
+        for (auto const& it : found->second)
+        {
+            if (!is_valid(now, it))
+                continue;
+            if (n == 0)
+            {
+                position_of.emplace(it.engine, out.size());
+                out.push_back({it.engine, 1, now - it.assigned_at});
+                continue;
+            }
+            auto const known = position_of.find(it.engine);
+            if (known != position_of.end() && out[known->second].cached_parts == n)
+                ++out[known->second].cached_parts;
+        }
     }
-    return best;
+    return prefix_holders(std::move(out));
 }
 
 void part_locations::record_stored(std::string const& salt, std::string const& part)
--- a/libraries/savorymount/routing/part_locations.hpp
+++ b/libraries/savorymount/routing/part_locations.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <savorymount/base/time.hpp>
+#include <savorymount/routing/prefix_holders.hpp>
 #include <savorymount/routing/prompt_parts.hpp>
 
 #include <cstdint>
 #include <deque>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -19,17 +19,6 @@
 std::vector<std::uint64_t> part_digests(std::string const& salt,
                                         std::vector<prompt_part> const& parts);
 
-/// An engine and the number of leading parts of a prompt that it probably has cached.
-struct prefix_holder
-{
-    std::string engine;
-    std::size_t cached_parts = 0;
-    /// Time since the last known use of the first of these parts by the engine.
-    base::duration unused_for{};
-
-    bool operator==(prefix_holder const&) const = default;
-};
-
 /// Tracks which engines probably have which parts of prompts cached, and which parts are in the
 /// cache store, as far as this instance knows.
 class part_locations
@@ -44,11 +33,9 @@
                                      std::vector<std::uint64_t> const& digests,
                                      std::string const& engine) const;
 
-    /// The engine other than `excluded_engine` that probably has the most leading digests cached;
-    /// among equals, one of the most recently used. Empty when none has the first digest.
-    std::optional<prefix_holder> longest_prefix_holder(base::time_point now,
-                                                       std::vector<std::uint64_t> const& digests,
-                                                       std::string const& excluded_engine) const;
+    /// The engines that probably have leading digests cached.
+    prefix_holders find_prefix_holders(base::time_point now,
+                                       std::vector<std::uint64_t> const& digests) const;
 
     /// Treats everything cached on the engine as lost.
     void invalidate_engine(std::string const& engine) { engine_epochs_[engine] += 1; }
--- a/utilities/slopes/main.cpp
+++ b/utilities/slopes/main.cpp
@@ -7,6 +7,7 @@
 #include <savorymount/membership/peer_subset.hpp>
 #include <savorymount/queueing/fair_queue.hpp>
 #include <savorymount/routing/engine_cache_index.hpp>
+#include <savorymount/routing/engine_placement.hpp>
 #include <savorymount/routing/router.hpp>
 #include <savorymount/wire/savorymount.capnp.h>
 
@@ -158,6 +159,38 @@
 }
 BENCHMARK(route)->Arg(120)->Arg(1200)->Arg(12000)->Complexity(benchmark::oLogN);
 
+/// The choice of an engine for a prompt that begins with a part that all engines have, by the
+/// number of engines.
+void choose_engine(benchmark::State& state)
+{
+    routing::upstream_table table;
+    routing::part_locations locations;
+    orders::desired_weights desired;
+    desired.add_version("model", 1, at(0));
+    routing::prompt_description prompt;
+    prompt.model = "model";
+    prompt.parts = {{"rules", 2520}, {"session", 3780}, {"request", 2890}};
+    auto const digests = routing::part_digests(routing::cache_salt("model", 1, ""), prompt.parts);
+    for (std::int64_t i = 0; i < state.range(0); ++i)
+    {
+        membership::upstream_record record;
+        record.id = "engine-" + std::to_string(i);
+        record.service = "engines";
+        record.slots = 24;
+        record.weights["model"] = 1;
+        locations.record_assignment(at(1), digests[0], record.id);
+        table.apply_listing(at(1), std::move(record));
+    }
+    routing::engine_pool_config pool;
+    pool.service = "engines";
+    routing::engine_request const request{prompt, {}, {}};
+    for (auto _ : state)
+        benchmark::DoNotOptimize(
+            routing::choose_engine(at(2), pool, request, table, locations, desired));
+    state.SetComplexityN(state.range(0));
+}
+BENCHMARK(choose_engine)->Arg(18)->Arg(180)->Arg(720)->Complexity(benchmark::oN);
+
 /// Queueing and taking one request, by the number of waiting requests.
 void queue_request(benchmark::State& state)
 {
