Decode software versions of upstreams and the stream that a request takes up, and log both

No line shows the software version of an upstream or which stream a request takes up, so the hypotheses can't be told apart. The list's entries have to name the version; an entry without it names no upstream, as the users' pages say of missing fields, so the stand-ins write it. Request lines show software and resumes. Nothing decides by them yet.

--- a/libraries/savorymount/gateway/caller_request.hpp
+++ b/libraries/savorymount/gateway/caller_request.hpp
@@ -28,6 +28,8 @@
     std::optional<routing::prompt_description> prompt;
     /// Id of the last stream event that the caller received.
     std::optional<std::uint64_t> last_event_id;
+    /// Id of the request that brought the first event of the stream that this one takes up.
+    std::optional<std::string> resumes;
     /// Header fields that go to the upstream unchanged.
     runtime::http_headers forwarded_headers;
 
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -109,6 +109,7 @@
 void gateway_request::start_attempt(placed_request placed)
 {
     outcome_.upstream = placed.upstream.id;
+    outcome_.software_version = placed.upstream.software_version;
     outcome_.expected_wait = placed.expected_wait;
     outcome_.upstream_requests = placed.upstream_requests;
     outcome_.prompt_tokens = caller_request_.prompt ? caller_request_.prompt->prompt_tokens : 0;
@@ -440,6 +441,7 @@
     if (admitted_ && result != request_end::refused)
         outcome_.requested_tokens = admitted_->charged_tokens;
     outcome_.id = caller_request_.id;
+    outcome_.resumes = caller_request_.resumes.value_or("");
     outcome_.end = result;
     outcome_.status = status;
     outcome_.reason = reason;
--- a/libraries/savorymount/gateway/request_log.cpp
+++ b/libraries/savorymount/gateway/request_log.cpp
@@ -79,6 +79,8 @@
                     {"attempts", it.attempts},
                     {"configuration", it.configuration_version},
                     {"weights", it.weight_version},
+                    {"software", it.software_version},
+                    {"resumes", it.resumes},
                     {"weights_superseded_ms", base::to_milliseconds(it.weights_superseded_for)},
                     {"store_age_ms", base::to_milliseconds(it.store_age)},
                     {"expected_ms", base::to_milliseconds(it.expected_wait)},
--- a/libraries/savorymount/gateway/request_outcome.hpp
+++ b/libraries/savorymount/gateway/request_outcome.hpp
@@ -72,6 +72,9 @@
     std::vector<std::string> shared_parts;
     std::uint64_t configuration_version = 0;
     std::uint64_t weight_version = 0;
+    /// Software version of the upstream, and the request whose stream this one takes up.
+    std::string software_version;
+    std::string resumes;
     /// How long that version had been superseded when the upstream was chosen, as far as this
     /// instance knew.
     base::duration weights_superseded_for{};
--- a/libraries/savorymount/membership/upstream_record.hpp
+++ b/libraries/savorymount/membership/upstream_record.hpp
@@ -18,6 +18,8 @@
     /// `IP:port`.
     std::string address;
     std::string data_centre;
+    /// Version of the program, not of its weights. What two versions write can't be joined.
+    std::string software_version;
     /// Number of requests that it runs concurrently.
     std::uint32_t slots = 1;
     /// The upstream is shutting down and accepts no new requests.
--- a/tests/platform/decoder_fuzz_test.cpp
+++ b/tests/platform/decoder_fuzz_test.cpp
@@ -99,13 +99,14 @@
 // Guards against an entry of another writer, or a damaged one, that ends the process.
 TEST(decoder_fuzz, upstream_entries_and_store_records)
 {
-    fuzz({R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready",)"
-          R"("born":12345,"models":[{"name":"m","version":3}],"sequence":7})"},
-         [](std::string const& text)
-         {
-             base::error reason;
-             platform::decode_upstream("id", text, reason);
-         });
+    fuzz(
+        {R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"ready",)"
+         R"("born":12345,"models":[{"name":"m","version":3}],"sequence":7})"},
+        [](std::string const& text)
+        {
+            base::error reason;
+            platform::decode_upstream("id", text, reason);
+        });
     auto const header = std::string(16, '\0');
     fuzz({header + platform::serialize_record("key", "value") +
           platform::serialize_record("gone", "")},
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -95,6 +95,7 @@
     EXPECT_EQ(it->id, "i-7f3a");
     EXPECT_EQ(it->address, "10.128.0.9:8080");
     EXPECT_EQ(it->slots, 48U);
+    EXPECT_EQ(it->software_version, "v1");
     EXPECT_EQ(it->weights.at("daka"), 3U);
     EXPECT_EQ(it->started_unix_ms, 1780000000000);
     EXPECT_FALSE(it->draining);
@@ -111,6 +112,8 @@
                                                           {"\"slots\":48", "\"slots\":-1"},
                                                           {"10.128.0.9:8080", "hostname:80"},
                                                           {"\"service\":\"huvo11a\",", ""},
+                                                          {",\"version\":\"v1\"", ""},
+                                                          {"\"version\":\"v1\"", "\"version\":1"},
                                                           {"{\"service\"", "\xff{\"service\""}})
     {
         auto text = valid_text;
--- a/tests/platform/request_harness.hpp
+++ b/tests/platform/request_harness.hpp
@@ -33,7 +33,8 @@
     }
 
     void add_upstream(std::string const& id, std::string const& service,
-                      runtime::network_address const& address)
+                      runtime::network_address const& address,
+                      std::string const& software_version = "v1")
     {
         membership::upstream_record record;
         record.id = id;
@@ -41,6 +42,7 @@
         record.address = to_string(address);
         record.data_centre = "dc";
         record.slots = 100;
+        record.software_version = software_version;
         cluster.upstream_listed(timers.now(), std::move(record));
     }
 
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -141,6 +141,7 @@
     json const entry{{"service", it.engine ? "pool" : "desk"},
                      {"address", to_string(local(it.link.port))},
                      {"zone", "liege"},
+                     {"version", "v1"},
                      {"slots", 8},
                      {"state", state},
                      {"models", models},
--- a/tests/stand_ins/users_platform/main.cpp
+++ b/tests/stand_ins/users_platform/main.cpp
@@ -138,6 +138,7 @@
         json const entry{{"service", it.model_engine() ? "pool" : "desk"},
                          {"address", "127.0.0.1:" + std::to_string(it.port())},
                          {"zone", "liege"},
+                         {"version", "v1"},
                          {"slots", 8},
                          {"state", upstream_state},
                          {"models", models},
