--- /dev/null
+++ b/tests/platform/software_version_test.cpp
@@ -0,0 +1,119 @@
+#include <gtest/gtest.h>
+
+#include <tests/libraries/runtime/scripted_server.hpp>
+#include <tests/platform/request_harness.hpp>
+
+namespace savorymount::tests
+{
+namespace
+{
+
+using afterwards = scripted_server::afterwards;
+
+std::string events(int first, int last)
+{
+    std::string out;
+    for (int i = first; i <= last; ++i)
+        out += "id: " + std::to_string(i) + "\ndata: token\n\n";
+    return out;
+}
+
+std::string stream_head(std::string const& id, std::size_t length)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: " + id +
+           "\r\nX-Response-Stamp: s\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+
+std::string whole_stream(std::string const& id, int first, int last)
+{
+    auto const body = events(first, last);
+    return stream_head(id, body.size()) + body;
+}
+
+std::string broken_stream(std::string const& id, int last)
+{
+    return stream_head(id, 100'000) + events(1, last);
+}
+
+std::string take_up(std::string const& id, std::string const& resumes)
+{
+    return "POST /stream/ask HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
+           "\r\nLast-Event-Id: 2\r\nResumes: " + resumes + "\r\nContent-Length: 2\r\n\r\n{}";
+}
+
+// Guards against an answer whose text is joined from two software versions, since the stream that
+// broke off went on at an engine of another one.
+TEST(software_version, a_stream_that_breaks_off_does_not_go_on_at_another_version)
+{
+    request_harness system;
+    scripted_server broken(system.loop, {broken_stream("r", 2)}, afterwards::reset);
+    scripted_server other(system.loop, {whole_stream("r", 3, 4)}, afterwards::keep);
+    system.add_upstream("broken", "engines", broken.address(), "v1");
+    auto const caller = system.send("/stream/ask", "r");
+    system.run_until([&] { return broken.connections() > 0; });
+    system.add_upstream("other", "engines", other.address(), "v2");
+    system.run_until_ended(1);
+    EXPECT_EQ(system.outcomes[0].end, gateway::request_end::failed);
+    EXPECT_EQ(other.requests(), 0U);
+}
+
+// Guards against a stream that ends early although an engine of its software version serves.
+TEST(software_version, a_stream_that_breaks_off_goes_on_at_its_version)
+{
+    request_harness system;
+    scripted_server broken(system.loop, {broken_stream("r", 2)}, afterwards::reset);
+    scripted_server other(system.loop, {whole_stream("r", 3, 4)}, afterwards::keep);
+    scripted_server same(system.loop, {whole_stream("r", 3, 4)}, afterwards::keep);
+    system.add_upstream("broken", "engines", broken.address(), "v1");
+    auto const caller = system.send("/stream/ask", "r");
+    system.run_until([&] { return broken.connections() > 0; });
+    system.add_upstream("other", "engines", other.address(), "v2");
+    system.add_upstream("same", "engines", same.address(), "v1");
+    system.run_until_ended(1);
+    EXPECT_EQ(system.outcomes[0].end, gateway::request_end::answered);
+    EXPECT_EQ(same.requests(), 1U);
+    EXPECT_EQ(other.requests(), 0U);
+}
+
+// Guards against text that is joined from two software versions when a caller takes a stream up.
+TEST(software_version, a_stream_that_its_caller_takes_up_goes_on_at_its_version)
+{
+    for (std::string const version : {"v1", "v2"})
+    {
+        request_harness system;
+        scripted_server first(system.loop, {whole_stream("begun", 1, 4)}, afterwards::keep);
+        system.add_upstream("first", "engines", first.address(), version);
+        auto const caller = system.send("/stream/ask", "begun");
+        system.run_until_ended(1);
+        system.cluster.upstream_unlisted(system.timers.now(), "first");
+        scripted_server one(system.loop, {whole_stream("again", 3, 4)}, afterwards::keep);
+        scripted_server two(system.loop, {whole_stream("again", 3, 4)}, afterwards::keep);
+        system.add_upstream("one", "engines", one.address(), "v1");
+        system.add_upstream("two", "engines", two.address(), "v2");
+        auto const again = system.connect();
+        again->send(take_up("again", "begun"));
+        system.run_until_ended(2);
+        EXPECT_EQ(system.outcomes[1].end, gateway::request_end::answered);
+        EXPECT_EQ(system.outcomes[1].software_version, version);
+    }
+}
+
+// Guards against text that is joined from two software versions because nobody knows which one
+// began the stream, as after all instances were killed.
+TEST(software_version, a_stream_of_an_unknown_version_is_refused)
+{
+    request_harness system;
+    scripted_server one(system.loop, {whole_stream("again", 3, 4)}, afterwards::keep);
+    scripted_server two(system.loop, {whole_stream("again", 3, 4)}, afterwards::keep);
+    system.add_upstream("one", "engines", one.address(), "v1");
+    system.add_upstream("two", "engines", two.address(), "v2");
+    auto const caller = system.connect();
+    caller->send(take_up("again", "begun"));
+    system.run_until_ended(1);
+    EXPECT_EQ(system.outcomes[0].end, gateway::request_end::refused);
+    EXPECT_EQ(system.outcomes[0].status, 503);
+    EXPECT_EQ(one.requests() + two.requests(), 0U);
+}
+
+} // namespace
+} // namespace savorymount::tests
