--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t max_reported_losses = 20;
 constexpr std::size_t max_reported_sound_parts = 40;
 constexpr std::size_t max_reported_limits = 40;
+constexpr std::size_t max_reported_streams = 100;
 // The process runs at least every 50 ms unless it or its machine was suspended.
 constexpr base::duration max_time_between_runs = 1s;
 constexpr double initial_fill_after_restart = 0.3;
@@ -42,11 +43,26 @@
 // Lower bound for the number of instances that share the retry slack, used until all are known.
 constexpr std::size_t min_instances = 4;
 
+constexpr base::duration version_observation_interval = 1s;
+constexpr base::duration stream_lifetime_margin = 1s;
+
 std::chrono::milliseconds to_ms(base::duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time);
 }
 
+/// How long a caller may take a stream up: its own time limit may be longer than the route's.
+base::duration stream_lifetime(configuration::deployment const& data)
+{
+    base::duration longest_timeout{};
+    for (auto const& it : data.routes)
+    {
+        if (it.resumable)
+            longest_timeout = std::max(longest_timeout, it.timeout);
+    }
+    return 2 * longest_timeout + version_observation_interval + stream_lifetime_margin;
+}
+
 limits::rate_limit rate_limit_of(configuration::workspace_account const& account,
                                  gateway_settings const& settings)
 {
@@ -61,7 +77,7 @@
       peer_table_(settings.instance, {.local_data_centre = settings.data_centre,
                                       .local_relay_weight = settings.relay_weight}),
       quarantine_(retries::crash_quarantine_options{.quarantine_duration = crash_quarantine_time}),
-      upstream_limits_(settings.instance)
+      upstream_limits_(settings.instance), stream_origins_(now)
 {
 }
 
@@ -78,6 +94,7 @@
         if (!added)
             bucket->second.set_limit(now, limit);
     }
+    stream_origins_.set_lifetime(stream_lifetime(data));
     deployment_ = std::make_shared<configuration::deployment_index>(std::move(data));
     return true;
 }
@@ -95,6 +112,7 @@
 {
     auto const id = record.id;
     auto const process = membership::process_name(record);
+    stream_origins_.version_seen(now, record.service, record.software_version);
     if (upstreams_.apply_listing(now, std::move(record)))
         part_locations_.invalidate_engine(id);
     apply_limit(process);
@@ -332,6 +350,7 @@
     for (auto const& [workspace, bucket] : buckets_)
         out.admitted_tokens[workspace] = bucket.admitted_total();
     out.upstream_use = upstreams_.local_use();
+    out.streams = stream_origins_.take_unreported(now, max_reported_streams);
     out.assigned_prefixes = std::exchange(unreported_prefills_, {});
     return out;
 }
@@ -369,11 +388,22 @@
     return catches_up ? paused_at_ : now;
 }
 
+void cluster_state::observe_versions(base::time_point now)
+{
+    if (now - versions_observed_at_ < version_observation_interval)
+        return;
+    versions_observed_at_ = now;
+    for (auto const& [id, state] : upstreams_.all())
+        stream_origins_.version_seen(now, state.record.service, state.record.software_version);
+    stream_origins_.expire(now);
+}
+
 void cluster_state::tick(base::time_point now)
 {
     observe_time(now);
     peer_table_.remove_expired(now);
     upstreams_.expire(now);
+    observe_versions(now);
     update_limit_shares(now);
     auto const instances = peer_table_.instance_count();
     auto const silent = peer_table_.silent_count(now);
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -13,6 +13,7 @@
 #include <savorymount/retries/retry_quota.hpp>
 #include <savorymount/routing/part_locations.hpp>
 #include <savorymount/routing/upstream_table.hpp>
+#include <savorymount/streams/stream_origins.hpp>
 
 #include <deque>
 #include <functional>
@@ -59,6 +60,7 @@
     membership::peer_table& peer_table() { return peer_table_; }
     retries::crash_quarantine& quarantine() { return quarantine_; }
     retries::crash_attribution& crash_attribution() { return crash_attribution_; }
+    streams::stream_origins& stream_origins() { return stream_origins_; }
     limits::upstream_limits& upstream_limits() { return upstream_limits_; }
     /// An upstream responded to a request that was sent at `sent_at`; `limit` is empty if the
     /// response names none.
@@ -152,6 +154,8 @@
     bool lags_behind_others() const;
     /// Whether the upstream's current entry in the list belongs to the process.
     bool is_listed(std::string const& process) const;
+    /// Notes the software versions of all upstreams in the list.
+    void observe_versions(base::time_point now);
     /// Lets placement know when the upstream's process takes the next request of this instance.
     void apply_limit(std::string const& process);
     void update_limit_shares(base::time_point now);
@@ -168,6 +172,8 @@
     retries::crash_quarantine quarantine_;
     retries::crash_attribution crash_attribution_;
     limits::upstream_limits upstream_limits_;
+    streams::stream_origins stream_origins_;
+    base::time_point versions_observed_at_{};
     bool members_known_ = false;
     /// The state of the peer table from which the shares of limits follow.
     std::optional<std::uint64_t> limit_shares_of_;
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -84,17 +84,19 @@
       random_(std::hash<std::string>()(settings.instance + settings.incarnation)),
       cluster_(settings, timers_.now()), metrics_(cluster_),
       request_log_(settings.log_lines_per_second),
-      pool_(*loop_, timers_, connection_options(settings)),
-      responses_(settings.responses), context_{timers_,
-                                               pool_,
-                                               cluster_,
-                                               platform_,
-                                               random_,
-                                               responses_,
-                                               [this](request_outcome const& it)
-                                               {
-                                                   request_ended(it);
-                                               }},
+      pool_(*loop_, timers_, connection_options(settings)), responses_(settings.responses),
+      streams_(timers_, cluster_, platform_, [this] { return peer_exchange_.reads_store(); }),
+      context_{timers_,
+               pool_,
+               cluster_,
+               platform_,
+               random_,
+               responses_,
+               streams_,
+               [this](request_outcome const& it)
+               {
+                   request_ended(it);
+               }},
       server_(*loop_, timers_,
               [this](auto client, runtime::http_request&& request)
               { handle_request(std::move(client), std::move(request)); }),
@@ -121,11 +123,11 @@
                        {
                            metrics_.leadership_changed(is_leader);
                        }}),
-      loop_delay_monitor_(timers_,
-                          [](base::duration delay) {
-                              runtime::log(events::event_loop_late,
-                                           {{"late_ms", base::to_milliseconds(delay)}});
-                          }),
+      loop_delay_monitor_(
+          timers_,
+          [](base::duration delay) {
+              runtime::log(events::event_loop_late, {{"late_ms", base::to_milliseconds(delay)}});
+          }),
       settings_file_(settings_file_path())
 {
 }
@@ -153,6 +155,7 @@
     watch_settings_file();
     follow_platform();
     announce_instance();
+    streams_.start();
     rollout_leader_.start();
     runtime::log(events::started,
                  {{"instance", settings.instance},
--- a/libraries/savorymount/gateway/gateway.hpp
+++ b/libraries/savorymount/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include <savorymount/gateway/request_log.hpp>
 #include <savorymount/gateway/rollout_leader.hpp>
 #include <savorymount/gateway/settings_reload.hpp>
+#include <savorymount/gateway/stream_directory.hpp>
 #include <savorymount/runtime/event_loop.hpp>
 #include <savorymount/runtime/http_server.hpp>
 #include <savorymount/runtime/inbound_server.hpp>
@@ -73,6 +74,7 @@
     request_log request_log_;
     runtime::outbound_pool pool_;
     response_memory responses_;
+    stream_directory streams_;
     gateway_context context_;
     runtime::inbound_server server_;
     runtime::http_server ready_server_;
--- a/libraries/savorymount/gateway/gateway_context.hpp
+++ b/libraries/savorymount/gateway/gateway_context.hpp
@@ -5,6 +5,7 @@
 #include <savorymount/gateway/platform_adapter.hpp>
 #include <savorymount/gateway/request_outcome.hpp>
 #include <savorymount/gateway/response_memory.hpp>
+#include <savorymount/gateway/stream_directory.hpp>
 #include <savorymount/runtime/outbound_pool.hpp>
 #include <savorymount/runtime/timer_service.hpp>
 
@@ -22,6 +23,7 @@
     platform_adapter& platform;
     base::random_source& random;
     response_memory& responses;
+    stream_directory& streams;
     /// Called once at the end of each request.
     std::function<void(request_outcome const&)> request_ended;
     /// The process exits now and cuts off the requests that still run.
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -14,6 +14,8 @@
 // The upstream stops at the deadline it was given; the gateway waits this much longer.
 constexpr base::duration timeout_margin = 60ms;
 constexpr base::duration overload_retry_delay = 120ms;
+// The store may answer again by then, and show which software version began a stream.
+constexpr base::duration unread_store_retry_delay = 500ms;
 // Another instance may use a limited upstream sooner than this one.
 constexpr base::duration max_limit_retry_delay = 1s;
 // A repeatable request is retried if no response starts within this ratio of its timeout.
@@ -72,9 +74,63 @@
     context_.cluster.retry_quota(service_).record_request(arrived_at_);
     timeout_timer_ = context_.timers.after(admitted_->timeout + timeout_margin,
                                            [self = shared_from_this()] { self->handle_timeout(); });
+    if (takes_up_stream())
+        find_stream_origin();
+    else
+        dispatch();
+}
+
+bool gateway_request::takes_up_stream() const
+{
+    bool const is_stream = admitted_->route->kind == configuration::repeat_rule::streaming;
+    return is_stream && admitted_->route->resumable && last_event_id_.has_value();
+}
+
+void gateway_request::find_stream_origin()
+{
+    context_.streams.find(caller_request_.resumes.value_or(""), service_,
+                          [self = shared_from_this()](stream_lookup const& found)
+                          { self->handle_stream_origin(found); });
+}
+
+void gateway_request::handle_stream_origin(stream_lookup const& found)
+{
+    if (finished_)
+        return;
+    auto const& shares = admitted_->route->shares;
+    bool const is_allowed =
+        found.origin &&
+        std::any_of(shares.begin(), shares.end(),
+                    [&](auto const& it) { return it.service == found.origin->service; });
+    if (!is_allowed)
+    {
+        // Text of two versions does not fit together, and the caller could not tell.
+        auto const retry_after =
+            found.store_failed ? std::optional(unread_store_retry_delay) : std::nullopt;
+        refuse({{base::error_kind::unavailable,
+                 "it is not known which software version began the stream; send the request "
+                 "without Last-Event-Id to begin anew"},
+                retry_after,
+                0,
+                0});
+        return;
+    }
+    service_ = found.origin->service;
+    constraints_.software_version = found.origin->software_version;
     dispatch();
 }
 
+void gateway_request::record_stream_origin()
+{
+    if (constraints_.software_version)
+        return;
+    auto const& version = attempt_->placement().upstream.software_version;
+    constraints_.software_version = version;
+    if (admitted_->route->resumable)
+        context_.cluster.stream_origins().stream_began(context_.timers.now(), caller_request_.id,
+                                                       service_, version);
+}
+
 bool gateway_request::give_up_after_crashes()
 {
     auto const found =
@@ -94,7 +150,7 @@
         return;
     auto const now = context_.timers.now();
     auto placed = place_request(now, context_.cluster, context_.random, *admitted_, caller_request_,
-                                service_, tried_upstreams_);
+                                service_, constraints_);
     if (!placed)
     {
         give_up("no upstream is available for the request");
@@ -150,6 +206,7 @@
     if (!streaming_)
     {
         streaming_ = true;
+        record_stream_origin();
         outcome_.time_to_first_byte = elapsed();
         client_->start(attempt_->head().status,
                        context_.platform.response_headers(attempt_->head()));
@@ -338,7 +395,7 @@
     }
     if (failure != attempt_failure::not_sent)
         context_.cluster.retry_quota(service_).try_spend(context_.timers.now());
-    tried_upstreams_.insert(upstream);
+    constraints_.tried_upstreams.insert(upstream);
     outcome_.failed_attempts.push_back({upstream, reason, elapsed()});
     dispatch();
 }
@@ -351,6 +408,22 @@
         deliver_response(*failure_response_head_, failure_response_body_);
     else if (may_have_run_)
         fail(status_bad_gateway, reason);
+    else
+        refuse_for_now(reason);
+}
+
+void gateway_request::refuse_for_now(std::string const& reason)
+{
+    auto const& version = constraints_.software_version;
+    bool const has_left =
+        version && !context_.cluster.upstreams().serves_version(service_, *version);
+    if (has_left)
+        refuse({{base::error_kind::unavailable,
+                 "no upstream has the software version that began the stream; send the request "
+                 "without Last-Event-Id to begin anew"},
+                std::nullopt,
+                0,
+                0});
     else
         refuse({{base::error_kind::overloaded, reason}, overload_retry_time(), 0, 0});
 }
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -27,6 +27,13 @@
     void start();
 
 private:
+    /// Whether the request takes up a stream that another one began.
+    bool takes_up_stream() const;
+    /// Finds the software version that began the stream, and dispatches the request to it.
+    void find_stream_origin();
+    void handle_stream_origin(stream_lookup const& found);
+    /// Notes the software version that begins the stream.
+    void record_stream_origin();
     void dispatch();
     void start_attempt(placed_request placed);
     /// Records the weight version of an attempt for the log.
@@ -51,9 +58,11 @@
     /// Retries on another upstream if that is allowed, and gives up otherwise.
     void retry_or_give_up(attempt_failure failure, std::string const& reason);
     void give_up(std::string const& reason);
-    /// Closes the connection of a caller that has received part of a stream.
+    /// Refuses a request that no upstream can take, and tells when to send it again.
+    void refuse_for_now(std::string const& reason);
     /// When a caller whose request no upstream can take should send it again.
     base::duration overload_retry_time() const;
+    /// Closes the connection of a caller that has received part of a stream.
     void abort_stream(std::string const& reason);
     void deliver_response(runtime::http_head const& head, std::string const& body);
     void apply_backpressure();
@@ -76,7 +85,7 @@
     base::time_point arrived_at_;
     base::time_point stall_timer_started_at_{};
     std::shared_ptr<upstream_attempt> attempt_;
-    std::set<std::string> tried_upstreams_;
+    upstream_constraints constraints_;
     std::uint32_t attempts_sent_ = 0;
     std::uint32_t attempts_not_sent_ = 0;
     bool may_have_run_ = false;
--- a/libraries/savorymount/gateway/peer_exchange.cpp
+++ b/libraries/savorymount/gateway/peer_exchange.cpp
@@ -188,6 +188,9 @@
             note_leader(now, it);
     }
     bool const is_local = report->data_centre == cluster_.settings().data_centre;
+    // The relay records what the others of its data centre tell.
+    for (auto const& it : report->streams)
+        cluster_.stream_origins().add(now, it, routes_.local_is_relay && is_local);
     if (is_local)
     {
         for (auto const& it : report->store_updates)
--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -104,6 +104,13 @@
                    to.setEnded(!it.notice.limit);
                    to.setAgeMilliseconds(clamp_to_uint32(it.age.count()));
                });
+    write_list(out.initStreams(count(report.streams)), report.streams,
+               [](wire::StreamOrigin::Builder to, streams::stream_origin const& it)
+               {
+                   to.setStream(it.stream);
+                   to.setService(it.service);
+                   to.setSoftwareVersion(it.software_version);
+               });
     write_list(out.initReads(count(report.assigned_prefixes)), report.assigned_prefixes,
                [](wire::EngineReads::Builder to, auto const& it)
                {
@@ -208,6 +215,9 @@
             {it.getPart(), std::chrono::milliseconds(it.getAgeMilliseconds())});
     for (auto const it : in.getLimits())
         out.limits.push_back(read_limit(it));
+    for (auto const it : in.getStreams())
+        out.streams.push_back(
+            {it.getStream(), it.getService().cStr(), it.getSoftwareVersion().cStr()});
     for (auto const it : in.getReads())
     {
         auto& digests = out.assigned_prefixes[it.getUpstream().cStr()];
--- a/libraries/savorymount/gateway/placement.cpp
+++ b/libraries/savorymount/gateway/placement.cpp
@@ -35,7 +35,7 @@
                                            admitted_request const& admitted,
                                            caller_request const& request,
                                            configuration::service_description const& service,
-                                           std::set<std::string> const& tried_upstreams)
+                                           upstream_constraints const& constraints)
 {
     auto const* const store = admitted.deployment->find_cache_store();
     bool const use_store = store != nullptr && cluster.cache_store_reachable();
@@ -44,7 +44,8 @@
         use_store ? store->address : "", cluster.settings().max_old_version_time};
     bool const isolated_workspace = admitted.workspace != nullptr && admitted.workspace->isolated;
     routing::engine_request const placement_request{
-        *request.prompt, isolated_workspace ? admitted.workspace->name : "", tried_upstreams};
+        *request.prompt, isolated_workspace ? admitted.workspace->name : "",
+        constraints.tried_upstreams, constraints.software_version};
     auto const choice = routing::choose_engine(now, pool, placement_request, cluster.upstreams(),
                                                cluster.part_locations(), cluster.desired_weights());
     if (!choice)
@@ -82,15 +83,16 @@
 std::optional<placed_request>
 place_request(base::time_point now, cluster_state& cluster, base::random_source& random,
               admitted_request const& admitted, caller_request const& request,
-              std::string const& service, std::set<std::string> const& tried_upstreams)
+              std::string const& service, upstream_constraints const& constraints)
 {
     auto const* const description = admitted.deployment->find_service(service);
     bool const has_prompt = description != nullptr && description->model_engine && request.prompt &&
                             !request.prompt->parts.empty();
     if (has_prompt)
-        return place_prompt(now, cluster, admitted, request, *description, tried_upstreams);
+        return place_prompt(now, cluster, admitted, request, *description, constraints);
     routing::service_request const placement_request{service, cluster.settings().data_centre,
-                                                     tried_upstreams};
+                                                     constraints.tried_upstreams,
+                                                     constraints.software_version};
     auto const upstream =
         routing::choose_upstream(now, placement_request, cluster.upstreams(), random);
     if (!upstream)
--- a/libraries/savorymount/gateway/placement.hpp
+++ b/libraries/savorymount/gateway/placement.hpp
@@ -26,14 +26,25 @@
     bool operator==(placed_request const&) const = default;
 };
 
+/// Which upstreams may get the next attempt of a request.
+struct upstream_constraints
+{
+    /// Upstreams that already got an attempt.
+    std::set<std::string> tried_upstreams;
+    /// The software version that began the stream; empty before its first event.
+    std::optional<std::string> software_version;
+
+    bool operator==(upstream_constraints const&) const = default;
+};
+
 /// Chooses a service at random, by the weights of the route's traffic shares.
 std::string choose_service(configuration::service_route const& route, base::random_source& random);
 
-/// Chooses an upstream that was not tried yet. Empty if none is available. For a model engine, the
+/// Chooses an upstream within the constraints. Empty if none is available. For a model engine, the
 /// prompt parts are recorded as sent to it.
 std::optional<placed_request>
 place_request(base::time_point now, cluster_state& cluster, base::random_source& random,
               admitted_request const& admitted, caller_request const& request,
-              std::string const& service, std::set<std::string> const& tried_upstreams);
+              std::string const& service, upstream_constraints const& constraints);
 
 } // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -9,6 +9,7 @@
 #include <savorymount/orders/leader_lease.hpp>
 #include <savorymount/orders/weight_rollout.hpp>
 #include <savorymount/runtime/http_message.hpp>
+#include <savorymount/streams/stream_origin.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -116,6 +117,18 @@
     std::function<void(member_record const&, std::function<void(append_outcome)>)>
         announce_instance;
 
+    /// Which software versions began the streams that may still run, as all instances recorded it;
+    /// empty if the store does not answer.
+    std::function<void(std::string const& instance,
+                       std::function<void(std::optional<streams::stored_origins>)>)>
+        read_streams;
+    std::function<void(std::string const& instance, streams::origin_record const&,
+                       std::function<void(append_outcome)>)>
+        write_stream_origins;
+    std::function<void(std::string const& instance, std::vector<streams::service_version> const&,
+                       std::function<void(append_outcome)>)>
+        write_stream_versions;
+
     /// `may_send` tells at the moment of sending whether this instance is still the leader.
     std::function<void(orders::weight_order const&, std::string const& leader,
                        std::function<bool()> may_send, std::function<void(orders::order_outcome)>)>
--- a/libraries/savorymount/membership/peer_report.cpp
+++ b/libraries/savorymount/membership/peer_report.cpp
@@ -52,6 +52,11 @@
     return is_name(it.notice.upstream) && is_rate && is_age(it.age);
 }
 
+bool is_origin(streams::stream_origin const& it)
+{
+    return is_name(it.service) && it.software_version.size() <= max_name_bytes;
+}
+
 bool has_plausible_notices(peer_report const& report)
 {
     auto const& losses = report.losses;
@@ -59,6 +64,8 @@
     return losses.size() <= max_notices && sound_parts.size() <= max_notices &&
            report.limits.size() <= max_notices &&
            std::all_of(losses.begin(), losses.end(), is_loss) &&
+           report.streams.size() <= max_notices &&
+           std::all_of(report.streams.begin(), report.streams.end(), is_origin) &&
            std::all_of(report.limits.begin(), report.limits.end(), is_limit) &&
            std::all_of(sound_parts.begin(), sound_parts.end(),
                        [](auto const& it) { return is_age(it.age); });
--- a/libraries/savorymount/membership/peer_report.hpp
+++ b/libraries/savorymount/membership/peer_report.hpp
@@ -6,6 +6,7 @@
 #include <savorymount/orders/leader_lease.hpp>
 #include <savorymount/retries/upstream_loss.hpp>
 #include <savorymount/routing/upstream_table.hpp>
+#include <savorymount/streams/stream_origin.hpp>
 
 #include <cstdint>
 #include <map>
@@ -102,6 +103,8 @@
     std::vector<loss_notice> losses;
     std::vector<sound_part_notice> sound_parts;
     std::vector<limit_notice> limits;
+    /// Streams that began at the sender while upstreams of several software versions serve.
+    std::vector<streams::stream_origin> streams;
     /// Digests of shared prompt parts in requests that were sent to an engine, by engine.
     std::map<std::string, std::vector<std::uint64_t>> assigned_prefixes;
     /// Version of the configuration in force at the sender; 0 if it has none.
--- a/libraries/savorymount/membership/relay_buffer.cpp
+++ b/libraries/savorymount/membership/relay_buffer.cpp
@@ -26,6 +26,7 @@
     auto previous = std::exchange(it.report, report);
     it.report.relayed.clear();
     it.report.store_updates.clear();
+    it.report.streams.clear();
     it.report.partial = false;
     if (report.partial)
     {
--- a/libraries/savorymount/membership/upstream_record.hpp
+++ b/libraries/savorymount/membership/upstream_record.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace savorymount::membership
@@ -32,6 +33,13 @@
     bool operator==(upstream_record const&) const = default;
 };
 
+/// Whether the upstream has the software version; empty stands for any.
+inline bool has_version(upstream_record const& upstream,
+                        std::optional<std::string> const& software_version)
+{
+    return !software_version || upstream.software_version == *software_version;
+}
+
 /// Name of the upstream's process. It differs from that of a later process with the same id.
 inline std::string process_name(upstream_record const& upstream)
 {
--- a/libraries/savorymount/routing/engine_placement.cpp
+++ b/libraries/savorymount/routing/engine_placement.cpp
@@ -211,7 +211,8 @@
                       bool const too_old = version_staleness(version) >
                                            pool.max_version_staleness - start_delay_margin;
                       return version == 0 || too_old || now < it->loading_until ||
-                             request.tried.contains(it->record.id);
+                             request.tried.contains(it->record.id) ||
+                             !membership::has_version(it->record, request.software_version);
                   });
     if (engines.empty() || prompt.parts.empty())
         return std::nullopt;
--- a/libraries/savorymount/routing/engine_placement.hpp
+++ b/libraries/savorymount/routing/engine_placement.hpp
@@ -37,6 +37,8 @@
     std::string isolated_workspace;
     /// Upstreams that already got an attempt of this request.
     std::set<std::string> tried;
+    /// The only software version that may run it; any if empty.
+    std::optional<std::string> software_version;
 
     bool operator==(engine_request const&) const = default;
 };
--- a/libraries/savorymount/routing/service_placement.cpp
+++ b/libraries/savorymount/routing/service_placement.cpp
@@ -22,7 +22,8 @@
     double best_cost = 0;
     for (auto const* it : table.candidates(now, request.service))
     {
-        if (request.tried.contains(it->record.id))
+        if (request.tried.contains(it->record.id) ||
+            !membership::has_version(it->record, request.software_version))
             continue;
         auto const slots = std::max(1.0, static_cast<double>(it->record.slots));
         auto const running = it->active_requests(now);
--- a/libraries/savorymount/routing/service_placement.hpp
+++ b/libraries/savorymount/routing/service_placement.hpp
@@ -17,6 +17,8 @@
     std::string local_data_centre;
     /// Upstreams that already got an attempt of this request.
     std::set<std::string> tried;
+    /// The only software version that may run it; any if empty.
+    std::optional<std::string> software_version;
 
     bool operator==(service_request const&) const = default;
 };
--- a/libraries/savorymount/routing/upstream_table.cpp
+++ b/libraries/savorymount/routing/upstream_table.cpp
@@ -230,6 +230,18 @@
     return out;
 }
 
+bool upstream_table::serves_version(std::string const& service,
+                                    std::string const& software_version) const
+{
+    return std::any_of(states_.begin(), states_.end(),
+                       [&](auto const& it)
+                       {
+                           auto const& record = it.second.record;
+                           return record.service == service &&
+                                  record.software_version == software_version;
+                       });
+}
+
 void upstream_table::set_loading(std::string const& id, base::time_point until)
 {
     if (auto* const state = find(id))
--- a/libraries/savorymount/routing/upstream_table.hpp
+++ b/libraries/savorymount/routing/upstream_table.hpp
@@ -140,6 +140,8 @@
     /// empty if none of its upstreams is limited now.
     std::optional<base::time_point> limited_until(base::time_point now,
                                                   std::string const& service) const;
+    /// Whether an upstream of the service with this software version is listed.
+    bool serves_version(std::string const& service, std::string const& software_version) const;
     void set_loading(std::string const& id, base::time_point until);
     void set_draining(std::string const& id, base::time_point until);
     void set_peer_use(std::string const& peer, std::map<std::string, upstream_use> const& use);
--- /dev/null
+++ b/libraries/savorymount/streams/stream_origins.cpp
@@ -0,0 +1,188 @@
+#include <savorymount/base/digest.hpp>
+#include <savorymount/streams/stream_origins.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace savorymount::streams
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr base::duration min_record_time = 1s;
+// Fits into one record of the store with long names of services and versions.
+constexpr std::size_t max_origins_per_record = 8'000;
+constexpr std::size_t max_pending_origins = 20'000;
+
+} // namespace
+
+std::uint64_t stream_key(std::string_view request_id)
+{
+    return base::chain_digest(0, request_id);
+}
+
+void stream_origins::set_lifetime(base::duration lifetime)
+{
+    lifetime_ = lifetime;
+}
+
+void stream_origins::version_seen(base::time_point now, std::string const& service,
+                                  std::string const& software_version)
+{
+    last_seen_[{service, software_version}] = now;
+}
+
+void stream_origins::remember(base::time_point now, stream_origin const& origin)
+{
+    auto const [it, added] = known_.try_emplace(origin.stream, entry{origin, now});
+    if (added)
+        expiry_order_.emplace_back(now, origin.stream);
+}
+
+void stream_origins::stream_began(base::time_point now, std::string_view request_id,
+                                  std::string const& service, std::string const& software_version)
+{
+    version_seen(now, service, software_version);
+    stream_origin const origin{stream_key(request_id), service, software_version};
+    remember(now, origin);
+    for (auto* const pending : {&unreported_, &unrecorded_})
+    {
+        if (pending->size() < max_pending_origins)
+            pending->push_back({now, origin});
+    }
+}
+
+void stream_origins::add(base::time_point now, stream_origin origin, bool record)
+{
+    version_seen(now, origin.service, origin.software_version);
+    remember(now, origin);
+    if (record && unrecorded_.size() < max_pending_origins)
+        unrecorded_.push_back({now, std::move(origin)});
+}
+
+void stream_origins::add_stored(base::time_point now, stored_origins const& stored)
+{
+    for (auto const& it : stored.origins)
+        remember(now, it);
+    if (std::exchange(store_was_read_, true))
+        return;
+    // What served before this process started, it is not known how long ago.
+    for (auto const& it : stored.versions)
+        last_seen_.try_emplace(it, now);
+    record_.sequence = stored.last_sequence;
+}
+
+std::optional<stream_origin> stream_origins::find(std::string_view request_id) const
+{
+    auto const it = known_.find(stream_key(request_id));
+    return it == known_.end() ? std::nullopt : std::optional(it->second.origin);
+}
+
+std::optional<std::string> stream_origins::only_version(base::time_point now,
+                                                        std::string const& service) const
+{
+    bool const knows_former_versions = store_was_read_ || now - started_at_ > lifetime_;
+    auto const serving = recent_versions(now, service);
+    if (!knows_former_versions || serving.size() != 1)
+        return std::nullopt;
+    return serving.front();
+}
+
+std::vector<std::string> stream_origins::recent_versions(base::time_point now,
+                                                         std::string const& service) const
+{
+    std::vector<std::string> out;
+    for (auto it = last_seen_.lower_bound({service, ""});
+         it != last_seen_.end() && it->first.service == service; ++it)
+    {
+        if (now - it->second <= lifetime_)
+            out.push_back(it->first.software_version);
+    }
+    return out;
+}
+
+bool stream_origins::has_several_versions(base::time_point now, std::string const& service) const
+{
+    return recent_versions(now, service).size() > 1;
+}
+
+std::vector<stream_origin> stream_origins::take_unreported(base::time_point now,
+                                                           std::size_t max_count)
+{
+    std::vector<stream_origin> out;
+    std::erase_if(unreported_,
+                  [&](pending_origin const& it)
+                  {
+                      if (now - it.began_at > lifetime_)
+                          return true;
+                      bool const is_taken =
+                          out.size() < max_count && has_several_versions(now, it.origin.service);
+                      if (is_taken)
+                          out.push_back(it.origin);
+                      return is_taken;
+                  });
+    return out;
+}
+
+base::duration stream_origins::record_time() const
+{
+    // The last record but one is replaced when its origins have expired.
+    return std::max(min_record_time,
+                    lifetime_ / (static_cast<std::int64_t>(records_per_instance) - 2));
+}
+
+std::optional<origin_record> stream_origins::next_record(base::time_point now)
+{
+    if (!store_was_read_)
+        return std::nullopt;
+    bool const is_over = now - record_began_at_ > record_time();
+    bool const is_full = record_.origins.size() >= max_origins_per_record;
+    if (!record_changed_ && (is_over || is_full))
+    {
+        record_.origins.clear();
+        record_began_at_ = now;
+    }
+    bool const begins = record_.origins.empty();
+    std::erase_if(unrecorded_,
+                  [&](pending_origin const& it)
+                  {
+                      if (now - it.began_at > lifetime_)
+                          return true;
+                      bool const is_taken = record_.origins.size() < max_origins_per_record &&
+                                            has_several_versions(now, it.origin.service);
+                      if (is_taken)
+                          record_.origins.push_back(it.origin);
+                      record_changed_ = record_changed_ || is_taken;
+                      return is_taken;
+                  });
+    if (!std::exchange(record_changed_, false))
+        return std::nullopt;
+    if (begins)
+        ++record_.sequence;
+    return record_;
+}
+
+std::vector<service_version> stream_origins::versions(base::time_point now) const
+{
+    std::vector<service_version> out;
+    for (auto const& [version, seen_at] : last_seen_)
+    {
+        if (now - seen_at <= lifetime_)
+            out.push_back(version);
+    }
+    return out;
+}
+
+void stream_origins::expire(base::time_point now)
+{
+    while (!expiry_order_.empty() && now - expiry_order_.front().first > lifetime_)
+    {
+        known_.erase(expiry_order_.front().second);
+        expiry_order_.pop_front();
+    }
+    std::erase_if(last_seen_, [&](auto const& it) { return now - it.second > lifetime_; });
+}
+
+} // namespace savorymount::streams
--- /dev/null
+++ b/libraries/savorymount/streams/stream_origins.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <savorymount/base/time.hpp>
+#include <savorymount/streams/stream_origin.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace savorymount::streams
+{
+
+/// Knows which software version began a stream, for as long as a caller may take the stream up.
+///
+/// While all upstreams of a service have the same version, that is the answer for each stream, and
+/// nothing is recorded outside. While there are several, or one has just left, the origins of the
+/// streams are handed out for the other instances and for the platform's store. A stream of which
+/// nothing is known has no version then: its text must not be joined by chance.
+class stream_origins
+{
+public:
+    /// Records of one instance that the store holds at the same time.
+    static constexpr std::uint64_t records_per_instance = 16;
+
+    explicit stream_origins(base::time_point now) : started_at_(now) {}
+
+    /// The longest time after its first event in which a caller takes a stream up.
+    void set_lifetime(base::duration lifetime);
+
+    /// An upstream with this version is listed, or was lately.
+    void version_seen(base::time_point now, std::string const& service,
+                      std::string const& software_version);
+
+    /// The first event of a stream is sent to its caller.
+    void stream_began(base::time_point now, std::string_view request_id, std::string const& service,
+                      std::string const& software_version);
+
+    /// Adds what another instance tells. `record` tells whether this instance records it in the
+    /// store for the other one.
+    void add(base::time_point now, stream_origin origin, bool record);
+
+    /// Adds what the store holds.
+    void add_stored(base::time_point now, stored_origins const& stored);
+
+    /// The origin of the stream that began with the request; empty if it is not known.
+    std::optional<stream_origin> find(std::string_view request_id) const;
+
+    /// The version that began each stream of the service that may still run; empty if there are
+    /// several, or if this process does not know yet which ones served before it.
+    std::optional<std::string> only_version(base::time_point now, std::string const& service) const;
+
+    /// Takes the origins for the other instances that were not taken before, `max_count` at most.
+    std::vector<stream_origin> take_unreported(base::time_point now, std::size_t max_count);
+
+    /// The record to write to the store now; empty if there is nothing new. Nothing is returned
+    /// before `add_stored`, so that the records of the instance's former process stay.
+    std::optional<origin_record> next_record(base::time_point now);
+    /// The last record could not be written.
+    void record_failed() { record_changed_ = true; }
+
+    /// The versions that may have begun a stream that still runs.
+    std::vector<service_version> versions(base::time_point now) const;
+
+    /// Forgets what is older than the lifetime.
+    void expire(base::time_point now);
+
+    std::size_t size() const { return known_.size(); }
+
+private:
+    struct entry
+    {
+        stream_origin origin;
+        base::time_point began_at{};
+    };
+
+    struct pending_origin
+    {
+        base::time_point began_at{};
+        stream_origin origin;
+    };
+
+    /// Versions of the service that may have begun a stream that still runs.
+    std::vector<std::string> recent_versions(base::time_point now,
+                                             std::string const& service) const;
+    bool has_several_versions(base::time_point now, std::string const& service) const;
+    base::duration record_time() const;
+    void remember(base::time_point now, stream_origin const& origin);
+
+    base::time_point started_at_;
+    base::duration lifetime_ = std::chrono::seconds(20);
+    std::unordered_map<std::uint64_t, entry> known_;
+    std::deque<std::pair<base::time_point, std::uint64_t>> expiry_order_;
+    /// When an upstream with the version was last listed.
+    std::map<service_version, base::time_point> last_seen_;
+    /// What was not reported to the other instances, and not recorded in the store yet.
+    std::deque<pending_origin> unreported_;
+    std::deque<pending_origin> unrecorded_;
+    bool store_was_read_ = false;
+    origin_record record_;
+    base::time_point record_began_at_{};
+    bool record_changed_ = false;
+};
+
+/// The key of a stream: a digest of the id of the request that brought its first event.
+std::uint64_t stream_key(std::string_view request_id);
+
+} // namespace savorymount::streams
--- a/libraries/savorymount/wire/peer_report.capnp
+++ b/libraries/savorymount/wire/peer_report.capnp
@@ -48,6 +48,8 @@
   dutyEra @21 :UInt64;
   # Version of the configuration in force at the sender.
   configuration @22 :UInt64;
+  # Streams that began at the sender while upstreams of several software versions serve.
+  streams @23 :List(StreamOrigin);
 }
 
 struct StoreUpdate {
@@ -85,6 +87,13 @@
   tokens @1 :Float64;
 }
 
+struct StreamOrigin {
+  # Digest of the id of the request that brought the first event.
+  stream @0 :UInt64;
+  service @1 :Text;
+  softwareVersion @2 :Text;
+}
+
 struct UpstreamUse {
   upstream @0 :Text;
   requests @1 :UInt32;
--- a/libraries/savorymount/wire/peer_report.capnp.h
+++ b/libraries/savorymount/wire/peer_report.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(af07bc0e981535fb);
 CAPNP_DECLARE_SCHEMA(b6c272478f1866fc);
 CAPNP_DECLARE_SCHEMA(c2360e543272b3d4);
+CAPNP_DECLARE_SCHEMA(a61a63d477944039);
 CAPNP_DECLARE_SCHEMA(aea40766791c1e11);
 CAPNP_DECLARE_SCHEMA(c8b7f15862a941c6);
 CAPNP_DECLARE_SCHEMA(a92a2d63556bbc75);
@@ -42,7 +43,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 6, 14)
+    CAPNP_DECLARE_STRUCT_HEADER(9af7a34d82ae9c48, 6, 15)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -109,6 +110,21 @@
   };
 };
 
+struct StreamOrigin {
+  StreamOrigin() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a61a63d477944039, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct UpstreamUse {
   UpstreamUse() = delete;
 
@@ -278,6 +294,9 @@
 
   inline  ::uint64_t getConfiguration() const;
 
+  inline bool hasStreams() const;
+  inline  ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>::Reader getStreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -431,6 +450,13 @@
   inline  ::uint64_t getConfiguration();
   inline void setConfiguration( ::uint64_t value);
 
+  inline bool hasStreams();
+  inline  ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>::Builder getStreams();
+  inline void setStreams( ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>::Builder initStreams(unsigned int size);
+  inline void adoptStreams(::capnp::Orphan< ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>> disownStreams();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -857,6 +883,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class StreamOrigin::Reader {
+public:
+  typedef StreamOrigin Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasSoftwareVersion() const;
+  inline  ::capnp::Text::Reader getSoftwareVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamOrigin::Builder {
+public:
+  typedef StreamOrigin Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasSoftwareVersion();
+  inline  ::capnp::Text::Builder getSoftwareVersion();
+  inline void setSoftwareVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftwareVersion(unsigned int size);
+  inline void adoptSoftwareVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftwareVersion();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamOrigin::Pipeline {
+public:
+  typedef StreamOrigin Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class UpstreamUse::Reader {
 public:
   typedef UpstreamUse Reads;
@@ -2028,6 +2150,40 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerReport::Reader::hasStreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasStreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getStreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setStreams( ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initStreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptStreams(
+    ::capnp::Orphan< ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::savorymount::wire::StreamOrigin,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+
 inline bool StoreUpdate::Reader::hasTopic() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2396,6 +2552,88 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StreamOrigin::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamOrigin::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamOrigin::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamOrigin::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamOrigin::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamOrigin::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamOrigin::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamOrigin::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamOrigin::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamOrigin::Reader::hasSoftwareVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamOrigin::Builder::hasSoftwareVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamOrigin::Reader::getSoftwareVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::getSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamOrigin::Builder::setSoftwareVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::initSoftwareVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamOrigin::Builder::adoptSoftwareVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamOrigin::Builder::disownSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool UpstreamUse::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/libraries/gateway/peer_report_codec_test.cpp
+++ b/tests/libraries/gateway/peer_report_codec_test.cpp
@@ -27,6 +27,7 @@
     out.crashes = {{"0f", "engine-4"}};
     out.losses = {{{"engine-4/12", 99, {3, 0xffffffffffffffffU}}, 1500ms}};
     out.sound_parts = {{7, 20ms}};
+    out.streams = {{7, "engines", "v1"}, {8, "engines", "v2"}};
     out.limits = {{{"engine-5/3", 1.25}, 40ms}, {{"engine-6/3", std::nullopt}, 900ms}};
     out.assigned_prefixes = {{"engine-1", {1, 0xffffffffffffffffU}}};
     return out;
--- /dev/null
+++ b/tests/libraries/streams/stream_origins_test.cpp
@@ -0,0 +1,232 @@
+#include <savorymount/streams/stream_origins.hpp>
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tests/libraries/seeded_property.hpp>
+#include <tests/libraries/time_points.hpp>
+#include <vector>
+
+namespace savorymount::streams
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using tests::at;
+
+constexpr base::duration lifetime = 14s;
+
+std::unique_ptr<stream_origins> make_started(base::time_point now, stored_origins const& stored)
+{
+    auto out = std::make_unique<stream_origins>(now);
+    out->set_lifetime(lifetime);
+    out->add_stored(now, stored);
+    return out;
+}
+
+// Guards against refusing streams although all upstreams have the version that began them.
+TEST(stream_origins, names_the_only_version_without_any_record)
+{
+    auto const it = make_started(at(0s), {});
+    EXPECT_EQ(it->only_version(at(0s), "engines"), std::nullopt);
+    it->version_seen(at(0s), "engines", "v1");
+    it->stream_began(at(1s), "r", "engines", "v1");
+    EXPECT_EQ(it->only_version(at(1s), "engines"), "v1");
+    EXPECT_EQ(it->next_record(at(2s)), std::nullopt);
+    EXPECT_TRUE(it->take_unreported(at(2s), 10).empty());
+}
+
+// Guards against a stream that goes on at a new version while one of the old one still runs.
+TEST(stream_origins, names_no_version_until_the_streams_of_one_that_left_have_ended)
+{
+    auto const it = make_started(at(0s), {});
+    it->version_seen(at(0s), "engines", "v1");
+    it->version_seen(at(5s), "engines", "v2");
+    EXPECT_EQ(it->only_version(at(14s), "engines"), std::nullopt);
+    EXPECT_EQ(it->only_version(at(15s), "engines"), "v2");
+}
+
+// Guards against a process that takes the versions that serve now for those that served before it.
+TEST(stream_origins, a_process_that_has_not_read_the_store_names_no_version)
+{
+    stream_origins it(at(0s));
+    it.set_lifetime(lifetime);
+    it.version_seen(at(1s), "engines", "v1");
+    EXPECT_EQ(it.only_version(at(1s), "engines"), std::nullopt);
+    it.version_seen(at(15s), "engines", "v1");
+    EXPECT_EQ(it.only_version(at(15s), "engines"), "v1");
+    auto const restarted = make_started(at(0s), {{}, {{"engines", "v0"}}, 0});
+    restarted->version_seen(at(1s), "engines", "v1");
+    EXPECT_EQ(restarted->only_version(at(1s), "engines"), std::nullopt);
+}
+
+// Guards against streams that began just before the second version appeared and are recorded
+// nowhere.
+TEST(stream_origins, records_running_streams_when_a_second_version_appears)
+{
+    auto const it = make_started(at(0s), {{}, {}, 7});
+    it->version_seen(at(0s), "engines", "v1");
+    it->stream_began(at(1s), "early", "engines", "v1");
+    it->version_seen(at(2s), "engines", "v2");
+    stream_origin const expected{stream_key("early"), "engines", "v1"};
+    EXPECT_EQ(it->next_record(at(2s)), (origin_record{8, {expected}}));
+    EXPECT_EQ(it->next_record(at(2s)), std::nullopt);
+    EXPECT_EQ(it->take_unreported(at(2s), 10), std::vector{expected});
+    // What could not be written is written with the next record.
+    it->record_failed();
+    EXPECT_EQ(it->next_record(at(4s)), (origin_record{8, {expected}}));
+}
+
+/// Instances that share a store. Streams begin, versions come and go, and all instances are killed
+/// at times.
+class shared_history
+{
+public:
+    shared_history() { start_all(); }
+
+    void step()
+    {
+        now_ += std::chrono::milliseconds(*rc::gen::inRange(10, 600));
+        switch (*rc::gen::inRange(0, 12))
+        {
+        case 0:
+            serving_.insert("v" + std::to_string(*rc::gen::inRange(1, 4)));
+            break;
+        case 1:
+            if (serving_.size() > 1)
+                serving_.erase(serving_.begin());
+            break;
+        case 2:
+            start_all();
+            break;
+        case 3:
+        case 4:
+            begin_stream();
+            break;
+        case 5:
+        case 6:
+        case 7:
+            exchange_reports();
+            break;
+        default:
+            write_records();
+        }
+        observe();
+    }
+
+    /// Every instance names the version that began each stream, or none.
+    void check() const
+    {
+        for (auto const& [id, began] : begun_)
+        {
+            if (now_ - began.first > lifetime)
+                continue;
+            for (auto const& it : instances_)
+            {
+                auto const known = it->find(id);
+                auto const only = it->only_version(now_, "engines");
+                if (known)
+                    RC_ASSERT(known->software_version == began.second);
+                else if (only)
+                    RC_ASSERT(*only == began.second);
+            }
+        }
+    }
+
+private:
+    static constexpr std::size_t instance_count = 3;
+
+    void start_all()
+    {
+        instances_.clear();
+        for (std::size_t i = 0; i < instance_count; ++i)
+            instances_.push_back(make_started(now_, read_store(i)));
+        observe();
+    }
+
+    stored_origins read_store(std::size_t reader) const
+    {
+        stored_origins out;
+        for (auto const& [key, record] : records_)
+        {
+            out.origins.insert(out.origins.end(), record.origins.begin(), record.origins.end());
+            if (key.first == reader)
+                out.last_sequence = std::max(out.last_sequence, record.sequence);
+        }
+        for (auto const& [instance, versions] : versions_)
+            out.versions.insert(out.versions.end(), versions.begin(), versions.end());
+        return out;
+    }
+
+    void observe()
+    {
+        for (std::size_t i = 0; i < instances_.size(); ++i)
+        {
+            for (auto const& it : serving_)
+                instances_[i]->version_seen(now_, "engines", it);
+            instances_[i]->expire(now_);
+            versions_[i] = instances_[i]->versions(now_);
+        }
+    }
+
+    void begin_stream()
+    {
+        auto const id = "request-" + std::to_string(begun_.size());
+        auto const version = *rc::gen::elementOf(serving_);
+        begun_[id] = {now_, version};
+        instances_[*rc::gen::inRange<std::size_t>(0, instance_count)]->stream_began(
+            now_, id, "engines", version);
+    }
+
+    void exchange_reports()
+    {
+        for (auto const& sender : instances_)
+        {
+            for (auto const& origin : sender->take_unreported(now_, 100))
+            {
+                for (auto const& receiver : instances_)
+                    receiver->add(now_, origin, false);
+            }
+        }
+    }
+
+    void write_records()
+    {
+        for (std::size_t i = 0; i < instances_.size(); ++i)
+        {
+            if (auto const record = instances_[i]->next_record(now_))
+                records_[{i, record->sequence % stream_origins::records_per_instance}] = *record;
+        }
+    }
+
+    base::time_point now_ = at(100s);
+    std::set<std::string> serving_{"v1"};
+    std::vector<std::unique_ptr<stream_origins>> instances_;
+    std::map<std::pair<std::size_t, std::uint64_t>, origin_record> records_;
+    std::map<std::size_t, std::vector<service_version>> versions_;
+    std::map<std::string, std::pair<base::time_point, std::string>> begun_;
+};
+
+// Guards against text that is joined from two versions, in generated histories with releases and
+// kills of all instances.
+TEST(stream_origins, never_names_a_version_that_did_not_begin_the_stream)
+{
+    tests::check_seeded(0x0de4, 300,
+                        []
+                        {
+                            shared_history history;
+                            auto const steps = *rc::gen::inRange(10, 150);
+                            for (int i = 0; i < steps; ++i)
+                            {
+                                history.step();
+                                history.check();
+                            }
+                        });
+}
+
+} // namespace
+} // namespace savorymount::streams
--- a/tests/platform/decoder_fuzz_test.cpp
+++ b/tests/platform/decoder_fuzz_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/configuration_decoder.hpp"
 #include "platform/request_codec.hpp"
 #include "platform/store_client.hpp"
+#include "platform/stream_topic.hpp"
 #include "platform/upstream_decoder.hpp"
 #include <savorymount/gateway/peer_report_codec.hpp>
 #include <savorymount/runtime/http_message_reader.hpp>
@@ -96,6 +97,19 @@
          });
 }
 
+// Guards against a record about streams of another writer, or a damaged one, that ends the process.
+TEST(decoder_fuzz, records_of_streams)
+{
+    fuzz({platform::serialize_origins({7, {{1, "s", "v1"}, {2, "s", "v2"}}}),
+          platform::serialize_versions({{"s", "v1"}, {"s", "v2"}})},
+         [](std::string const& text)
+         {
+             streams::stored_origins found;
+             platform::add_stream_record(found, "instance", {"origins/instance/7", text, 1});
+             platform::add_stream_record(found, "instance", {"versions/instance", text, 1});
+         });
+}
+
 // Guards against an entry of another writer, or a damaged one, that ends the process.
 TEST(decoder_fuzz, upstream_entries_and_store_records)
 {
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/base64.hpp"
 #include "platform/configuration_decoder.hpp"
 #include "platform/store_client.hpp"
+#include "platform/stream_topic.hpp"
 #include "platform/upstream_decoder.hpp"
 
 #include <gtest/gtest.h>
@@ -123,6 +124,21 @@
     }
 }
 
+// Guards against a stream whose origin is lost on the way through the store, and against an
+// instance that overwrites the records of its former process.
+TEST(stream_record, origins_and_versions_are_read_as_written)
+{
+    streams::origin_record const record{19, {{5, "s", "v1"}, {6, "t", "v2"}, {7, "s", "v1"}}};
+    std::vector<streams::service_version> const versions{{"s", "v1"}, {"t", "v2"}};
+    streams::stored_origins found;
+    add_stream_record(found, "a", {"origins/a/3", serialize_origins(record), 1});
+    add_stream_record(found, "a", {"origins/ab/1", serialize_origins({90, {}}), 2});
+    add_stream_record(found, "a", {"versions/b", serialize_versions(versions), 3});
+    add_stream_record(found, "a", {"versions/c", "not json", 4});
+    add_stream_record(found, "a", {"versions/d", std::nullopt, 5});
+    EXPECT_EQ(found, (streams::stored_origins{record.origins, versions, 19}));
+}
+
 // Guards against records that are split at the wrong byte or get the wrong offset.
 TEST(store_record_parser, parses_records_with_their_offsets)
 {
--- a/tests/platform/request_harness.hpp
+++ b/tests/platform/request_harness.hpp
@@ -27,7 +27,22 @@
         platform.encode_upstream_request = platform::encode_upstream_request;
         platform.decode_response_metadata = platform::decode_response_metadata;
         platform.response_headers = platform::response_headers;
+        platform.read_streams = [this](std::string const&, auto callback)
+        {
+            callback(stored_streams);
+        };
+        platform.write_stream_origins =
+            [](std::string const&, streams::origin_record const&, auto callback)
+        {
+            callback(gateway::append_outcome::accepted);
+        };
+        platform.write_stream_versions =
+            [](std::string const&, std::vector<streams::service_version> const&, auto callback)
+        {
+            callback(gateway::append_outcome::accepted);
+        };
         cluster.apply_deployment(timers.now(), make_deployment(timeout));
+        streams_.start();
         base::error reason;
         port_ = *server_.listen({"127.0.0.1", 0}, reason);
     }
@@ -82,6 +97,8 @@
     gateway::platform_adapter platform;
     gateway::response_memory responses;
     std::vector<gateway::request_outcome> outcomes;
+    /// What the store holds about streams; empty if it does not answer.
+    std::optional<streams::stored_origins> stored_streams = streams::stored_origins{};
 
 private:
     static gateway::gateway_settings make_settings()
@@ -126,12 +143,18 @@
     }
 
     runtime::outbound_pool pool_;
+    gateway::stream_directory streams_{timers, cluster, platform,
+                                       []
+                                       {
+                                           return true;
+                                       }};
     gateway::gateway_context context_{timers,
                                       pool_,
                                       cluster,
                                       platform,
                                       random,
                                       responses,
+                                      streams_,
                                       [this](gateway::request_outcome const& it)
                                       {
                                           outcomes.push_back(it);
--- a/utilities/savorymountctl/users_platform_status.cpp
+++ b/utilities/savorymountctl/users_platform_status.cpp
@@ -82,9 +82,9 @@
         };
         out.store_responded = [] {
         };
-        out.store_failed = [this](base::error const& why)
+        out.store_failed = [this](gateway::store_failure const& it)
         {
-            last_failure_ = why.message;
+            last_failure_ = it.reason.message;
         };
         return out;
     }
--- a/utilities/slopes/main.cpp
+++ b/utilities/slopes/main.cpp
@@ -183,7 +183,8 @@
     }
     routing::engine_pool_config pool;
     pool.service = "engines";
-    routing::engine_request const request{prompt, {}, {}};
+    routing::engine_request request;
+    request.prompt = prompt;
     for (auto _ : state)
         benchmark::DoNotOptimize(
             routing::choose_engine(at(2), pool, request, table, locations, desired));
