Send nothing to an upstream that has said in an answer that it leaves

Nothing read the header; an instance learned of a shutdown from the list only, which lags or is away. Now the process is treated as draining from that answer on, also when the list still shows it as ready or loses its entry meanwhile, and a request whose connection is not open yet is placed again. A later process of the same id starts anew.

Retry-After of a 503 is decoded too and not used yet.

--- a/libraries/savorymount/gateway/caller_request.hpp
+++ b/libraries/savorymount/gateway/caller_request.hpp
@@ -86,6 +86,10 @@
     /// Requests a second that the upstream takes from all instances together; empty if it names no
     /// limit.
     std::optional<double> request_limit;
+    /// The upstream is shutting down.
+    bool leaving = false;
+    /// The upstream turned the request away and wants no other one from this instance for so long.
+    std::optional<base::duration> closed_for;
 
     bool operator==(response_metadata const&) const = default;
 };
--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -74,7 +74,10 @@
     };
     out.may_send = [self]
     {
-        return self->context_.timers.now() - self->placed_at_ <= max_placement_age;
+        auto const now = self->context_.timers.now();
+        return now - self->placed_at_ <= max_placement_age &&
+               self->context_.cluster.upstreams().accepts_requests(now,
+                                                                   self->placement_.upstream.id);
     };
     out.answers = [self, request_id](runtime::http_head const& head)
     {
@@ -110,7 +113,7 @@
         upstreams.load_reported(context_.timers.now(), id, *metadata_.load);
     if (metadata_.weight_version && !model_.empty())
         upstreams.weights_observed(id, model_, *metadata_.weight_version);
-    record_limit();
+    record_notices();
     bool const not_authentic = metadata_.request_id.empty() || !metadata_.stamped;
     untrusted_ = not_authentic && !metadata_.not_executed;
     if (metadata_.upstream == id)
@@ -120,10 +123,14 @@
         record_first_byte();
 }
 
-void upstream_attempt::record_limit()
+void upstream_attempt::record_notices()
 {
     bool const other_upstream =
         !metadata_.upstream.empty() && metadata_.upstream != placement_.upstream.id;
+    auto& upstreams = context_.cluster.upstreams();
+    auto const now = context_.timers.now();
+    if (!other_upstream && metadata_.leaving)
+        upstreams.set_leaving(now, placement_.upstream.id);
     // A limit ends only by a response that surely comes from the upstream.
     if (!other_upstream && (metadata_.request_limit || metadata_.stamped))
         context_.cluster.limit_observed(context_.timers.now(), placed_at_, placement_.upstream,
--- a/libraries/savorymount/gateway/upstream_attempt.hpp
+++ b/libraries/savorymount/gateway/upstream_attempt.hpp
@@ -69,8 +69,9 @@
 private:
     runtime::call_hooks make_call_callbacks(std::string const& request_id);
     void handle_head(runtime::http_head const& head);
-    /// Notes the limit that the response names, or that it names none.
-    void record_limit();
+    /// Notes what the response says of its upstream: that it leaves, that it wants no request for
+    /// some time, and its limit.
+    void record_notices();
     void handle_body(std::string_view bytes);
     void handle_stream_bytes(std::string_view bytes);
     void check_incomplete_event(bool event_completed);
--- a/libraries/savorymount/routing/upstream_table.cpp
+++ b/libraries/savorymount/routing/upstream_table.cpp
@@ -16,6 +16,8 @@
 constexpr base::duration min_backoff = 300ms;
 constexpr base::duration max_backoff = 2400ms;
 constexpr base::duration stall_timeout = 700ms;
+// Far longer than a process that leaves goes on to run.
+constexpr base::duration leaving_notice_lifetime = 10min;
 
 } // namespace
 
@@ -62,6 +64,7 @@
     state.unlisted_at.reset();
     state.record = std::move(record);
     state.listed_weights = listed_weights;
+    apply_notice(state);
     return restarted;
 }
 
@@ -79,6 +82,7 @@
 
 void upstream_table::expire(base::time_point now)
 {
+    std::erase_if(notices_, [now](auto const& it) { return now >= it.second.forgotten_at; });
     std::erase_if(states_,
                   [now](auto const& it) {
                       return it.second.unlisted_at && now - *it.second.unlisted_at > unlisted_grace;
@@ -104,7 +108,8 @@
     std::vector<upstream_state*> unhealthy;
     for (auto& [id, state] : states_)
     {
-        if (state.record.service != service || state.record.draining || now < state.limited_until)
+        bool const is_held_back = now < state.limited_until || now < state.closed_until;
+        if (state.record.service != service || state.record.draining || is_held_back)
             continue;
         bool const is_unhealthy = now < state.backoff_until || is_stalled(now, state);
         (is_unhealthy ? unhealthy : out).push_back(&state);
@@ -180,6 +185,47 @@
         state->backoff_until = std::max(state->backoff_until, now + retry_after);
 }
 
+upstream_table::process_notice& upstream_table::notice_of(upstream_state const& state,
+                                                          base::time_point keep_until)
+{
+    auto& out = notices_[membership::process_name(state.record)];
+    out.forgotten_at = std::max(out.forgotten_at, keep_until);
+    return out;
+}
+
+void upstream_table::apply_notice(upstream_state& state) const
+{
+    auto const it = notices_.find(membership::process_name(state.record));
+    if (it == notices_.end())
+        return;
+    state.record.draining = state.record.draining || it->second.leaving;
+    state.closed_until = std::max(state.closed_until, it->second.closed_until);
+}
+
+void upstream_table::set_leaving(base::time_point now, std::string const& id)
+{
+    auto* const state = find(id);
+    if (state == nullptr)
+        return;
+    notice_of(*state, now + leaving_notice_lifetime).leaving = true;
+    state->record.draining = true;
+}
+
+void upstream_table::set_closed(std::string const& id, base::time_point until)
+{
+    auto* const state = find(id);
+    if (state == nullptr || until <= state->closed_until)
+        return;
+    notice_of(*state, until).closed_until = until;
+    state->closed_until = until;
+}
+
+bool upstream_table::accepts_requests(base::time_point now, std::string const& id) const
+{
+    auto const* const state = find(id);
+    return state == nullptr || (!state->record.draining && now >= state->closed_until);
+}
+
 void upstream_table::load_reported(base::time_point now, std::string const& id,
                                    server_load const& load)
 {
@@ -223,9 +269,10 @@
     std::optional<base::time_point> out;
     for (auto const& [id, state] : states_)
     {
-        bool const is_limited = !state.record.draining && now < state.limited_until;
+        auto const until = std::max(state.limited_until, state.closed_until);
+        bool const is_limited = !state.record.draining && now < until;
         if (state.record.service == service && is_limited)
-            out = std::min(out.value_or(state.limited_until), state.limited_until);
+            out = std::min(out.value_or(until), until);
     }
     return out;
 }
--- a/libraries/savorymount/routing/upstream_table.hpp
+++ b/libraries/savorymount/routing/upstream_table.hpp
@@ -68,6 +68,9 @@
     /// This instance may send no request before then, since the upstream named a limit.
     base::time_point limited_until{};
 
+    /// The upstream turned a request away and wants none before then.
+    base::time_point closed_until{};
+
     /// The upstream loads new weights until then.
     base::time_point loading_until{};
     /// The upstream is drained before a weight load until then: it should get no new requests.
@@ -126,6 +129,16 @@
 
     /// Records that a connection failed or was lost.
     void connection_failed(base::time_point now, std::string const& id);
+    /// The upstream said in a response that it leaves. Its process gets no new request any more,
+    /// whatever the list says.
+    void set_leaving(base::time_point now, std::string const& id);
+    /// The upstream turned a request away and wants none before `until`, whatever it answers to
+    /// earlier requests.
+    void set_closed(std::string const& id, base::time_point until);
+    /// Whether the upstream may get a request now that was placed before. True for one that is not
+    /// listed any more.
+    bool accepts_requests(base::time_point now, std::string const& id) const;
+
     /// Records that the upstream rejected a request without running it, and extends its backoff to
     /// at least `retry_after`.
     void request_rejected(base::time_point now, std::string const& id, base::duration retry_after);
@@ -136,8 +149,8 @@
     void weights_rejected(std::string const& id, std::string const& model, std::uint64_t version);
     /// `until` is `time_point::max()` if other instances use the whole limit of the upstream.
     void set_limited(std::string const& id, base::time_point until);
-    /// The first time at which a limited upstream of the service takes a request of this instance;
-    /// empty if none of its upstreams is limited now.
+    /// The first time at which an upstream of the service that is limited or wants no request takes
+    /// one of this instance; empty if there is no such upstream now.
     std::optional<base::time_point> limited_until(base::time_point now,
                                                   std::string const& service) const;
     /// Whether an upstream of the service with this software version is listed.
@@ -154,7 +167,20 @@
 private:
     void change_peer_use(std::string const& id, std::string const& peer, upstream_use const& use);
 
+    /// What a process said of itself; it holds also when the list loses its entry for a while.
+    struct process_notice
+    {
+        bool leaving = false;
+        base::time_point closed_until{};
+        base::time_point forgotten_at{};
+    };
+
+    process_notice& notice_of(upstream_state const& state, base::time_point keep_until);
+    void apply_notice(upstream_state& state) const;
+
     std::map<std::string, upstream_state> states_;
+    /// By name of the process.
+    std::map<std::string, process_notice> notices_;
     /// The upstreams that each peer reported to use.
     std::map<std::string, std::vector<std::string>> used_by_peer_;
 };
--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -147,5 +147,36 @@
         EXPECT_FALSE(limit_in(invalid)) << invalid;
 }
 
+// Guards against an upstream that gets requests although it said that it leaves.
+TEST(request_codec, decodes_that_an_upstream_leaves)
+{
+    runtime::http_head head;
+    EXPECT_FALSE(decode_response_metadata(head).leaving);
+    head.headers = {{"server-leaving", "1"}};
+    EXPECT_TRUE(decode_response_metadata(head).leaving);
+    head.headers = {{"Server-Leaving", "0"}};
+    EXPECT_FALSE(decode_response_metadata(head).leaving);
+}
+
+// Guards against a time that is overlooked, read from another status, or read into what is none.
+TEST(request_codec, decodes_how_long_an_upstream_wants_no_request)
+{
+    using namespace std::chrono_literals;
+    auto const time_in = [](int status, std::string const& text)
+    {
+        runtime::http_head head;
+        head.status = status;
+        head.headers = {{"retry-after", text}};
+        return decode_response_metadata(head).closed_for;
+    };
+    EXPECT_EQ(time_in(503, "2"), base::duration(2s));
+    EXPECT_EQ(time_in(503, "0.25"), base::duration(250ms));
+    EXPECT_EQ(time_in(503, "1e9"), std::nullopt);
+    EXPECT_EQ(time_in(503, "999999999"), base::duration(1h));
+    EXPECT_EQ(time_in(429, "2"), std::nullopt);
+    for (char const* invalid : {"", "-1", "inf", "soon", "Sat, 05 Dec 2026 00:00:00 GMT"})
+        EXPECT_FALSE(time_in(503, invalid)) << invalid;
+}
+
 } // namespace
 } // namespace savorymount::platform
