Do not believe a rejection without an id on a kept connection

Report of another operator: a faulty engine wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that ran, or such a request ran at a second engine. One that names its request was skipped here already. One that names none was taken for the present request: the test failed before, a booking was answered by a second upstream (200 in place of 502, one request there in place of none). Class: a response is attributed by its place where that place may be taken by another one.

On a new connection nothing else can have caused it, and it is believed.

--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -109,6 +109,9 @@
     auto const& id = placement_.upstream.id;
     head_ = head;
     metadata_ = context_.platform.decode_response_metadata(head);
+    // On a kept connection it may repeat the rejection of an earlier request.
+    if (metadata_.request_id.empty() && connection_->is_reused())
+        metadata_.not_executed = false;
     if (metadata_.load)
         upstreams.load_reported(context_.timers.now(), id, *metadata_.load);
     if (metadata_.weight_version && !model_.empty())
--- a/libraries/savorymount/runtime/outbound_connection.cpp
+++ b/libraries/savorymount/runtime/outbound_connection.cpp
@@ -76,6 +76,7 @@
 {
     hooks_ = std::move(hooks);
     in_call_ = true;
+    ++calls_;
     skipping_ = false;
     received_bytes_ = 0;
     body_bytes_ = 0;
--- a/libraries/savorymount/runtime/outbound_connection.hpp
+++ b/libraries/savorymount/runtime/outbound_connection.hpp
@@ -79,6 +79,8 @@
     /// Whether another call may be made now.
     bool reusable() const;
     bool connected() const { return connected_; }
+    /// Whether another call was made before the present one.
+    bool is_reused() const { return calls_ > 1; }
     base::time_point idle_since() const { return idle_since_; }
     /// How long the peer keeps the connection when it is idle, if it said so.
     std::optional<base::duration> announced_idle_time() const { return announced_idle_time_; }
@@ -110,6 +112,7 @@
     call_hooks hooks_;
     bool connected_ = false;
     bool in_call_ = false;
+    std::size_t calls_ = 0;
     bool skipping_ = false;
     bool broken_ = false;
     bool keep_alive_ = true;
