Forward nothing but events after a stream has broken off

Report of another operator: a stream broke off, the next engine answered with an error, and callers found its text in the middle of their stream, or the stream ended as if it were complete. A response to a streaming request is a stream only if its Content-Type, where there is one, is text/event-stream. Class: a response is told by its status alone.

--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -22,6 +22,12 @@
     return status >= 200 && status < 300;
 }
 
+bool may_be_event_stream(runtime::http_head const& head)
+{
+    auto const type = runtime::find_header(head.headers, "Content-Type");
+    return !type || type->starts_with("text/event-stream");
+}
+
 } // namespace
 
 upstream_attempt::upstream_attempt(gateway_context& context, placed_request placed, bool streaming,
@@ -291,7 +297,8 @@
 
 bool upstream_attempt::is_stream_response() const
 {
-    return streaming_ && is_success(head_.status) && !untrusted_ && !metadata_.not_executed;
+    return streaming_ && is_success(head_.status) && !untrusted_ && !metadata_.not_executed &&
+           may_be_event_stream(head_);
 }
 
 } // namespace savorymount::gateway
--- a/tests/platform/misplaced_response_test.cpp
+++ b/tests/platform/misplaced_response_test.cpp
@@ -27,6 +27,12 @@
     return response("200 OK", "X-Request-Id: " + id + "\r\nX-Response-Stamp: s\r\n", "{}");
 }
 
+std::string broken_stream(std::string const& id)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: " + id +
+           "\r\nX-Response-Stamp: s\r\nContent-Length: 100000\r\n\r\nid: 1\ndata: token\n\n";
+}
+
 // Guards against a caller that is told to send a request again which an upstream runs, because the
 // upstream wrote an earlier refusal once more.
 TEST(misplaced_response, a_refusal_of_an_earlier_request_is_not_taken_for_the_present_one)
@@ -77,5 +83,35 @@
     EXPECT_EQ(system.outcomes[0].end, gateway::request_end::refused);
 }
 
+// Guards against the text of an error in the middle of a stream, and against a stream that ends as
+// if it were complete, when the next upstream answers with something else than the stream.
+TEST(misplaced_response, a_stream_that_broke_off_contains_nothing_but_its_events)
+{
+    auto const authentic = std::string("X-Request-Id: r\r\nX-Response-Stamp: s\r\n");
+    auto const json = authentic + "Content-Type: application/json\r\n";
+    auto const text = authentic + "Content-Type: text/plain\r\n";
+    for (auto const& answer :
+         {response("500 Internal Server Error", text, "oops\n\n"),
+          response("404 Not Found", json, "{\"error\":\"oops\"}\n\n"),
+          response("200 OK", json, "{\"error\":\"oops\"}\n\n"),
+          response("200 OK", text, "oops\n\noops\n\n"),
+          response("200 OK", "Content-Type: text/event-stream\r\n", "id: 2\ndata: oops\n\n")})
+    {
+        request_harness system;
+        scripted_server broken(system.loop, {broken_stream("r")}, afterwards::reset);
+        scripted_server next(system.loop, {answer}, afterwards::keep);
+        system.add_upstream("broken", "engines", broken.address());
+        auto const caller = system.send("/stream/ask", "r");
+        system.run_until([&] { return broken.connections() > 0; });
+        system.add_upstream("next", "engines", next.address());
+        system.run_until_ended(1);
+        EXPECT_EQ(next.requests(), 1U) << answer;
+        EXPECT_EQ(system.outcomes[0].end, gateway::request_end::failed) << answer;
+        system.run_until([&] { return caller->closed; });
+        EXPECT_EQ(caller->received.find("oops"), std::string::npos) << answer;
+        EXPECT_EQ(caller->received.find("\r\n0\r\n\r\n"), std::string::npos) << answer;
+    }
+}
+
 } // namespace
 } // namespace savorymount::tests
