Play software versions, leaving and closed upstreams, and kills of all gateways in the soak

Four new kinds with a generator of their own: an upstream says in its answers that it leaves, one turns requests away with Retry-After, an engine is replaced by one of the next software version, all gateways are killed at once. Events of the stand-in name the software version, and callers take up streams that break off, so the check of events shows text that is joined. New promises: a gateway that has passed on an answer of an upstream that leaves sends it nothing 2 s later; at most two requests reach an upstream from 0.5 s after it turned one away until its time is over.

--- a/tests/soak/promise_checker.hpp
+++ b/tests/soak/promise_checker.hpp
@@ -47,6 +47,13 @@
     base::duration limit_window = std::chrono::milliseconds(4000);
     double limit_factor = 1.5;
     double limit_slack = 5;
+    /// From an answer that says that its upstream leaves to the last request that it gets.
+    base::duration drain = std::chrono::milliseconds(2000);
+    /// How long an upstream that turned a request away wants none, when that begins to count, and
+    /// how many requests may reach it meanwhile.
+    base::duration closed = std::chrono::milliseconds(3000);
+    base::duration closed_reaction = std::chrono::milliseconds(500);
+    std::size_t requests_while_closed = 2;
 
     bool operator==(promise_bounds const&) const = default;
 };
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -21,6 +21,17 @@
 // One in so many requests has the part that may crash engines. It is not drawn, so that the draws
 // of earlier seeds stay.
 constexpr std::uint64_t crashing_part_interval = 16;
+constexpr unsigned max_take_ups = 2;
+constexpr int status_ok = 200;
+
+/// Events of a text that ends with a whole one.
+std::size_t count_events(std::string const& text)
+{
+    std::size_t out = 0;
+    for (auto at = text.find("\n\n"); at != std::string::npos; at = text.find("\n\n", at + 2))
+        ++out;
+    return out;
+}
 
 } // namespace
 
@@ -60,10 +71,10 @@
 {
     in_call_ = true;
     call_.id = name_ + "-" + std::to_string(sent_++);
-    call_.kind = random_.uniform_real() < stream_share ? call_kind::stream : call_kind::booking;
-    call_.key = choose_key();
-    call_.has_crashing_part =
-        call_.kind == call_kind::stream && sent_ % crashing_part_interval == 0;
+    if (taken_up_.empty())
+        choose_request();
+    else
+        take_up_stream();
     call_.gateway = gateway_;
     call_.started = timers_.now();
     runtime::call_hooks hooks;
@@ -93,6 +104,41 @@
     connection_->call(make_request(), call_.id, std::move(hooks));
 }
 
+void soak_caller::choose_request()
+{
+    call_.kind = random_.uniform_real() < stream_share ? call_kind::stream : call_kind::booking;
+    call_.key = choose_key();
+    call_.has_crashing_part =
+        call_.kind == call_kind::stream && sent_ % crashing_part_interval == 0;
+}
+
+void soak_caller::take_up_stream()
+{
+    call_.kind = call_kind::stream;
+    call_.key = "key-a";
+    call_.has_crashing_part = taken_up_has_crashing_part_;
+    call_.resumes = std::exchange(taken_up_, "");
+    call_.begun = std::exchange(taken_up_events_, "");
+}
+
+void soak_caller::plan_take_up()
+{
+    bool const is_stream = call_.kind == call_kind::stream && call_.key == "key-a";
+    bool const begins = call_.resumes.empty();
+    auto const end = call_.body.rfind("\n\n");
+    bool const has_events = call_.status == status_ok && end != std::string::npos;
+    if (begins)
+        take_ups_left_ = max_take_ups;
+    // What came is kept when a later request brings nothing.
+    bool const goes_on = has_events || !begins;
+    if (!is_stream || call_.whole || !goes_on || take_ups_left_ == 0)
+        return;
+    --take_ups_left_;
+    taken_up_ = begins ? call_.id : call_.resumes;
+    taken_up_events_ = call_.begun + (has_events ? call_.body.substr(0, end + 2) : "");
+    taken_up_has_crashing_part_ = call_.has_crashing_part;
+}
+
 std::string soak_caller::choose_key()
 {
     // Only bookings cost the limited workspace one token each.
@@ -114,6 +160,11 @@
         (call_.has_crashing_part ? crashing_part() + ":200," : "aa:200,") + name_ + ":100";
     if (stream)
         out += "X-Model: crew\r\nX-Token-Count: 300,8\r\nX-Prompt-Prefix: " + parts + "\r\n";
+    if (!call_.resumes.empty())
+    {
+        out += "Resumes: " + call_.resumes + "\r\n";
+        out += "Last-Event-Id: " + std::to_string(count_events(call_.begun)) + "\r\n";
+    }
     return out + "Content-Length: " + std::to_string(call_.id.size()) + "\r\n\r\n";
 }
 
@@ -129,6 +180,7 @@
     call_.whole = whole;
     call_.ended = timers_.now();
     hooks_.ended(call_);
+    plan_take_up();
     auto const pause =
         shortest_pause +
         base::duration(static_cast<std::int64_t>(random_.uniform_below(pause_spread_us)));
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -71,6 +71,7 @@
         runtime::network_address control;
         std::string id;
         unsigned starts = 0;
+        unsigned software = 1;
         bool busy = false;
         bool link_busy = false;
         /// Restarts after a crash that were noted in the list.
@@ -79,6 +80,7 @@
 
     relay start_relay(std::uint16_t target);
     void start_gateway(std::size_t index, bool first);
+    static std::string software_of(upstream const& it);
     void start_upstream(std::size_t index);
     void list(upstream const& it, std::string const& state);
     void unlist(std::string const& id);
@@ -107,6 +109,10 @@
     void disturb_store_link(std::size_t index, nlohmann::json const& fault, base::duration length);
     void restore_store(base::duration length);
     void name_limit(std::size_t index, base::duration length);
+    void say_leaving(std::size_t index, base::duration length);
+    void turn_away(std::size_t index, base::duration length);
+    void replace_software(std::size_t index);
+    void kill_all_gateways(base::duration length);
     /// Notes that a gateway is away or suspended from now until `length` has passed.
     void gateway_outage(base::duration length);
     void disturb_store(std::string const& fault, base::duration length);
--- a/tests/soak/soak_history.hpp
+++ b/tests/soak/soak_history.hpp
@@ -35,6 +35,9 @@
     /// The connection had carried other requests.
     bool kept_connection = false;
     std::string body;
+    /// Id of the request that began the stream which this one takes up, and what had come of it.
+    std::string resumes;
+    std::string begun;
 
     bool operator==(call_record const&) const = default;
 };
@@ -92,6 +95,25 @@
     bool operator==(named_limit const&) const = default;
 };
 
+/// An upstream said in each of its answers from `from` on that it leaves.
+struct leaving_notice
+{
+    std::string upstream;
+    base::time_point from{};
+
+    bool operator==(leaving_notice const&) const = default;
+};
+
+/// An upstream turned a request away and wanted none for some time.
+struct turned_away_record
+{
+    std::string upstream;
+    std::string request;
+    base::time_point at{};
+
+    bool operator==(turned_away_record const&) const = default;
+};
+
 /// Operators named a weight version.
 struct weights_named
 {
@@ -130,6 +152,8 @@
     /// Stretches in which a gateway was away or suspended.
     std::vector<disturbance> gateway_outages;
     std::vector<named_limit> limits;
+    std::vector<leaving_notice> leaving;
+    std::vector<turned_away_record> turned_away;
     std::vector<weights_named> weights;
     std::vector<key_change> key_changes;
     std::vector<unexpected_exit> exits;
--- a/tests/stand_ins/users_platform/fake_upstream.hpp
+++ b/tests/stand_ins/users_platform/fake_upstream.hpp
@@ -18,6 +18,7 @@
     std::function<void(std::string const& holder, std::uint64_t fence, std::uint64_t version)>
         order_accepted;
     std::function<void(std::string const& request)> crashed;
+    std::function<void(std::string const& request)> turned_away;
     /// It answers again, under another id.
     std::function<void(std::string const& former_id)> restarted;
 };
@@ -48,6 +49,12 @@
     void crash_on_part(std::string part, base::duration downtime);
     /// Answers name this limit in requests a second; an empty text ends it.
     void name_limit(std::string limit) { limit_ = std::move(limit); }
+    /// Answers say that the upstream leaves, whatever the list says.
+    void say_leaving() { says_leaving_ = true; }
+    /// Turns every request away with 503 and this Retry-After in seconds; an empty text ends it.
+    void turn_away(std::string retry_after) { retry_after_ = std::move(retry_after); }
+    /// Events name this software version; empty for none.
+    void set_software(std::string version) { software_ = std::move(version); }
     /// Starts of this upstream, the first one included.
     unsigned starts() const { return starts_; }
     /// The next answers break off after so many events.
@@ -68,6 +75,7 @@
     void crash(std::string const& request);
     void restart();
     void listen(std::uint16_t port);
+    runtime::http_headers answer_headers(std::string const& request) const;
     void begin_answer(exchange_ptr const& exchange, runtime::http_headers const& headers);
     void send_event(std::shared_ptr<stream> const& it);
     std::string header(exchange_ptr const& exchange, char const* name) const;
@@ -90,6 +98,9 @@
     unsigned closes_inside_event_ = 0;
     std::string crash_part_;
     std::string limit_;
+    bool says_leaving_ = false;
+    std::string retry_after_;
+    std::string software_;
     base::duration downtime_{};
     unsigned starts_ = 1;
     bool crashing_ = false;
--- a/tests/stand_ins/users_upstream/main.cpp
+++ b/tests/stand_ins/users_upstream/main.cpp
@@ -17,6 +17,10 @@
         it.close_inside_event(body->at("close_inside_event").get<unsigned>());
     if (body->contains("limit"))
         it.name_limit(body->at("limit").get<std::string>());
+    if (body->contains("leaving"))
+        it.say_leaving();
+    if (body->contains("turn_away"))
+        it.turn_away(body->at("turn_away").get<std::string>());
     if (body->contains("crash_on_part"))
         it.crash_on_part(body->at("crash_on_part").get<std::string>(),
                          std::chrono::milliseconds(body->at("crash_ms").get<std::int64_t>()));
@@ -34,6 +38,7 @@
         .add("kind", std::nullopt, "engine or desk")
         .add("serve-port", "0", "port for requests; 0 lets the kernel choose")
         .add("ends-with-connection", "0", "1: answers end with their connection")
+        .add("software", "", "software version that events name")
         .add("crash-on-part", "", "prompt part that crashes the engine")
         .add("crash-ms", "2000", "how long the engine is away after a crash");
     return stand_ins::run(
@@ -60,6 +65,11 @@
                 std::cout << "crash at=" << loop.now().time_since_epoch().count()
                           << " request=" << request << std::endl;
             };
+            hooks.turned_away = [&loop](std::string const& request)
+            {
+                std::cout << "turned_away at=" << loop.now().time_since_epoch().count()
+                          << " request=" << request << std::endl;
+            };
             hooks.restarted = [&loop, self](std::string const& former_id)
             {
                 std::cout << "restart at=" << loop.now().time_since_epoch().count()
@@ -72,6 +82,7 @@
             *self = it;
             it->end_answers_with_connection(stand_ins::number(settings, "ends-with-connection") ==
                                             1);
+            it->set_software(settings.text("software"));
             it->crash_on_part(settings.text("crash-on-part"),
                               stand_ins::milliseconds(settings, "crash-ms"));
             std::cout << "serving port=" << it->port() << std::endl;
--- a/tests/system/soak/promise_checker_test.cpp
+++ b/tests/system/soak/promise_checker_test.cpp
@@ -243,5 +243,56 @@
     EXPECT_TRUE(broken_promises(excused).empty());
 }
 
+// Guards against a checker that overlooks text that is joined from two software versions.
+TEST(promise_checker, finds_a_stream_that_is_taken_up_at_another_software_version)
+{
+    auto history = good_history();
+    auto& call = history.calls[0];
+    call.resumes = "begun";
+    call.begun = "id: 1\ndata: token 1 v1\n\n";
+    call.body.clear();
+    for (int i = 2; i <= 8; ++i)
+        call.body += "id: " + std::to_string(i) + "\ndata: token " + std::to_string(i) + " v1\n\n";
+    EXPECT_TRUE(broken_promises(history).empty());
+    call.body.replace(call.body.rfind("v1"), 2, "v2");
+    EXPECT_EQ(broken_promises(history), std::vector<std::string>{"events in order, once"});
+}
+
+// Guards against a checker that overlooks requests to an upstream that has said that it leaves.
+TEST(promise_checker, finds_a_request_to_an_upstream_that_had_said_that_it_leaves)
+{
+    auto history = good_history();
+    history.leaving = {{"desk-4.0", at(1500ms)}};
+    history.calls.push_back(served_booking("soon", 3s));
+    history.runs.push_back({"desk-4.0", "soon", 0, at(3s)});
+    EXPECT_TRUE(broken_promises(history).empty());
+    history.calls.push_back(served_booking("late", 5s));
+    history.runs.push_back({"desk-4.0", "late", 0, at(5s)});
+    EXPECT_EQ(broken_promises(history), std::vector<std::string>{"upstreams that leave"});
+    history.calls.back().gateway = 1;
+    EXPECT_TRUE(broken_promises(history).empty());
+}
+
+// Guards against a checker that overlooks requests to an upstream that wants none for some time.
+TEST(promise_checker, finds_requests_to_an_upstream_that_wants_none)
+{
+    auto history = good_history();
+    history.disturbances = {{at(3s), at(9s)}};
+    auto refused = served_booking("refused", 3s);
+    refused.status = 503;
+    refused.stamped = false;
+    history.calls.push_back(refused);
+    history.turned_away = {{"desk-4.0", "refused", at(3s)}};
+    for (int i = 0; i < 3; ++i)
+    {
+        EXPECT_TRUE(broken_promises(history).empty());
+        auto const id = "early-" + std::to_string(i);
+        history.calls.push_back(served_booking(id, 4s));
+        history.runs.push_back({"desk-4.0", id, 0, at(4s)});
+    }
+    EXPECT_EQ(broken_promises(history),
+              std::vector<std::string>{"upstreams that want no requests"});
+}
+
 } // namespace
 } // namespace savorymount::soak
