Let the soak's list show the weights that engines have loaded

The list of the stand-in named version 1 for each engine for ever, so that gateways that started after version 3 took every engine for outdated; one that starts alone learns the version from rejections in its first 2.5 s if requests come then.

--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -137,6 +137,8 @@
     it.control = local(tests::port_of(it.program->wait_for_field("listening", "port")));
     it.port = tests::port_of(it.program->wait_for_field("serving", "port"));
     it.crash_restarts = 0;
+    it.listed_weights = 1;
+    it.leaving = false;
     if (!it.link.program)
         it.link = start_relay(it.port);
     list(it, "ready");
@@ -146,7 +148,7 @@
 {
     json models = json::array();
     if (it.engine)
-        models.push_back({{"name", "crew"}, {"version", 1}});
+        models.push_back({{"name", "crew"}, {"version", it.listed_weights}});
     json const entry{{"service", it.engine ? "pool" : "desk"},
                      {"address", to_string(local(it.link.port))},
                      {"zone", "liege"},
@@ -191,8 +193,7 @@
 
 void soak_deployment::check_readiness()
 {
-    if (crashing_)
-        relist_crashed_engines();
+    relist_engines();
     for (std::size_t i = 0; i < gateways_.size(); ++i)
         client_.fetch({gateways_[i].ready, "GET", "/", {}, "", readiness_interval},
                       [this, i](std::optional<runtime::http_answer> answer, base::error const&)
@@ -390,6 +391,7 @@
         return;
     it.program->send_signal(SIGKILL);
     it.program->wait();
+    it.leaving = true;
     ended_outputs_.emplace_back(it.id, it.program->output());
     disturbed(std::max(length, entry_lifetime));
     later(entry_lifetime, [this, id = it.id] { unlist(id); });
@@ -407,6 +409,7 @@
     if (std::exchange(it.busy, true))
         return;
     // Its successor is there before it leaves.
+    it.leaving = true;
     list(it, "draining");
     later(drain_time, [this, index] { finish_drain(index); });
 }
@@ -476,29 +479,57 @@
     later(length + crash_downtime + 1s,
           [this, engines]
           {
-              relist_crashed_engines();
+              relist_engines();
               for (auto const i : engines)
                   upstreams_[i].busy = false;
               crashing_ = false;
           });
 }
 
-void soak_deployment::relist_crashed_engines()
+void soak_deployment::relist_engines()
 {
     for (auto& it : upstreams_)
     {
-        std::istringstream lines(it.program->output());
-        unsigned restarts = 0;
-        for (std::string line; std::getline(lines, line);)
-        {
-            if (!line.starts_with("restart ") || ++restarts <= it.crash_restarts)
-                continue;
-            unlist(it.id);
-            it.id = field(line, "id");
-            list(it, "ready");
-        }
-        it.crash_restarts = std::max(it.crash_restarts, restarts);
+        if (!it.engine)
+            continue;
+        relist_restarts(it);
+        relist_loaded_weights(it);
+    }
+}
+
+void soak_deployment::relist_restarts(upstream& it)
+{
+    std::istringstream lines(it.program->output());
+    unsigned restarts = 0;
+    for (std::string line; std::getline(lines, line);)
+    {
+        if (!line.starts_with("restart ") || ++restarts <= it.crash_restarts)
+            continue;
+        unlist(it.id);
+        it.id = field(line, "id");
+        it.listed_weights = 1;
+        list(it, "ready");
+    }
+    it.crash_restarts = std::max(it.crash_restarts, restarts);
+}
+
+void soak_deployment::relist_loaded_weights(upstream& it)
+{
+    // One that leaves writes its entry no more.
+    if (it.leaving)
+        return;
+    std::istringstream lines(it.program->output());
+    std::uint64_t version = 1;
+    for (std::string line; std::getline(lines, line);)
+    {
+        if (line.starts_with("restart "))
+            version = 1;
+        else if (line.starts_with("order "))
+            version = number_field(line, "version");
     }
+    if (version == std::exchange(it.listed_weights, version))
+        return;
+    list(it, "ready");
 }
 
 void soak_deployment::disturb_upstream_link(std::size_t index, json const& fault,
@@ -586,7 +617,12 @@
     control(it.control, {{"leaving", true}});
     history_.leaving.push_back({it.id, timers_.now()});
     disturbed(length + drain_time);
-    later(length, [this, index] { list(upstreams_[index], "draining"); });
+    later(length,
+          [this, index]
+          {
+              upstreams_[index].leaving = true;
+              list(upstreams_[index], "draining");
+          });
     later(length + drain_time,
           [this, index]
           {
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -72,6 +72,8 @@
         std::string id;
         unsigned starts = 0;
         unsigned software = 1;
+        std::uint64_t listed_weights = 1;
+        bool leaving = false;
         bool busy = false;
         bool link_busy = false;
         /// Restarts after a crash that were noted in the list.
@@ -102,8 +104,10 @@
     void end_answers_with_connection(std::size_t index, base::duration length);
     void close_inside_event(std::size_t index);
     void crash_on_part(base::duration length);
-    /// Lists engines that came back after a crash under their new ids.
-    void relist_crashed_engines();
+    /// Writes the entries of engines that came back after a crash or have loaded other weights.
+    void relist_engines();
+    void relist_restarts(upstream& it);
+    void relist_loaded_weights(upstream& it);
     void disturb_upstream_link(std::size_t index, nlohmann::json const& fault,
                                base::duration length);
     void disturb_store_link(std::size_t index, nlohmann::json const& fault, base::duration length);
