Move the refusals for want of an upstream out of the request

When to send a request again, and what a caller is told whose stream can't be taken up, are decisions without a connection; they stand in upstream_refusal now. No change of behaviour.

--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -1,4 +1,5 @@
 #include <savorymount/gateway/gateway_request.hpp>
+#include <savorymount/gateway/upstream_refusal.hpp>
 
 #include <algorithm>
 #include <cstdio>
@@ -13,11 +14,6 @@
 
 // The upstream stops at the deadline it was given; the gateway waits this much longer.
 constexpr base::duration timeout_margin = 60ms;
-constexpr base::duration overload_retry_delay = 120ms;
-// The store may answer again by then, and show which software version began a stream.
-constexpr base::duration unread_store_retry_delay = 500ms;
-// Another instance may use a limited upstream sooner than this one.
-constexpr base::duration max_limit_retry_delay = 1s;
 // A repeatable request is retried if no response starts within this ratio of its timeout.
 constexpr double stall_timeout_ratio = 0.3;
 constexpr base::duration min_stall_timeout = 300ms;
@@ -104,15 +100,7 @@
                     [&](auto const& it) { return it.service == found.origin->service; });
     if (!is_allowed)
     {
-        // Text of two versions does not fit together, and the caller could not tell.
-        auto const retry_after =
-            found.store_failed ? std::optional(unread_store_retry_delay) : std::nullopt;
-        refuse({{base::error_kind::unavailable,
-                 "it is not known which software version began the stream; send the request "
-                 "without Last-Event-Id to begin anew"},
-                retry_after,
-                0,
-                0});
+        refuse(unknown_origin_refusal(found.store_failed));
         return;
     }
     service_ = found.origin->service;
@@ -409,33 +397,8 @@
     else if (may_have_run_)
         fail(status_bad_gateway, reason);
     else
-        refuse_for_now(reason);
-}
-
-void gateway_request::refuse_for_now(std::string const& reason)
-{
-    auto const& version = constraints_.software_version;
-    bool const has_left =
-        version && !context_.cluster.upstreams().serves_version(service_, *version);
-    if (has_left)
-        refuse({{base::error_kind::unavailable,
-                 "no upstream has the software version that began the stream; send the request "
-                 "without Last-Event-Id to begin anew"},
-                std::nullopt,
-                0,
-                0});
-    else
-        refuse({{base::error_kind::overloaded, reason}, overload_retry_time(), 0, 0});
-}
-
-base::duration gateway_request::overload_retry_time() const
-{
-    auto const now = context_.timers.now();
-    auto const limited_until = context_.cluster.upstreams().limited_until(now, service_);
-    if (!limited_until)
-        return overload_retry_delay;
-    auto const next_request_at = std::min(*limited_until, now + max_limit_retry_delay);
-    return std::max(next_request_at - now, overload_retry_delay);
+        refuse(no_upstream_refusal(context_.timers.now(), context_.cluster, service_, constraints_,
+                                   reason));
 }
 
 void gateway_request::abort_stream(std::string const& reason)
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -58,10 +58,6 @@
     /// Retries on another upstream if that is allowed, and gives up otherwise.
     void retry_or_give_up(attempt_failure failure, std::string const& reason);
     void give_up(std::string const& reason);
-    /// Refuses a request that no upstream can take, and tells when to send it again.
-    void refuse_for_now(std::string const& reason);
-    /// When a caller whose request no upstream can take should send it again.
-    base::duration overload_retry_time() const;
     /// Closes the connection of a caller that has received part of a stream.
     void abort_stream(std::string const& reason);
     void deliver_response(runtime::http_head const& head, std::string const& body);
