Look for mixed services once a report, and wait for the report that tells an origin

Handing out origins asked for each pending stream whether its service has several versions; it asks once now, and returns at once if none has. A lookup waits the interval of reports longer, since above 12 instances the relay learns of a stream with the next report of its gateway.

--- a/libraries/savorymount/gateway/stream_directory.cpp
+++ b/libraries/savorymount/gateway/stream_directory.cpp
@@ -12,8 +12,8 @@
 // Between two writes of origins. What was not written when all instances end is not known later.
 constexpr base::duration tick_interval = 100ms;
 constexpr base::duration read_interval = 100ms;
-// Longer than the instance at which a stream began takes to write its origin.
-constexpr base::duration lookup_time = 400ms;
+// Longer than an instance takes to write an origin that it knows.
+constexpr base::duration write_time = 400ms;
 
 } // namespace
 
@@ -50,6 +50,8 @@
         callback({known, false});
         return;
     }
+    // The instance at which the stream began may have to tell its relay first.
+    auto const lookup_time = write_time + cluster_.peer_table().local_report_interval();
     waiting_.push_back({request_id, service, timers_.now() + lookup_time, std::move(callback)});
     read_store();
 }
--- a/libraries/savorymount/streams/stream_origins.cpp
+++ b/libraries/savorymount/streams/stream_origins.cpp
@@ -103,22 +103,34 @@
     return out;
 }
 
-bool stream_origins::has_several_versions(base::time_point now, std::string const& service) const
+std::set<std::string> stream_origins::mixed_services(base::time_point now) const
 {
-    return recent_versions(now, service).size() > 1;
+    std::set<std::string> out;
+    std::string const* previous = nullptr;
+    for (auto const& [version, seen_at] : last_seen_)
+    {
+        if (now - seen_at > lifetime_)
+            continue;
+        if (previous != nullptr && *previous == version.service)
+            out.insert(version.service);
+        previous = &version.service;
+    }
+    return out;
 }
 
-std::vector<stream_origin> stream_origins::take_unreported(base::time_point now,
-                                                           std::size_t max_count)
+std::vector<stream_origin> stream_origins::take_pending(base::time_point now,
+                                                        std::deque<pending_origin>& pending,
+                                                        std::size_t max_count)
 {
     std::vector<stream_origin> out;
-    std::erase_if(unreported_,
+    auto const mixed = mixed_services(now);
+    if (mixed.empty())
+        return out;
+    std::erase_if(pending,
                   [&](pending_origin const& it)
                   {
-                      if (now - it.began_at > lifetime_)
-                          return true;
                       bool const is_taken =
-                          out.size() < max_count && has_several_versions(now, it.origin.service);
+                          out.size() < max_count && mixed.contains(it.origin.service);
                       if (is_taken)
                           out.push_back(it.origin);
                       return is_taken;
@@ -126,6 +138,12 @@
     return out;
 }
 
+std::vector<stream_origin> stream_origins::take_unreported(base::time_point now,
+                                                           std::size_t max_count)
+{
+    return take_pending(now, unreported_, max_count);
+}
+
 base::duration stream_origins::record_time() const
 {
     // The last record but one is replaced when its origins have expired.
@@ -145,18 +163,10 @@
         record_began_at_ = now;
     }
     bool const begins = record_.origins.empty();
-    std::erase_if(unrecorded_,
-                  [&](pending_origin const& it)
-                  {
-                      if (now - it.began_at > lifetime_)
-                          return true;
-                      bool const is_taken = record_.origins.size() < max_origins_per_record &&
-                                            has_several_versions(now, it.origin.service);
-                      if (is_taken)
-                          record_.origins.push_back(it.origin);
-                      record_changed_ = record_changed_ || is_taken;
-                      return is_taken;
-                  });
+    auto const added =
+        take_pending(now, unrecorded_, max_origins_per_record - record_.origins.size());
+    record_.origins.insert(record_.origins.end(), added.begin(), added.end());
+    record_changed_ = record_changed_ || !added.empty();
     if (!std::exchange(record_changed_, false))
         return std::nullopt;
     if (begins)
@@ -182,6 +192,11 @@
         known_.erase(expiry_order_.front().second);
         expiry_order_.pop_front();
     }
+    for (auto* const pending : {&unreported_, &unrecorded_})
+    {
+        while (!pending->empty() && now - pending->front().began_at > lifetime_)
+            pending->pop_front();
+    }
     std::erase_if(last_seen_, [&](auto const& it) { return now - it.second > lifetime_; });
 }
 
--- a/libraries/savorymount/streams/stream_origins.hpp
+++ b/libraries/savorymount/streams/stream_origins.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -87,7 +88,11 @@
     /// Versions of the service that may have begun a stream that still runs.
     std::vector<std::string> recent_versions(base::time_point now,
                                              std::string const& service) const;
-    bool has_several_versions(base::time_point now, std::string const& service) const;
+    /// Services of which several versions may have begun a stream that still runs.
+    std::set<std::string> mixed_services(base::time_point now) const;
+    /// Takes the oldest origins of these services.
+    std::vector<stream_origin>
+    take_pending(base::time_point now, std::deque<pending_origin>& pending, std::size_t max_count);
     base::duration record_time() const;
     void remember(base::time_point now, stream_origin const& origin);
 
