--- a/libraries/savorymount/gateway/caller_request.hpp
+++ b/libraries/savorymount/gateway/caller_request.hpp
@@ -28,7 +28,7 @@
     std::optional<routing::prompt_description> prompt;
     /// Id of the last stream event that the caller received.
     std::optional<std::uint64_t> last_event_id;
-    /// Id of the request that brought the first event of the stream that this one takes up.
+    /// Id of the request that brought the first event of the stream that this one resumes.
     std::optional<std::string> resumes;
     /// Header fields that go to the upstream unchanged.
     runtime::http_headers forwarded_headers;
@@ -88,8 +88,8 @@
     std::optional<double> request_limit;
     /// The upstream is shutting down.
     bool leaving = false;
-    /// The upstream turned the request away and wants no other one from this instance for so long.
-    std::optional<base::duration> closed_for;
+    /// The upstream rejected the request and wants no other one from this instance for so long.
+    std::optional<base::duration> unavailable_for;
 
     bool operator==(response_metadata const&) const = default;
 };
--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -51,7 +51,7 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time);
 }
 
-/// How long a caller may take a stream up: its own time limit may be longer than the route's.
+/// How long a caller may resume a stream: its own time limit may be longer than the route's.
 base::duration stream_lifetime(configuration::deployment const& data)
 {
     base::duration longest_timeout{};
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -70,13 +70,13 @@
     context_.cluster.retry_quota(service_).record_request(arrived_at_);
     timeout_timer_ = context_.timers.after(admitted_->timeout + timeout_margin,
                                            [self = shared_from_this()] { self->handle_timeout(); });
-    if (takes_up_stream())
+    if (resumes_stream())
         find_stream_origin();
     else
         dispatch();
 }
 
-bool gateway_request::takes_up_stream() const
+bool gateway_request::resumes_stream() const
 {
     bool const is_stream = admitted_->route->kind == configuration::repeat_rule::streaming;
     return is_stream && admitted_->route->resumable && last_event_id_.has_value();
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -27,8 +27,8 @@
     void start();
 
 private:
-    /// Whether the request takes up a stream that another one began.
-    bool takes_up_stream() const;
+    /// Whether the request resumes a stream that another one began.
+    bool resumes_stream() const;
     /// Finds the software version that began the stream, and dispatches the request to it.
     void find_stream_origin();
     void handle_stream_origin(stream_lookup const& found);
--- a/libraries/savorymount/gateway/request_outcome.hpp
+++ b/libraries/savorymount/gateway/request_outcome.hpp
@@ -72,7 +72,7 @@
     std::vector<std::string> shared_parts;
     std::uint64_t configuration_version = 0;
     std::uint64_t weight_version = 0;
-    /// Software version of the upstream, and the request whose stream this one takes up.
+    /// Software version of the upstream, and the request whose stream this one resumes.
     std::string software_version;
     std::string resumes;
     /// How long that version had been superseded when the upstream was chosen, as far as this
--- a/libraries/savorymount/gateway/stream_directory.hpp
+++ b/libraries/savorymount/gateway/stream_directory.hpp
@@ -12,7 +12,7 @@
 namespace savorymount::gateway
 {
 
-/// The origin of a stream that a caller takes up.
+/// The origin of a stream that a caller resumes.
 struct stream_lookup
 {
     /// Empty if nobody knows it.
--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -140,8 +140,8 @@
     auto const now = context_.timers.now();
     if (!other_upstream && metadata_.leaving)
         upstreams.set_leaving(now, placement_.upstream.id);
-    if (!other_upstream && metadata_.closed_for)
-        upstreams.set_closed(placement_.upstream.id, now + *metadata_.closed_for);
+    if (!other_upstream && metadata_.unavailable_for)
+        upstreams.set_unavailable(placement_.upstream.id, now + *metadata_.unavailable_for);
     // A limit ends only by a response that surely comes from the upstream.
     if (!other_upstream && (metadata_.request_limit || metadata_.stamped))
         context_.cluster.limit_observed(context_.timers.now(), placed_at_, placement_.upstream,
--- a/libraries/savorymount/gateway/upstream_refusal.hpp
+++ b/libraries/savorymount/gateway/upstream_refusal.hpp
@@ -8,7 +8,7 @@
 namespace savorymount::gateway
 {
 
-/// The refusal of a request that takes up a stream of which nobody knows the software version.
+/// The refusal of a request that resumes a stream of which nobody knows the software version.
 /// `store_failed` tells that the platform's store, which may know it, could not be read.
 refusal unknown_origin_refusal(bool store_failed);
 
--- a/libraries/savorymount/routing/upstream_table.cpp
+++ b/libraries/savorymount/routing/upstream_table.cpp
@@ -108,7 +108,7 @@
     std::vector<upstream_state*> unhealthy;
     for (auto& [id, state] : states_)
     {
-        bool const is_held_back = now < state.limited_until || now < state.closed_until;
+        bool const is_held_back = now < state.limited_until || now < state.unavailable_until;
         if (state.record.service != service || state.record.draining || is_held_back)
             continue;
         bool const is_unhealthy = now < state.backoff_until || is_stalled(now, state);
@@ -199,7 +199,7 @@
     if (it == notices_.end())
         return;
     state.record.draining = state.record.draining || it->second.leaving;
-    state.closed_until = std::max(state.closed_until, it->second.closed_until);
+    state.unavailable_until = std::max(state.unavailable_until, it->second.unavailable_until);
 }
 
 void upstream_table::set_leaving(base::time_point now, std::string const& id)
@@ -211,19 +211,19 @@
     state->record.draining = true;
 }
 
-void upstream_table::set_closed(std::string const& id, base::time_point until)
+void upstream_table::set_unavailable(std::string const& id, base::time_point until)
 {
     auto* const state = find(id);
-    if (state == nullptr || until <= state->closed_until)
+    if (state == nullptr || until <= state->unavailable_until)
         return;
-    notice_of(*state, until).closed_until = until;
-    state->closed_until = until;
+    notice_of(*state, until).unavailable_until = until;
+    state->unavailable_until = until;
 }
 
 bool upstream_table::accepts_requests(base::time_point now, std::string const& id) const
 {
     auto const* const state = find(id);
-    return state == nullptr || (!state->record.draining && now >= state->closed_until);
+    return state == nullptr || (!state->record.draining && now >= state->unavailable_until);
 }
 
 void upstream_table::load_reported(base::time_point now, std::string const& id,
@@ -269,7 +269,7 @@
     std::optional<base::time_point> out;
     for (auto const& [id, state] : states_)
     {
-        auto const until = std::max(state.limited_until, state.closed_until);
+        auto const until = std::max(state.limited_until, state.unavailable_until);
         bool const is_limited = !state.record.draining && now < until;
         if (state.record.service == service && is_limited)
             out = std::min(out.value_or(until), until);
--- a/libraries/savorymount/routing/upstream_table.hpp
+++ b/libraries/savorymount/routing/upstream_table.hpp
@@ -68,8 +68,8 @@
     /// This instance may send no request before then, since the upstream named a limit.
     base::time_point limited_until{};
 
-    /// The upstream turned a request away and wants none before then.
-    base::time_point closed_until{};
+    /// The upstream rejected a request and wants none before then.
+    base::time_point unavailable_until{};
 
     /// The upstream loads new weights until then.
     base::time_point loading_until{};
@@ -132,9 +132,9 @@
     /// The upstream said in a response that it leaves. Its process gets no new request any more,
     /// whatever the list says.
     void set_leaving(base::time_point now, std::string const& id);
-    /// The upstream turned a request away and wants none before `until`, whatever it answers to
+    /// The upstream rejected a request and wants none before `until`, whatever it answers to
     /// earlier requests.
-    void set_closed(std::string const& id, base::time_point until);
+    void set_unavailable(std::string const& id, base::time_point until);
     /// Whether the upstream may get a request now that was placed before. True for one that is not
     /// listed any more.
     bool accepts_requests(base::time_point now, std::string const& id) const;
@@ -171,7 +171,7 @@
     struct process_notice
     {
         bool leaving = false;
-        base::time_point closed_until{};
+        base::time_point unavailable_until{};
         base::time_point forgotten_at{};
     };
 
--- a/libraries/savorymount/streams/stream_origins.hpp
+++ b/libraries/savorymount/streams/stream_origins.hpp
@@ -16,7 +16,7 @@
 namespace savorymount::streams
 {
 
-/// Knows which software version began a stream, for as long as a caller may take the stream up.
+/// Knows which software version began a stream, for as long as a caller may resume it.
 ///
 /// While all upstreams of a service have the same version, that is the answer for each stream, and
 /// nothing is recorded outside. While there are several, or one has just left, the origins of the
@@ -30,7 +30,7 @@
 
     explicit stream_origins(base::time_point now) : started_at_(now) {}
 
-    /// The longest time after its first event in which a caller takes a stream up.
+    /// The longest time after its first event in which a caller resumes a stream.
     void set_lifetime(base::duration lifetime);
 
     /// An upstream with this version is listed, or was lately.
--- a/tests/platform/leaving_upstream_test.cpp
+++ b/tests/platform/leaving_upstream_test.cpp
@@ -19,7 +19,7 @@
            "Content-Length: 2\r\n\r\n{}";
 }
 
-std::string turned_away(std::string const& retry_after)
+std::string rejected_for_now(std::string const& retry_after)
 {
     return "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: r\r\nX-Not-Executed: 1\r\n"
            "Retry-After: " +
@@ -80,7 +80,7 @@
 TEST(leaving_upstream, gets_no_request_before_the_time_that_it_named)
 {
     request_harness system;
-    scripted_server closed(system.loop, {turned_away("1.5"), success(), success()},
+    scripted_server closed(system.loop, {rejected_for_now("1.5"), success(), success()},
                            afterwards::keep);
     system.add_upstream("closed", "desk", closed.address());
     auto const began_at = system.timers.now();
@@ -93,7 +93,7 @@
     send_requests(system, 5);
     EXPECT_EQ(closed.requests(), 1U);
     auto const state = system.cluster.upstreams().find("closed");
-    EXPECT_GE(state->closed_until, began_at + 1500ms);
+    EXPECT_GE(state->unavailable_until, began_at + 1500ms);
     bool is_over = false;
     auto const timer = system.timers.after(1600ms, [&] { is_over = true; });
     system.run_until([&] { return is_over; });
@@ -112,11 +112,11 @@
     system.run_until([&] { return closed.requests() == 1; });
     auto const until = system.timers.now() + 600s;
     system.cluster.upstreams().request_rejected(system.timers.now(), "closed", 1s);
-    system.cluster.upstreams().set_closed("closed", until);
+    system.cluster.upstreams().set_unavailable("closed", until);
     system.run_until_ended(1);
     send_requests(system, 3);
     EXPECT_EQ(closed.requests(), 1U);
-    EXPECT_EQ(system.cluster.upstreams().find("closed")->closed_until, until);
+    EXPECT_EQ(system.cluster.upstreams().find("closed")->unavailable_until, until);
 }
 
 } // namespace
--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -167,7 +167,7 @@
         runtime::http_head head;
         head.status = status;
         head.headers = {{"retry-after", text}};
-        return decode_response_metadata(head).closed_for;
+        return decode_response_metadata(head).unavailable_for;
     };
     EXPECT_EQ(time_in(503, "2"), base::duration(2s));
     EXPECT_EQ(time_in(503, "0.25"), base::duration(250ms));
--- a/tests/platform/software_version_test.cpp
+++ b/tests/platform/software_version_test.cpp
@@ -35,7 +35,7 @@
     return stream_head(id, 100'000) + events(1, last);
 }
 
-std::string take_up(std::string const& id, std::string const& resumes)
+std::string resumption(std::string const& id, std::string const& resumes)
 {
     return "POST /stream/ask HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
            "\r\nLast-Event-Id: 2\r\nResumes: " + resumes + "\r\nContent-Length: 2\r\n\r\n{}";
@@ -75,8 +75,8 @@
     EXPECT_EQ(other.requests(), 0U);
 }
 
-// Guards against text that is joined from two software versions when a caller takes a stream up.
-TEST(software_version, a_stream_that_its_caller_takes_up_goes_on_at_its_version)
+// Guards against text that is joined from two software versions when a caller resumes a stream.
+TEST(software_version, a_stream_that_its_caller_resumes_goes_on_at_its_version)
 {
     for (std::string const version : {"v1", "v2"})
     {
@@ -91,7 +91,7 @@
         system.add_upstream("one", "engines", one.address(), "v1");
         system.add_upstream("two", "engines", two.address(), "v2");
         auto const again = system.connect();
-        again->send(take_up("again", "begun"));
+        again->send(resumption("again", "begun"));
         system.run_until_ended(2);
         EXPECT_EQ(system.outcomes[1].end, gateway::request_end::answered);
         EXPECT_EQ(system.outcomes[1].software_version, version);
@@ -108,7 +108,7 @@
     system.add_upstream("one", "engines", one.address(), "v1");
     system.add_upstream("two", "engines", two.address(), "v2");
     auto const caller = system.connect();
-    caller->send(take_up("again", "begun"));
+    caller->send(resumption("again", "begun"));
     system.run_until_ended(1);
     EXPECT_EQ(system.outcomes[0].end, gateway::request_end::refused);
     EXPECT_EQ(system.outcomes[0].status, 503);
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -56,7 +56,7 @@
         bool const any_upstream = step.kind == fault_kind::end_answers_with_connection ||
                                   step.kind == fault_kind::name_limit ||
                                   step.kind == fault_kind::say_leaving ||
-                                  step.kind == fault_kind::turn_away;
+                                  step.kind == fault_kind::reject_for_now;
         step.target = random.uniform_below(any_upstream ? size.upstreams() : size.engines);
         step.length = draw(random, shortest_fault, longest_fault);
         out.push_back(step);
@@ -123,8 +123,8 @@
         return "name_limit";
     case fault_kind::say_leaving:
         return "say_leaving";
-    case fault_kind::turn_away:
-        return "turn_away";
+    case fault_kind::reject_for_now:
+        return "reject_for_now";
     case fault_kind::new_software:
         return "new_software";
     case fault_kind::kill_all_gateways:
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -59,8 +59,8 @@
     name_limit,
     /// An upstream says in its answers that it leaves, before the list says so.
     say_leaving,
-    /// An upstream turns requests away and tells when to come back.
-    turn_away,
+    /// An upstream rejects requests and tells when to send the next one.
+    reject_for_now,
     /// An engine is replaced by one of the next software version.
     new_software,
     /// SIGKILL to all gateways at once, then new processes.
--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -65,8 +65,8 @@
             check_upstream_limit(it);
         for (auto const& it : history_.leaving)
             check_leaving(it);
-        for (auto const& it : history_.turned_away)
-            check_closed(it);
+        for (auto const& it : history_.rejected_for_now)
+            check_unavailable(it);
         check_versions();
         check_fences();
         check_crashes();
@@ -122,7 +122,7 @@
     {
         if (call.status != status_ok)
             return;
-        // A caller that takes a stream up has the events before.
+        // A caller that resumes a stream has the events before.
         auto const text = call.begun + call.body;
         auto const first_line_end = text.find('\n', text.find('\n') + 1);
         auto const first_event = text.substr(0, first_line_end);
@@ -280,25 +280,26 @@
         }
     }
 
-    void check_closed(turned_away_record const& notice)
+    void check_unavailable(rejection_record const& notice)
     {
         auto const* const refused = call_of(notice.request);
-        if (refused == nullptr || has_gateway_outage(notice.at, notice.at + bounds_.closed))
+        if (refused == nullptr || has_gateway_outage(notice.at, notice.at + bounds_.unavailable))
             return;
         auto const reaches =
             [&](std::string const& upstream, std::string const& request, base::time_point at)
         {
             auto const* const call = call_of(request);
             return upstream == notice.upstream && call != nullptr &&
-                   call->gateway == refused->gateway && at > notice.at + bounds_.closed_reaction &&
-                   at < notice.at + bounds_.closed;
+                   call->gateway == refused->gateway &&
+                   at > notice.at + bounds_.unavailable_reaction &&
+                   at < notice.at + bounds_.unavailable;
         };
         std::size_t count = 0;
         for (auto const& it : history_.runs)
             count += reaches(it.upstream, it.request, it.at) ? 1 : 0;
-        for (auto const& it : history_.turned_away)
+        for (auto const& it : history_.rejected_for_now)
             count += reaches(it.upstream, it.request, it.at) ? 1 : 0;
-        if (count > bounds_.requests_while_closed)
+        if (count > bounds_.requests_while_unavailable)
             report("upstreams that want no requests",
                    std::to_string(count) + " requests of one gateway reached " + notice.upstream +
                        " while it wanted none");
--- a/tests/soak/promise_checker.hpp
+++ b/tests/soak/promise_checker.hpp
@@ -49,11 +49,11 @@
     double limit_slack = 5;
     /// From an answer that says that its upstream leaves to the last request that it gets.
     base::duration drain = std::chrono::milliseconds(2000);
-    /// How long an upstream that turned a request away wants none, when that begins to count, and
+    /// How long an upstream that rejected a request wants none, when that begins to count, and
     /// how many requests may reach it meanwhile.
-    base::duration closed = std::chrono::milliseconds(3000);
-    base::duration closed_reaction = std::chrono::milliseconds(500);
-    std::size_t requests_while_closed = 2;
+    base::duration unavailable = std::chrono::milliseconds(3000);
+    base::duration unavailable_reaction = std::chrono::milliseconds(500);
+    std::size_t requests_while_unavailable = 2;
 
     bool operator==(promise_bounds const&) const = default;
 };
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -21,7 +21,7 @@
 // One in so many requests has the part that may crash engines. It is not drawn, so that the draws
 // of earlier seeds stay.
 constexpr std::uint64_t crashing_part_interval = 16;
-constexpr unsigned max_take_ups = 2;
+constexpr unsigned max_resumptions = 2;
 constexpr int status_ok = 200;
 
 /// Events of a text that ends with a whole one.
@@ -71,10 +71,10 @@
 {
     in_call_ = true;
     call_.id = name_ + "-" + std::to_string(sent_++);
-    if (taken_up_.empty())
+    if (resumed_request_.empty())
         choose_request();
     else
-        take_up_stream();
+        resume_stream();
     call_.gateway = gateway_;
     call_.started = timers_.now();
     runtime::call_hooks hooks;
@@ -112,31 +112,31 @@
         call_.kind == call_kind::stream && sent_ % crashing_part_interval == 0;
 }
 
-void soak_caller::take_up_stream()
+void soak_caller::resume_stream()
 {
     call_.kind = call_kind::stream;
     call_.key = "key-a";
-    call_.has_crashing_part = taken_up_has_crashing_part_;
-    call_.resumes = std::exchange(taken_up_, "");
-    call_.begun = std::exchange(taken_up_events_, "");
+    call_.has_crashing_part = resumed_has_crashing_part_;
+    call_.resumes = std::exchange(resumed_request_, "");
+    call_.begun = std::exchange(resumed_events_, "");
 }
 
-void soak_caller::plan_take_up()
+void soak_caller::plan_resumption()
 {
     bool const is_stream = call_.kind == call_kind::stream && call_.key == "key-a";
     bool const begins = call_.resumes.empty();
     auto const end = call_.body.rfind("\n\n");
     bool const has_events = call_.status == status_ok && end != std::string::npos;
     if (begins)
-        take_ups_left_ = max_take_ups;
+        resumptions_left_ = max_resumptions;
     // What came is kept when a later request brings nothing.
     bool const goes_on = has_events || !begins;
-    if (!is_stream || call_.whole || !goes_on || take_ups_left_ == 0)
+    if (!is_stream || call_.whole || !goes_on || resumptions_left_ == 0)
         return;
-    --take_ups_left_;
-    taken_up_ = begins ? call_.id : call_.resumes;
-    taken_up_events_ = call_.begun + (has_events ? call_.body.substr(0, end + 2) : "");
-    taken_up_has_crashing_part_ = call_.has_crashing_part;
+    --resumptions_left_;
+    resumed_request_ = begins ? call_.id : call_.resumes;
+    resumed_events_ = call_.begun + (has_events ? call_.body.substr(0, end + 2) : "");
+    resumed_has_crashing_part_ = call_.has_crashing_part;
 }
 
 std::string soak_caller::choose_key()
@@ -180,7 +180,7 @@
     call_.whole = whole;
     call_.ended = timers_.now();
     hooks_.ended(call_);
-    plan_take_up();
+    plan_resumption();
     auto const pause =
         shortest_pause +
         base::duration(static_cast<std::int64_t>(random_.uniform_below(pause_spread_us)));
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -50,13 +50,13 @@
     void next_call();
     void send();
     void choose_request();
-    void take_up_stream();
+    void resume_stream();
     std::string choose_key();
     std::string make_request() const;
     void take_head(runtime::http_head const& head);
     void end_call(bool whole);
-    /// Prepares the next request to take up a stream that has broken off.
-    void plan_take_up();
+    /// Prepares the next request to resume a stream that has broken off.
+    void plan_resumption();
 
     runtime::event_loop& loop_;
     runtime::timer_service& timers_;
@@ -67,11 +67,11 @@
     std::size_t gateway_ = 0;
     std::uint64_t sent_ = 0;
     call_record call_;
-    /// What the next request takes up: id of the request that began the stream, and its events.
-    std::string taken_up_;
-    std::string taken_up_events_;
-    bool taken_up_has_crashing_part_ = false;
-    unsigned take_ups_left_ = 0;
+    /// What the next request resumes: id of the request that began the stream, and its events.
+    std::string resumed_request_;
+    std::string resumed_events_;
+    bool resumed_has_crashing_part_ = false;
+    unsigned resumptions_left_ = 0;
     bool in_call_ = false;
     bool stopping_ = false;
     runtime::timer_service::subscription think_timer_;
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -43,7 +43,7 @@
 constexpr base::duration additional_limit_time = 8s;
 // Added to the time in which only answers say that an upstream leaves, so that it is judged.
 constexpr base::duration additional_leaving_time = 3s;
-constexpr base::duration time_turned_away = 3s;
+constexpr base::duration rejection_time = 3s;
 constexpr unsigned streams_closed_inside_event = 4;
 constexpr std::int64_t link_delay_ms = 150;
 constexpr std::int64_t store_link_delay_ms = 300;
@@ -300,8 +300,8 @@
         return name_limit(step.target, step.length + additional_limit_time);
     case fault_kind::say_leaving:
         return say_leaving(step.target, step.length + additional_leaving_time);
-    case fault_kind::turn_away:
-        return turn_away(step.target, step.length);
+    case fault_kind::reject_for_now:
+        return reject_for_now(step.target, step.length);
     case fault_kind::new_software:
         return replace_software(step.target);
     case fault_kind::kill_all_gateways:
@@ -631,17 +631,17 @@
           });
 }
 
-void soak_deployment::turn_away(std::size_t index, base::duration length)
+void soak_deployment::reject_for_now(std::size_t index, base::duration length)
 {
     auto& it = upstreams_[index];
     if (it.busy || it.link_busy)
         return;
     it.busy = true;
     it.link_busy = true;
-    control(it.control, {{"turn_away", std::to_string(time_turned_away / 1s)}});
-    disturbed(length + time_turned_away);
-    later(length, [this, index] { control(upstreams_[index].control, {{"turn_away", ""}}); });
-    later(length + time_turned_away,
+    control(it.control, {{"reject_for_now", std::to_string(rejection_time / 1s)}});
+    disturbed(length + rejection_time);
+    later(length, [this, index] { control(upstreams_[index].control, {{"reject_for_now", ""}}); });
+    later(length + rejection_time,
           [this, index]
           {
               upstreams_[index].busy = false;
@@ -702,8 +702,8 @@
             history_.runs.push_back({id, field(line, "request"),
                                      id.starts_with("engine") ? number_field(line, "version") : 0,
                                      time_field(line)});
-        else if (line.starts_with("turned_away "))
-            history_.turned_away.push_back({id, field(line, "request"), time_field(line)});
+        else if (line.starts_with("rejected_for_now "))
+            history_.rejected_for_now.push_back({id, field(line, "request"), time_field(line)});
         else if (line.starts_with("crash "))
             history_.crashes.push_back({id, field(line, "request"), time_field(line)});
         else if (line.starts_with("order "))
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -114,7 +114,7 @@
     void restore_store(base::duration length);
     void name_limit(std::size_t index, base::duration length);
     void say_leaving(std::size_t index, base::duration length);
-    void turn_away(std::size_t index, base::duration length);
+    void reject_for_now(std::size_t index, base::duration length);
     void replace_software(std::size_t index);
     void kill_all_gateways(base::duration length);
     /// Notes that a gateway is away or suspended from now until `length` has passed.
--- a/tests/soak/soak_history.hpp
+++ b/tests/soak/soak_history.hpp
@@ -35,7 +35,7 @@
     /// The connection had carried other requests.
     bool kept_connection = false;
     std::string body;
-    /// Id of the request that began the stream which this one takes up, and what had come of it.
+    /// Id of the request that began the stream which this one resumes, and what had come of it.
     std::string resumes;
     std::string begun;
 
@@ -104,14 +104,14 @@
     bool operator==(leaving_notice const&) const = default;
 };
 
-/// An upstream turned a request away and wanted none for some time.
-struct turned_away_record
+/// An upstream rejected a request and wanted none for some time.
+struct rejection_record
 {
     std::string upstream;
     std::string request;
     base::time_point at{};
 
-    bool operator==(turned_away_record const&) const = default;
+    bool operator==(rejection_record const&) const = default;
 };
 
 /// Operators named a weight version.
@@ -153,7 +153,7 @@
     std::vector<disturbance> gateway_outages;
     std::vector<named_limit> limits;
     std::vector<leaving_notice> leaving;
-    std::vector<turned_away_record> turned_away;
+    std::vector<rejection_record> rejected_for_now;
     std::vector<weights_named> weights;
     std::vector<key_change> key_changes;
     std::vector<unexpected_exit> exits;
--- a/tests/stand_ins/users_platform/fake_upstream.cpp
+++ b/tests/stand_ins/users_platform/fake_upstream.cpp
@@ -165,8 +165,8 @@
     {
         headers.push_back({"X-Not-Executed", "1"});
         headers.push_back({"Retry-After", retry_after_});
-        if (hooks_.turned_away)
-            hooks_.turned_away(request);
+        if (hooks_.rejected_for_now)
+            hooks_.rejected_for_now(request);
         exchange->respond(503, headers, "");
         return;
     }
--- a/tests/stand_ins/users_platform/fake_upstream.hpp
+++ b/tests/stand_ins/users_platform/fake_upstream.hpp
@@ -18,7 +18,7 @@
     std::function<void(std::string const& holder, std::uint64_t fence, std::uint64_t version)>
         order_accepted;
     std::function<void(std::string const& request)> crashed;
-    std::function<void(std::string const& request)> turned_away;
+    std::function<void(std::string const& request)> rejected_for_now;
     /// It answers again, under another id.
     std::function<void(std::string const& former_id)> restarted;
 };
@@ -51,8 +51,8 @@
     void name_limit(std::string limit) { limit_ = std::move(limit); }
     /// Answers say that the upstream leaves, whatever the list says.
     void say_leaving() { says_leaving_ = true; }
-    /// Turns every request away with 503 and this Retry-After in seconds; an empty text ends it.
-    void turn_away(std::string retry_after) { retry_after_ = std::move(retry_after); }
+    /// Rejects every request with 503 and this Retry-After in seconds; an empty text ends it.
+    void reject_for_now(std::string retry_after) { retry_after_ = std::move(retry_after); }
     /// Events name this software version; empty for none.
     void set_software(std::string version) { software_ = std::move(version); }
     /// Starts of this upstream, the first one included.
--- a/tests/stand_ins/users_upstream/main.cpp
+++ b/tests/stand_ins/users_upstream/main.cpp
@@ -19,8 +19,8 @@
         it.name_limit(body->at("limit").get<std::string>());
     if (body->contains("leaving"))
         it.say_leaving();
-    if (body->contains("turn_away"))
-        it.turn_away(body->at("turn_away").get<std::string>());
+    if (body->contains("reject_for_now"))
+        it.reject_for_now(body->at("reject_for_now").get<std::string>());
     if (body->contains("crash_on_part"))
         it.crash_on_part(body->at("crash_on_part").get<std::string>(),
                          std::chrono::milliseconds(body->at("crash_ms").get<std::int64_t>()));
@@ -65,9 +65,9 @@
                 std::cout << "crash at=" << loop.now().time_since_epoch().count()
                           << " request=" << request << std::endl;
             };
-            hooks.turned_away = [&loop](std::string const& request)
+            hooks.rejected_for_now = [&loop](std::string const& request)
             {
-                std::cout << "turned_away at=" << loop.now().time_since_epoch().count()
+                std::cout << "rejected_for_now at=" << loop.now().time_since_epoch().count()
                           << " request=" << request << std::endl;
             };
             hooks.restarted = [&loop, self](std::string const& former_id)
--- a/tests/system/soak/promise_checker_test.cpp
+++ b/tests/system/soak/promise_checker_test.cpp
@@ -244,7 +244,7 @@
 }
 
 // Guards against a checker that overlooks text that is joined from two software versions.
-TEST(promise_checker, finds_a_stream_that_is_taken_up_at_another_software_version)
+TEST(promise_checker, finds_a_stream_that_is_resumed_request_at_another_software_version)
 {
     auto history = good_history();
     auto& call = history.calls[0];
@@ -282,7 +282,7 @@
     refused.status = 503;
     refused.stamped = false;
     history.calls.push_back(refused);
-    history.turned_away = {{"desk-4.0", "refused", at(3s)}};
+    history.rejected_for_now = {{"desk-4.0", "refused", at(3s)}};
     for (int i = 0; i < 3; ++i)
     {
         EXPECT_TRUE(broken_promises(history).empty());
