--- a/libraries/savorymount/gateway/stream_directory.cpp
+++ b/libraries/savorymount/gateway/stream_directory.cpp
@@ -12,6 +12,8 @@
 // Between two writes of origins. What was not written when all instances end is not known later.
 constexpr base::duration tick_interval = 100ms;
 constexpr base::duration read_interval = 100ms;
+// Until the store answers for the first time; all instances may start during its outage.
+constexpr base::duration first_read_interval = 500ms;
 // Longer than an instance takes to write an origin that it knows.
 constexpr base::duration write_time = 400ms;
 
@@ -63,17 +65,21 @@
     read_timer_ = {};
     platform_.read_streams(cluster_.settings().instance,
                            [this](std::optional<streams::stored_origins> const& stored)
-                           {
-                               is_reading_ = false;
-                               last_read_failed_ = !stored;
-                               if (stored)
-                                   cluster_.stream_origins().add_stored(timers_.now(), *stored);
-                               store_was_read_ = store_was_read_ || stored;
-                               end_lookups();
-                               if (!waiting_.empty() || !store_was_read_)
-                                   read_timer_ =
-                                       timers_.after(read_interval, [this] { read_store(); });
-                           });
+                           { handle_stored(stored); });
+}
+
+void stream_directory::handle_stored(std::optional<streams::stored_origins> const& stored)
+{
+    is_reading_ = false;
+    last_read_failed_ = !stored;
+    if (stored)
+        cluster_.stream_origins().add_stored(timers_.now(), *stored);
+    store_was_read_ = store_was_read_ || stored;
+    end_lookups();
+    if (!waiting_.empty())
+        read_timer_ = timers_.after(read_interval, [this] { read_store(); });
+    else if (!store_was_read_)
+        read_timer_ = timers_.after(first_read_interval, [this] { read_store(); });
 }
 
 void stream_directory::end_lookups()
--- a/libraries/savorymount/gateway/stream_directory.hpp
+++ b/libraries/savorymount/gateway/stream_directory.hpp
@@ -52,6 +52,7 @@
     std::optional<streams::stream_origin> find_known(std::string const& request_id,
                                                      std::string const& service) const;
     void read_store();
+    void handle_stored(std::optional<streams::stored_origins> const& stored);
     void end_lookups();
     void tick();
     void write_versions();
