Compare every byte of a soak stream again, also in an incomplete first event

The version is now nothing or a space, v and digits, taken from the first event as far as it came, and the text is compared in any case.

--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -25,11 +25,32 @@
     return failure && status != status_internal_error && status != status_bad_gateway;
 }
 
-/// The first event of a stream, without its software version.
-std::string const& first_token()
+/// What the stand-ins add to each token: nothing, or a space and a software version. Taken from the
+/// first event, as far as it came.
+std::string version_suffix(std::string const& text)
 {
-    static std::string const text = "id: 1\ndata: token 1";
-    return text;
+    std::string const first_token = "id: 1\ndata: token 1";
+    if (!text.starts_with(first_token))
+        return {};
+    auto out =
+        text.substr(first_token.size(), text.find('\n', first_token.size()) - first_token.size());
+    std::string const prefix = " v";
+    bool const is_version =
+        out.starts_with(prefix)
+            ? std::all_of(out.begin() + static_cast<std::ptrdiff_t>(prefix.size()), out.end(),
+                          [](char it) { return it >= '0' && it <= '9'; })
+            : prefix.starts_with(out);
+    return is_version ? out : std::string();
+}
+
+/// A whole stream that begins with the text, if one does.
+std::string expected_events(std::string const& text)
+{
+    auto const version = version_suffix(text);
+    std::string out;
+    for (std::uint64_t i = 1; i <= events_per_stream; ++i)
+        out += "id: " + std::to_string(i) + "\ndata: token " + std::to_string(i) + version + "\n\n";
+    return out;
 }
 
 double seconds(base::duration time)
@@ -124,18 +145,12 @@
             return;
         // A caller that resumes a stream has the events before.
         auto const text = call.begun + call.body;
-        auto const first_line_end = text.find('\n', text.find('\n') + 1);
-        auto const first_event = text.substr(0, first_line_end);
-        auto const version = first_event.substr(std::min(first_event.size(), first_token().size()));
-        std::string expected;
-        for (std::uint64_t i = 1; i <= events_per_stream; ++i)
-            expected += "id: " + std::to_string(i) + "\ndata: token " + std::to_string(i) +
-                        version + "\n\n";
+        auto const expected = expected_events(text);
         bool const inside_event = !call.body.empty() && !call.body.ends_with("\n\n");
         if (call.whole && inside_event)
             report("no stream that ends inside an event looks whole",
                    call.id + " ended after \"" + call.body + "\"");
-        else if (first_line_end != std::string::npos && !expected.starts_with(text))
+        else if (!expected.starts_with(text))
             report("events in order, once", call.id + " got \"" + text + "\"");
         else if (call.whole && text != expected)
             report("whole answers", call.id + " ended after \"" + call.body + "\"");
--- a/tests/system/soak/promise_checker_test.cpp
+++ b/tests/system/soak/promise_checker_test.cpp
@@ -258,6 +258,30 @@
     EXPECT_EQ(broken_promises(history), std::vector<std::string>{"events in order, once"});
 }
 
+// Guards against a checker that compares nothing while the first event is incomplete, or that takes
+// any text behind the tokens for a software version.
+TEST(promise_checker, finds_wrong_bytes_in_an_incomplete_first_event_and_behind_tokens)
+{
+    auto history = good_history();
+    history.calls.push_back(served_booking("later", 10s));
+    history.runs.push_back({"desk-4.0", "later", 0, at(10s)});
+    history.disturbances = {{at(0s), at(1500ms)}};
+    auto& call = history.calls[0];
+    call.whole = false;
+    for (std::string const right : {"", "id: 1", "id: 1\ndata: tok", "id: 1\ndata: token 1 v1"})
+    {
+        call.body = right;
+        EXPECT_TRUE(broken_promises(history).empty()) << right;
+    }
+    for (std::string const wrong : {"id: 5", "oops", "id: 1\ndata: token 1 oops",
+                                    "id: 1\ndata: token 1 oops\n\nid: 2\ndata: token 2 oops\n\n"})
+    {
+        call.body = wrong;
+        EXPECT_EQ(broken_promises(history), std::vector<std::string>{"events in order, once"})
+            << wrong;
+    }
+}
+
 // Guards against a checker that overlooks requests to an upstream that has said that it leaves.
 TEST(promise_checker, finds_a_request_to_an_upstream_that_had_said_that_it_leaves)
 {
