--- a/review/5/scenario.cpp
+++ b/review/5/scenario.cpp
@@ -1,7 +1,7 @@
 // The store turns one machine away for some seconds and serves it again. Then an engine leaves.
 
-#include "../stand_ins/engine.hpp"
-#include "../stand_ins/gateway.hpp"
+#include "../engine.hpp"
+#include "../gateway.hpp"
 
 #include <map>
 
