--- a/tests/stand_ins/users_platform/fake_upstream.hpp
+++ b/tests/stand_ins/users_platform/fake_upstream.hpp
@@ -55,6 +55,7 @@
     void reject_for_now(std::string retry_after) { retry_after_ = std::move(retry_after); }
     /// Events name this software version; empty for none.
     void set_software(std::string version) { software_ = std::move(version); }
+    std::string const& software() const { return software_; }
     /// Starts of this upstream, the first one included.
     unsigned starts() const { return starts_; }
     /// The next answers break off after so many events.
--- a/tests/stand_ins/users_platform/main.cpp
+++ b/tests/stand_ins/users_platform/main.cpp
@@ -138,7 +138,7 @@
         json const entry{{"service", it.model_engine() ? "pool" : "desk"},
                          {"address", "127.0.0.1:" + std::to_string(it.port())},
                          {"zone", "liege"},
-                         {"version", "v1"},
+                         {"version", it.software().empty() ? "v1" : it.software()},
                          {"slots", 8},
                          {"state", upstream_state},
                          {"models", models},
@@ -185,6 +185,11 @@
             if (body->contains("crash_on_part"))
                 it->crash_on_part(body->at("crash_on_part").get<std::string>(),
                                   std::chrono::milliseconds(body->value("crash_ms", 2000)));
+            if (body->value("add", "") == it->id())
+            {
+                it->set_software(body->at("software").get<std::string>());
+                list(*it, "ready");
+            }
             if (body->value("drain", "") == it->id())
                 list(*it, "draining");
             if (body->value("remove", "") == it->id())
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -50,6 +50,13 @@
             usleep(20'000);
     }
 
+    /// Whether a gateway has noted that the list lacks this upstream.
+    bool unlisted(std::size_t gateway, std::string const& upstream)
+    {
+        return gateways_[gateway].output().find("name=upstream_unlisted upstream=" + upstream) !=
+               std::string::npos;
+    }
+
     /// Waits until a gateway has written a line with this text.
     void wait_for_line(std::size_t gateway, std::string const& text)
     {
@@ -95,6 +102,16 @@
         return client.start(http_[gateway], "POST", "/b/slot", headers(id, "key-a"), "{}");
     }
 
+    /// Resumes a stream behind its second event.
+    std::shared_ptr<caller_answer> resume(std::size_t gateway, std::string const& id,
+                                          std::string const& resumed)
+    {
+        auto fields = headers(id, "key-a");
+        fields.push_back({"Last-Event-Id", "2"});
+        fields.push_back({"Resumes", resumed});
+        return client.start(http_[gateway], "POST", "/p/chat", fields, "text of " + id);
+    }
+
     caller_answer book(std::size_t gateway, std::string const& id, std::string const& key = "key-a")
     {
         return client.request(http_[gateway], "POST", "/b/slot", headers(id, key), "{}");
@@ -406,6 +423,33 @@
         EXPECT_EQ(state[it]["executions"].value("request-2", 0), 0);
 }
 
+// Guards against text of two software versions after a pause in which an upgrade went on elsewhere.
+TEST(gateway, does_not_resume_a_stream_at_the_only_version_that_it_knew_before_a_pause)
+{
+    platform_deployment system(2);
+    system.control({{"remove", "engine-1"}});
+    system.wait_until([&] { return system.unlisted(0, "engine-1"); });
+    system.wait_until([&] { return system.unlisted(1, "engine-1"); });
+    system.gateway(0).send_signal(SIGSTOP);
+    system.control({{"add", "engine-1"}, {"software", "v2"}, {"remove", "engine-0"}});
+    system.wait_until([&] { return system.unlisted(1, "engine-0"); });
+    auto const begun = system.prompt(1, "begun");
+    system.client.run_until([&] { return !begun->body.empty(); });
+    system.gateway(1).send_signal(SIGKILL);
+    system.client.wait({begun});
+    ASSERT_EQ(begun->body.find("id: 1\ndata: token 1 v2\n\n"), 0U) << begun->body;
+    auto const resumed = system.resume(0, "resumed", "begun");
+    system.client.run_for(std::chrono::milliseconds(100));
+    system.gateway(0).send_signal(SIGCONT);
+    system.client.wait({resumed});
+    auto const runs_at_former_version = system.state()["engine-0"]["executions"];
+    EXPECT_EQ(runs_at_former_version.value("resumed", 0), 0) << resumed->status << resumed->body;
+    if (resumed->status == 200)
+        EXPECT_TRUE(resumed->body.ends_with("token 8 v2\n\n")) << resumed->body;
+    else
+        EXPECT_EQ(resumed->status, 503) << resumed->body;
+}
+
 // Guards against changes that are ignored after the store has come back from an older copy.
 TEST(gateway, follows_a_store_that_came_back_from_an_older_copy)
 {
--- a/tests/system/support/test_client.cpp
+++ b/tests/system/support/test_client.cpp
@@ -80,6 +80,12 @@
     std::erase_if(calls_, [](auto const& it) { return it.first->done; });
 }
 
+void test_client::run_for(base::duration time)
+{
+    auto const end = timers_.after(time, [this] { loop_.stop(); });
+    loop_.run();
+}
+
 void test_client::wait(std::vector<std::shared_ptr<caller_answer>> const& answers)
 {
     run_until(
--- a/tests/system/support/test_client.hpp
+++ b/tests/system/support/test_client.hpp
@@ -49,6 +49,9 @@
     /// Runs the loop until `finished` is true. Fails the test by an exception if it takes too long.
     void run_until(std::function<bool()> const& finished);
 
+    /// Runs the loop for this time, so that what was started is sent.
+    void run_for(base::duration time);
+
     /// Runs the loop until all answers are done.
     void wait(std::vector<std::shared_ptr<caller_answer>> const& answers);
 
