Read the list of upstreams before a stream goes on elsewhere

What callers would see: a stream that breaks off goes on at an engine that has started anew under its id at another version, with text of both.

The version of the next upstream is what the list showed up to 0.7 s ago, or before the instance was cut off or suspended; the request names only the upstream's id, which a new process may have again.

Evidence: with the dispatch as before, the new test fails: the upstream that the list shows at another version by then gets 1 request, and the caller gets 200. With the change it gets none, and the stream is ended as failed.

The list is read first, both for a stream that broke off within an answer and for one that its caller resumes. While the store does not answer, streams go on after 0.3 s at most by what is known (a test holds that): refusing them would cut every broken stream for the length of an outage. What remains: an upstream that answers before its new entry is in the store, or while this instance does not reach it.

--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -297,6 +297,7 @@
 {
     cluster_.store_failed(timers_.now());
     metrics_.store_failed();
+    streams_.upstreams_unreadable();
     if (std::exchange(store_available_, false))
         runtime::log(events::log_unavailable, {{"reason", failure.reason.message}});
     runtime::log(events::store_read_failed, {{"topic", failure.topic},
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -389,7 +389,20 @@
         context_.cluster.retry_quota(service_).try_spend(context_.timers.now());
     constraints_.tried_upstreams.insert(upstream);
     outcome_.failed_attempts.push_back({upstream, reason, elapsed()});
-    dispatch();
+    if (streaming_)
+        resume_elsewhere();
+    else
+        dispatch();
+}
+
+void gateway_request::resume_elsewhere()
+{
+    context_.streams.confirm_upstreams(
+        [self = shared_from_this()]
+        {
+            if (!self->finished_)
+                self->dispatch();
+        });
 }
 
 void gateway_request::give_up(std::string const& reason)
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -56,6 +56,8 @@
     /// Whether the process ran again after a suspension later than `time`.
     bool resumed_since(base::time_point time);
     /// Retries on another upstream if that is allowed, and gives up otherwise.
+    /// Sends a stream that broke off to another upstream.
+    void resume_elsewhere();
     void retry_or_give_up(attempt_failure failure, std::string const& reason);
     void give_up(std::string const& reason);
     /// Closes the connection of a caller that has received part of a stream.
--- a/libraries/savorymount/gateway/stream_directory.cpp
+++ b/libraries/savorymount/gateway/stream_directory.cpp
@@ -16,6 +16,8 @@
 constexpr base::duration first_read_interval = 500ms;
 // Longer than an instance takes to write an origin that it knows.
 constexpr base::duration write_time = 400ms;
+// A stream that goes on after a longer pause is late.
+constexpr base::duration max_confirmation_time = 200ms;
 
 } // namespace
 
@@ -50,15 +52,7 @@
 {
     auto const& origins = cluster_.stream_origins();
     if (auto known = origins.find(lookup.request_id))
-    {
-        auto const upstreams_until = origins.upstreams_complete_until();
-        bool const is_listed =
-            cluster_.upstreams().serves_version(known->service, known->software_version);
-        // An upstream with that version may have joined since the list was read.
-        if (is_listed || (upstreams_until && *upstreams_until >= lookup.asked_at))
-            return {std::move(known), origin_source::recorded, false};
-        return {};
-    }
+        return {std::move(known), origin_source::recorded, false};
     auto const version = origins.only_version(timers_.now(), lookup.asked_at, lookup.service);
     if (!version)
         return {};
@@ -67,13 +61,6 @@
         origin_source::only_version, false};
 }
 
-stream_lookup stream_directory::end_of(waiting_lookup const& lookup) const
-{
-    auto known = cluster_.stream_origins().find(lookup.request_id);
-    auto const source = known ? origin_source::recorded : origin_source::unknown;
-    return {std::move(known), source, last_read_failed_};
-}
-
 void stream_directory::find(std::string const& request_id, std::string const& service,
                             std::function<void(stream_lookup const&)> callback)
 {
@@ -83,7 +70,7 @@
     waiting_lookup lookup{request_id, service, now, now + lookup_time, std::move(callback)};
     if (auto const known = find_known(lookup); known.origin)
     {
-        lookup.callback(known);
+        confirm_upstreams([known, callback = std::move(lookup.callback)] { callback(known); });
         return;
     }
     waiting_.push_back(std::move(lookup));
@@ -91,9 +78,37 @@
     read_store();
 }
 
+void stream_directory::confirm_upstreams(std::function<void()> callback)
+{
+    confirmations_.push_back({timers_.now(), std::move(callback)});
+    platform_.read_upstreams();
+}
+
+void stream_directory::upstreams_unreadable()
+{
+    // The instance goes on with what it knows, as without the store in general.
+    end_confirmations(timers_.now());
+}
+
+void stream_directory::end_confirmations(base::time_point asked_before)
+{
+    std::vector<waiting_confirmation> still_waiting;
+    // A callback may ask for another one.
+    for (auto& it : std::exchange(confirmations_, {}))
+    {
+        if (it.asked_at <= asked_before)
+            it.callback();
+        else
+            still_waiting.push_back(std::move(it));
+    }
+    confirmations_.insert(confirmations_.end(), std::make_move_iterator(still_waiting.begin()),
+                          std::make_move_iterator(still_waiting.end()));
+}
+
 void stream_directory::upstreams_read(base::time_point complete_until)
 {
     cluster_.stream_origins().upstreams_read(complete_until);
+    end_confirmations(complete_until);
     end_lookups();
 }
 
@@ -134,7 +149,7 @@
         if (known.origin)
             it.callback(known);
         else if (now >= it.until)
-            it.callback(end_of(it));
+            it.callback({std::nullopt, origin_source::unknown, last_read_failed_});
         else
             still_waiting.push_back(std::move(it));
     }
@@ -144,6 +159,7 @@
 
 void stream_directory::tick()
 {
+    end_confirmations(timers_.now() - max_confirmation_time);
     end_lookups();
     if (!store_was_read_ || !writes_store_())
         return;
--- a/libraries/savorymount/gateway/stream_directory.hpp
+++ b/libraries/savorymount/gateway/stream_directory.hpp
@@ -50,13 +50,20 @@
 
     void start();
 
-    /// Finds the stream that began with the request. Calls back at once if its origin is known and
-    /// an upstream with that version is listed, and soon in any case.
+    /// Finds the stream that began with the request, and reads the list of upstreams anew. Calls
+    /// back soon in any case.
     void find(std::string const& request_id, std::string const& service,
               std::function<void(stream_lookup const&)> callback);
 
+    /// Reads the list of upstreams, so that a stream goes on at an upstream whose version is known
+    /// as of now: one may have started anew under its id. Calls back when the list was read, or
+    /// soon if the store does not answer.
+    void confirm_upstreams(std::function<void()> callback);
+
     /// Every change of the list of upstreams before `complete_until` was applied.
     void upstreams_read(base::time_point complete_until);
+    /// A read of the list of upstreams failed.
+    void upstreams_unreadable();
 
 private:
     struct waiting_lookup
@@ -68,10 +75,16 @@
         std::function<void(stream_lookup const&)> callback;
     };
 
+    struct waiting_confirmation
+    {
+        base::time_point asked_at;
+        std::function<void()> callback;
+    };
+
     /// What is known of the stream now; no origin if it must be looked for.
     stream_lookup find_known(waiting_lookup const& lookup) const;
-    /// The same when the time for the lookup has passed.
-    stream_lookup end_of(waiting_lookup const& lookup) const;
+    /// Ends the waits for the list that were asked for before `asked_before`.
+    void end_confirmations(base::time_point asked_before);
     void read_store();
     void handle_stored(base::time_point asked_at,
                        std::optional<streams::stored_origins> const& stored);
@@ -85,6 +98,7 @@
     platform_adapter& platform_;
     std::function<bool()> writes_store_;
     std::vector<waiting_lookup> waiting_;
+    std::vector<waiting_confirmation> confirmations_;
     bool store_was_read_ = false;
     bool last_read_failed_ = false;
     bool is_reading_ = false;
--- a/tests/platform/request_harness.hpp
+++ b/tests/platform/request_harness.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <tests/libraries/runtime/raw_client.hpp>
+#include <utility>
 #include <vector>
 
 namespace savorymount::tests
@@ -29,8 +30,11 @@
         platform.response_headers = platform::response_headers;
         platform.read_upstreams = [this]
         {
-            if (stored_streams)
-                streams_.upstreams_read(timers.now());
+            if (!stored_streams)
+                return;
+            if (unread_changes)
+                std::exchange(unread_changes, nullptr)();
+            streams_.upstreams_read(timers.now());
         };
         platform.read_streams = [this](std::string const&, auto callback)
         {
@@ -102,6 +106,8 @@
     gateway::platform_adapter platform;
     gateway::response_memory responses;
     std::vector<gateway::request_outcome> outcomes;
+    /// What the next read of the list of upstreams brings.
+    std::function<void()> unread_changes;
     /// What the store holds about streams; empty if the store does not answer.
     std::optional<streams::stored_origins> stored_streams = streams::stored_origins{};
 
--- a/tests/platform/software_version_test.cpp
+++ b/tests/platform/software_version_test.cpp
@@ -115,6 +115,40 @@
     EXPECT_EQ(one.requests() + two.requests(), 0U);
 }
 
+// Guards against text of two versions from an upstream that has started anew under its id.
+TEST(software_version, a_stream_does_not_go_on_at_an_upstream_that_started_anew_at_another_version)
+{
+    request_harness system;
+    scripted_server broken(system.loop, {broken_stream("r", 2)}, afterwards::reset);
+    scripted_server other(system.loop, {whole_stream("r", 3, 4)}, afterwards::keep);
+    system.add_upstream("broken", "engines", broken.address(), "v1");
+    auto const caller = system.send("/stream/ask", "r");
+    system.run_until([&] { return broken.connections() > 0; });
+    system.add_upstream("other", "engines", other.address(), "v1");
+    system.unread_changes = [&]
+    {
+        system.add_upstream("other", "engines", other.address(), "v2");
+    };
+    system.run_until_ended(1);
+    EXPECT_EQ(system.outcomes[0].end, gateway::request_end::failed);
+    EXPECT_EQ(other.requests(), 0U);
+}
+
+// Guards against a stream that ends because the store does not answer.
+TEST(software_version, a_stream_that_breaks_off_goes_on_while_the_list_cannot_be_read)
+{
+    request_harness system;
+    scripted_server broken(system.loop, {broken_stream("r", 2)}, afterwards::reset);
+    scripted_server same(system.loop, {whole_stream("r", 3, 4)}, afterwards::keep);
+    system.add_upstream("broken", "engines", broken.address(), "v1");
+    auto const caller = system.send("/stream/ask", "r");
+    system.run_until([&] { return broken.connections() > 0; });
+    system.add_upstream("same", "engines", same.address(), "v1");
+    system.stored_streams.reset();
+    system.run_until_ended(1);
+    EXPECT_EQ(system.outcomes[0].end, gateway::request_end::answered);
+}
+
 // Guards against refusing a stream of another instance although there is one version only.
 TEST(software_version, a_stream_of_elsewhere_goes_on_while_all_upstreams_have_one_version)
 {
