--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -27,7 +27,8 @@
 
 constexpr later_kinds second_kinds{0x6c61746572, first_fault_kinds, second_fault_kinds};
 constexpr later_kinds third_kinds{0x7468697264, second_fault_kinds, third_fault_kinds};
-constexpr later_kinds fourth_kinds{0x666f75727468, third_fault_kinds, fault_kinds};
+constexpr later_kinds fourth_kinds{0x666f75727468, third_fault_kinds, fourth_fault_kinds};
+constexpr later_kinds fifth_kinds{0x6669667468, fourth_fault_kinds, fault_kinds};
 
 bool is_upstream_fault(fault_kind kind)
 {
@@ -128,9 +129,11 @@
     case fault_kind::new_software:
         return "new_software";
     case fault_kind::kill_all_gateways:
+        return "kill_all_gateways";
+    case fault_kind::upgrade_during_pause:
         break;
     }
-    return "kill_all_gateways";
+    return "upgrade_during_pause";
 }
 
 bool is_planned_work(fault_kind kind)
@@ -172,7 +175,7 @@
         if (random.uniform_real() > series_share)
             at += draw(random, base::duration::zero(), longest_gap);
     }
-    for (auto const& kinds : {second_kinds, third_kinds, fourth_kinds})
+    for (auto const& kinds : {second_kinds, third_kinds, fourth_kinds, fifth_kinds})
     {
         for (auto const& step : make_later_steps(seed, length, size, kinds))
         {
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -64,7 +64,10 @@
     /// An engine is replaced by one of the next software version.
     new_software,
     /// SIGKILL to all gateways at once, then new processes.
-    kill_all_gateways
+    kill_all_gateways,
+    /// A gateway is suspended while an engine of the next software version joins; another gateway
+    /// is killed before the first one runs again.
+    upgrade_during_pause
 };
 
 /// Kinds that the first generator of a plan draws from. Kinds that came later have generators of
@@ -75,8 +78,10 @@
     static_cast<std::size_t>(fault_kind::crash_on_part) + 1;
 inline constexpr std::size_t third_fault_kinds =
     static_cast<std::size_t>(fault_kind::name_limit) + 1;
-inline constexpr std::size_t fault_kinds =
+inline constexpr std::size_t fourth_fault_kinds =
     static_cast<std::size_t>(fault_kind::kill_all_gateways) + 1;
+inline constexpr std::size_t fault_kinds =
+    static_cast<std::size_t>(fault_kind::upgrade_during_pause) + 1;
 
 std::string_view to_string(fault_kind kind);
 
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -306,6 +306,8 @@
         return replace_software(step.target);
     case fault_kind::kill_all_gateways:
         return kill_all_gateways(step.length);
+    case fault_kind::upgrade_during_pause:
+        return upgrade_during_pause(step.target, step.length);
     }
 }
 
@@ -664,6 +666,17 @@
         kill_gateway(i, length);
 }
 
+void soak_deployment::upgrade_during_pause(std::size_t engine, base::duration length)
+{
+    auto const paused = engine % gateways_.size();
+    auto const killed = (paused + 1) % gateways_.size();
+    replace_software(engine);
+    auto const pause_time = drain_time + length;
+    gateway_outage(pause_time);
+    pause(*gateways_[paused].program, gateways_[paused].busy, pause_time);
+    later(pause_time - length / 4, [this, killed, length] { kill_gateway(killed, length / 2); });
+}
+
 void soak_deployment::gateway_outage(base::duration length)
 {
     history_.gateway_outages.push_back({timers_.now(), timers_.now() + length});
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -116,6 +116,7 @@
     void say_leaving(std::size_t index, base::duration length);
     void reject_for_now(std::size_t index, base::duration length);
     void replace_software(std::size_t index);
+    void upgrade_during_pause(std::size_t engine, base::duration length);
     void kill_all_gateways(base::duration length);
     /// Notes that a gateway is away or suspended from now until `length` has passed.
     void gateway_outage(base::duration length);
