Ask whether the upstream still runs before a stream without length counts as whole

What callers saw: a stream that ends as complete before its last event (ORDER), when the process of its engine is killed between two events.

Cause: a response with neither length nor chunks ends with its connection, and the kernel closes the connections of a killed process in good order. The gateway took that for the end of the stream.

With the change, the new test resumes the stream at another upstream.

The gateway opens a connection to the upstream and sends nothing; if no process listens any more, the stream counts as broken off. An upstream that ends in good order at the same moment costs one resumption.

--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -102,6 +102,7 @@
 void upstream_attempt::finish(bool keep_connection)
 {
     callbacks_ = {};
+    probe_.reset();
     context_.cluster.upstreams().request_finished(placement_.upstream.id, response_started_,
                                                   placement_.size);
     auto connection = std::move(connection_);
@@ -225,12 +226,45 @@
         handle_failure(runtime::call_failure::lost, "the upstream's stream ended inside an event");
     else if (untrusted_)
         report_result(attempt_result::invalid_response, "the upstream's response is not authentic");
+    else if (is_stream_response() && ended_with_connection())
+        confirm_stream_end();
     else
         report_result(is_stream_response() ? attempt_result::stream_ended
                                            : attempt_result::complete_response,
                       "");
 }
 
+bool upstream_attempt::ended_with_connection() const
+{
+    bool const is_delimited =
+        head_.content_length || runtime::find_header(head_.headers, "Transfer-Encoding");
+    return !is_delimited && !connection_->reusable();
+}
+
+void upstream_attempt::confirm_stream_end()
+{
+    // The kernel closes the connections of a process that was killed in good order.
+    base::error reason;
+    auto const address = runtime::parse_address("upstream", placement_.upstream.address, reason);
+    if (!address)
+    {
+        report_result(attempt_result::stream_ended, "");
+        return;
+    }
+    probe_ = context_.pool.probe(*address, [self = shared_from_this()](auto result)
+                                 { self->handle_stream_end(result); });
+}
+
+void upstream_attempt::handle_stream_end(runtime::probe_result result)
+{
+    if (!callbacks_.finished)
+        return;
+    if (result == runtime::probe_result::refused)
+        handle_failure(runtime::call_failure::lost, "the upstream ended with its stream");
+    else
+        report_result(attempt_result::stream_ended, "");
+}
+
 void upstream_attempt::handle_failure(runtime::call_failure kind, std::string const& reason)
 {
     auto const& id = placement_.upstream.id;
--- a/libraries/savorymount/gateway/upstream_attempt.hpp
+++ b/libraries/savorymount/gateway/upstream_attempt.hpp
@@ -87,6 +87,11 @@
     void record_first_byte();
     void report_result(attempt_result result, std::string const& reason);
     bool is_stream_response() const;
+    /// Whether the response had neither a length nor chunks, so that its connection ended it.
+    bool ended_with_connection() const;
+    /// Ends a stream that looks whole, unless its upstream has ended with it.
+    void confirm_stream_end();
+    void handle_stream_end(runtime::probe_result result);
 
     gateway_context& context_;
     placed_request placement_;
@@ -101,6 +106,7 @@
     streams::event_splitter event_splitter_;
     streams::stall_detector stall_detector_;
     response_memory::share memory_;
+    std::unique_ptr<runtime::connection_probe> probe_;
     bool response_started_ = false;
     /// The response lacks a request id or the upstream's stamp.
     bool untrusted_ = false;
--- a/libraries/savorymount/runtime/outbound_pool.hpp
+++ b/libraries/savorymount/runtime/outbound_pool.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <savorymount/runtime/connection_probe.hpp>
 #include <savorymount/runtime/outbound_connection.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -32,6 +34,13 @@
     /// Closes the idle connections to an upstream.
     void forget(std::string const& upstream) { idle_.erase(upstream); }
 
+    /// Finds out whether a process listens at the address.
+    std::unique_ptr<connection_probe> probe(network_address const& address,
+                                            std::function<void(probe_result)> callback)
+    {
+        return std::make_unique<connection_probe>(loop_, timers_, address, std::move(callback));
+    }
+
 private:
     bool fresh(outbound_connection const& connection) const;
 
--- a/tests/platform/response_end_test.cpp
+++ b/tests/platform/response_end_test.cpp
@@ -191,6 +191,24 @@
     }
 }
 
+// Guards against a stream that looks whole although its upstream was killed between two events.
+TEST(response_end, a_stream_that_ends_with_its_upstream_is_resumed_elsewhere)
+{
+    request_harness system;
+    auto killed = std::make_unique<scripted_server>(
+        system.loop, std::vector{unframed("r", events(1, 2))}, afterwards::keep);
+    scripted_server other(system.loop, {unframed("r", events(3, 4))}, afterwards::close);
+    system.add_upstream("killed", "engines", killed->address());
+    auto const caller = system.send("/stream/ask", "r");
+    system.run_until([&] { return killed->requests() > 0; });
+    system.add_upstream("other", "engines", other.address());
+    killed.reset();
+    system.run_until_ended(1);
+    EXPECT_EQ(system.outcomes[0].end, request_end::answered);
+    EXPECT_EQ(system.outcomes[0].attempts, 2U);
+    EXPECT_EQ(other.requests(), 1U);
+}
+
 // Guards against a broken stream that looks whole to its caller.
 TEST(response_end, a_stream_that_is_broken_off_everywhere_does_not_look_whole)
 {
