Refuse an address with a NUL inside

parse_address handed the host to inet_pton, which reads up to the first NUL. An entry with the address "127.0.0.1\u0000\r\nX-Tenant: b:80" counted as valid, and its text went on as the name of the connection and into the Host field of calls to it.

settings_parser.addresses_hold_no_other_bytes failed on two of its seven texts before; ports 65536, 99999, -1 and empty ones were refused already.

--- a/libraries/savorymount/runtime/settings_parser.cpp
+++ b/libraries/savorymount/runtime/settings_parser.cpp
@@ -208,7 +208,9 @@
         std::string const host = text.substr(0, colon);
         base::error ignored;
         auto const port = parse_number(name, text.substr(colon + 1), 0, 65535, ignored);
-        if (port && inet_pton(AF_INET, host.c_str(), &parsed) == 1)
+        // inet_pton sees the text only up to its first NUL.
+        bool const is_plain = host.find('\0') == std::string::npos;
+        if (port && is_plain && inet_pton(AF_INET, host.c_str(), &parsed) == 1)
             return network_address{host, static_cast<std::uint16_t>(*port)};
     }
     reason = {base::error_kind::invalid_input,
--- a/tests/libraries/runtime/settings_parser_test.cpp
+++ b/tests/libraries/runtime/settings_parser_test.cpp
@@ -45,5 +45,16 @@
     EXPECT_EQ(parse_address("log", "127.0.0.1:80", reason), (network_address{"127.0.0.1", 80}));
 }
 
+// Guards against an address that carries other bytes into a header field.
+TEST(settings_parser, addresses_hold_no_other_bytes)
+{
+    using namespace std::string_literals;
+    base::error reason;
+    for (auto const& it :
+         {"127.0.0.1:65536"s, "127.0.0.1:99999"s, "127.0.0.1:-1"s, "127.0.0.1:"s, "127.0.0.1\0:80"s,
+          "127.0.0.1\0\r\nX-Tenant: b:80"s, "127.0.0.1:18446744073709551616"s})
+        EXPECT_FALSE(parse_address("address", it, reason)) << it;
+}
+
 } // namespace
 } // namespace savorymount::runtime
