Pass keys of records on whole between instances

A key with a NUL was cut there when a relay passed its record on, on both sides of the datagram. The others took the record for one of another key: "engine-0\0x" would have replaced engine-0.

peer_report_codec.keys_of_records_are_passed_on_whole failed before: the key came back as "id".

--- a/libraries/savorymount/gateway/peer_report_codec.cpp
+++ b/libraries/savorymount/gateway/peer_report_codec.cpp
@@ -37,6 +37,17 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(number, 0, max));
 }
 
+/// All bytes of a text; it may hold NUL.
+std::string text_of(capnp::Text::Reader in)
+{
+    return {in.begin(), in.size()};
+}
+
+std::string bytes_of(capnp::Data::Reader in)
+{
+    return {reinterpret_cast<char const*>(in.begin()), in.size()};
+}
+
 void write_load(wire::WeightLoad::Builder out, membership::weight_load const& load)
 {
     out.setUpstream(load.upstream);
@@ -59,7 +70,7 @@
 membership::loss_notice read_loss(wire::UpstreamLoss::Reader in)
 {
     membership::loss_notice out;
-    out.loss.upstream = in.getUpstream().cStr();
+    out.loss.upstream = text_of(in.getUpstream());
     out.loss.request = in.getRequest();
     for (auto const it : in.getParts())
         out.loss.parts.push_back(it);
@@ -121,11 +132,6 @@
                });
 }
 
-std::string_view text_of(capnp::Data::Reader in)
-{
-    return {reinterpret_cast<char const*>(in.begin()), in.size()};
-}
-
 void write_store_update(wire::StoreUpdate::Builder out, membership::store_update const& update)
 {
     out.setTopic(update.topic);
@@ -139,7 +145,7 @@
     write_list(out.initRecords(count(update.records)), update.records,
                [](wire::StoreRecord::Builder to, membership::store_record const& it)
                {
-                   to.setKey(it.key);
+                   to.setKey({it.key.c_str(), it.key.size()});
                    to.setDeleted(!it.value);
                    to.setOffset(it.offset);
                    auto const value = it.value.value_or("");
@@ -151,7 +157,7 @@
 membership::store_update read_store_update(wire::StoreUpdate::Reader in)
 {
     membership::store_update out;
-    out.topic = in.getTopic().cStr();
+    out.topic = text_of(in.getTopic());
     out.era = in.getEra();
     out.begin = in.getBegin();
     out.end = in.getEnd();
@@ -160,9 +166,9 @@
         out.age = std::chrono::milliseconds(in.getAgeMilliseconds());
     for (auto const it : in.getRecords())
     {
-        membership::store_record record{it.getKey().cStr(), std::nullopt, it.getOffset()};
+        membership::store_record record{text_of(it.getKey()), std::nullopt, it.getOffset()};
         if (!it.getDeleted())
-            record.value = std::string(text_of(it.getValue()));
+            record.value = bytes_of(it.getValue());
         out.records.push_back(std::move(record));
     }
     return out;
@@ -171,7 +177,7 @@
 membership::limit_notice read_limit(wire::UpstreamLimit::Reader in)
 {
     membership::limit_notice out;
-    out.notice.upstream = in.getUpstream().cStr();
+    out.notice.upstream = text_of(in.getUpstream());
     if (!in.getEnded())
         out.notice.limit = in.getRequestsPerSecond();
     out.age = std::chrono::milliseconds(in.getAgeMilliseconds());
@@ -181,15 +187,15 @@
 membership::peer_report read_report(wire::PeerReport::Reader in)
 {
     membership::peer_report out;
-    out.data_centre = in.getDataCentre().cStr();
+    out.data_centre = text_of(in.getDataCentre());
     out.relay_weight = in.getRelayWeight();
     for (auto const it : in.getRelayed())
         out.relayed.push_back(read_report(it));
     for (auto const it : in.getStoreUpdates())
         out.store_updates.push_back(read_store_update(it));
-    out.instance = in.getInstance().cStr();
-    out.incarnation = in.getIncarnation().cStr();
-    out.address = in.getAddress().cStr();
+    out.instance = text_of(in.getInstance());
+    out.incarnation = text_of(in.getIncarnation());
+    out.address = text_of(in.getAddress());
     out.leaving = in.getLeaving();
     out.partial = in.getPartial();
     out.uptime = std::chrono::milliseconds(in.getUptimeMilliseconds());
@@ -199,15 +205,15 @@
         out.lease = membership::held_lease{std::max(in.getDutyEra(), orders::first_log_era),
                                            in.getDutyOffset()};
     for (auto const it : in.getAdmitted())
-        out.admitted_tokens[it.getWorkspace().cStr()] = it.getTokens();
+        out.admitted_tokens[text_of(it.getWorkspace())] = it.getTokens();
     for (auto const it : in.getUse())
-        out.upstream_use[it.getUpstream().cStr()] = {it.getRequests(), it.getTokens()};
+        out.upstream_use[text_of(it.getUpstream())] = {it.getRequests(), it.getTokens()};
     for (auto const it : in.getLoads())
-        out.weight_loads.push_back({it.getUpstream().cStr(), it.getModel().cStr(), it.getVersion(),
-                                    base::duration(it.getRemainingMicroseconds()),
+        out.weight_loads.push_back({text_of(it.getUpstream()), text_of(it.getModel()),
+                                    it.getVersion(), base::duration(it.getRemainingMicroseconds()),
                                     it.getEmptying()});
     for (auto const it : in.getCrashes())
-        out.crashes.push_back({it.getDigest().cStr(), it.getUpstream().cStr()});
+        out.crashes.push_back({text_of(it.getDigest()), text_of(it.getUpstream())});
     for (auto const it : in.getLosses())
         out.losses.push_back(read_loss(it));
     for (auto const it : in.getSoundParts())
@@ -217,10 +223,10 @@
         out.limits.push_back(read_limit(it));
     for (auto const it : in.getStreams())
         out.streams.push_back(
-            {it.getStream(), it.getService().cStr(), it.getSoftwareVersion().cStr()});
+            {it.getStream(), text_of(it.getService()), text_of(it.getSoftwareVersion())});
     for (auto const it : in.getReads())
     {
-        auto& digests = out.assigned_prefixes[it.getUpstream().cStr()];
+        auto& digests = out.assigned_prefixes[text_of(it.getUpstream())];
         for (auto const digest : it.getDigests())
             digests.push_back(digest);
     }
--- a/tests/libraries/gateway/peer_report_codec_test.cpp
+++ b/tests/libraries/gateway/peer_report_codec_test.cpp
@@ -107,5 +107,18 @@
     }
 }
 
+// Guards against a key that another instance takes for a different one.
+TEST(peer_report_codec, keys_of_records_are_passed_on_whole)
+{
+    using namespace std::string_literals;
+    membership::peer_report report;
+    report.instance = "a";
+    report.incarnation = "i";
+    report.store_updates = {{"topic", 1, 0, 2, {{"id\0odd"s, "\xff\0"s, 1}}, false, {}}};
+    auto const read = decode_peer_report(encode_peer_report(report));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->store_updates, report.store_updates);
+}
+
 } // namespace
 } // namespace savorymount::gateway
