Bound the idle time that an upstream announces

"Keep-Alive: timeout=" overflowed when the seconds became microseconds (undefined behaviour; a negative time here), so that no connection to the upstream was used twice.

outbound_connection_test.takes_an_idle_time_of_any_size failed before.

--- a/libraries/savorymount/runtime/outbound_connection.cpp
+++ b/libraries/savorymount/runtime/outbound_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <event2/buffer.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <charconv>
@@ -20,6 +21,7 @@
 constexpr std::size_t read_ahead_bytes = std::size_t{64} * 1024;
 // A chunk of one byte takes six bytes; this leaves room for a short chunk extension.
 constexpr std::size_t max_overhead_per_body_byte = 16;
+constexpr std::int64_t max_idle_seconds = 86'400;
 
 std::optional<base::duration> parse_idle_time(http_headers const& headers)
 {
@@ -31,7 +33,7 @@
     char const* const first = value->data() + at + std::strlen("timeout=");
     if (std::from_chars(first, value->data() + value->size(), seconds).ec != std::errc())
         return std::nullopt;
-    return std::chrono::seconds(seconds);
+    return std::chrono::seconds(std::clamp<std::int64_t>(seconds, 0, max_idle_seconds));
 }
 
 } // namespace
--- a/tests/libraries/runtime/outbound_connection_test.cpp
+++ b/tests/libraries/runtime/outbound_connection_test.cpp
@@ -132,6 +132,19 @@
     EXPECT_EQ(server.connections(), 1U);
 }
 
+// Guards against an announced idle time that overflows, so that no connection is used twice.
+TEST_F(outbound_connection_test, takes_an_idle_time_of_any_size)
+{
+    for (std::string const seconds : {"9223372036854775807", "9223372036854776", "86400"})
+    {
+        auto const fields =
+            "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=" + seconds + "\r\nContent-Length: 0\r\n\r\n";
+        scripted_server server(loop, {fields}, afterwards::keep);
+        call(server.address());
+        EXPECT_GT(connection->announced_idle_time(), std::chrono::hours(1)) << seconds;
+    }
+}
+
 // Guards against an answer that was cut short and looks complete.
 TEST_F(outbound_connection_test, tells_a_whole_answer_from_one_that_was_cut_short)
 {
