--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -139,6 +139,14 @@
     EXPECT_EQ(found, (streams::stored_origins{record.origins, versions, 19}));
 }
 
+// Guards against streams that are never recorded because another instance told a name that is no
+// UTF-8.
+TEST(stream_record, names_of_any_bytes_are_written)
+{
+    EXPECT_NO_THROW(serialize_origins({1, {{1, "s\xff", "v\xff"}}}));
+    EXPECT_NO_THROW(serialize_versions({{"s\xff", "v\xff"}}));
+}
+
 // Guards against records that are split at the wrong byte or get the wrong offset.
 TEST(store_record_parser, parses_records_with_their_offsets)
 {
