--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -366,6 +366,22 @@
     EXPECT_EQ(records.at("config"), "newest");
 }
 
+// Guards against a read that an unreadable record has ended and that counts as held open to its
+// end.
+TEST_F(topic_follower_test, a_record_without_a_key_ends_a_read_that_is_held_open)
+{
+    poll_timeout = 200ms;
+    reads_store = true;
+    follow({snapshot(10), page(10), page(11, std::string(4, '\0')), page(11)});
+    run_until_reads(1);
+    while (server->requests() < 3)
+        event_base_loop(loop.base(), EVLOOP_ONCE);
+    auto const answered_at = timers.now();
+    std::this_thread::sleep_for(300ms);
+    run_until_reads(2);
+    EXPECT_LE(follower->complete_until(), answered_at);
+}
+
 // Guards against updates of a relay that has not seen yet that the store came back from an older
 // copy, and against an instance that relies on updates while its relay has seen it first.
 TEST_F(topic_follower_test, takes_no_update_of_another_era)
