--- a/tests/libraries/runtime/scripted_server.hpp
+++ b/tests/libraries/runtime/scripted_server.hpp
@@ -55,6 +55,9 @@
     scripted_server(scripted_server const&) = delete;
     scripted_server& operator=(scripted_server const&) = delete;
 
+    /// Does what the script tells only from the second answer on.
+    void keep_first_connection_open() { kept_answers_ = 1; }
+
     runtime::network_address const& address() const { return address_; }
     std::size_t connections() const { return connections_.size(); }
     /// Requests that were answered.
@@ -104,7 +107,7 @@
             return;
         }
         server.unsent_.erase(unsent);
-        if (server.then_ == afterwards::keep)
+        if (server.then_ == afterwards::keep || server.next_ <= server.kept_answers_)
             return;
         auto const socket = bufferevent_getfd(buffer);
         if (server.then_ == afterwards::reset)
@@ -125,6 +128,8 @@
     runtime::network_address address_;
     std::vector<bufferevent*> connections_;
     std::size_t next_ = 0;
+    /// The first answers after which the connection stays open.
+    std::size_t kept_answers_ = 0;
 };
 
 } // namespace savorymount::tests
