--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <set>
+#include <tests/platform/odd_entries.hpp>
 #include <tests/system/support/gateway_arguments.hpp>
 #include <tests/system/support/output_line.hpp>
 #include <tests/system/support/process.hpp>
@@ -300,6 +301,40 @@
     EXPECT_EQ(answer->body, whole_stream());
 }
 
+// Guards against processes that end, or no longer follow the list of upstreams, after another
+// writer has left odd entries there.
+TEST(gateway, lives_and_goes_on_following_the_list_after_odd_entries)
+{
+    platform_deployment system(2);
+    auto const entries = odd_entries(
+        R"({"service":"other","address":"127.0.0.1:9","zone":"liege","version":"v1","slots":8,)"
+        R"("state":"ready","born":1,"models":[{"name":"crew","version":1}],"sequence":1})");
+    for (std::size_t i = 0; i < entries.size(); ++i)
+    {
+        // The stand-in is told in JSON, which holds only UTF-8.
+        auto const text = json(entries[i]).dump(-1, ' ', false, json::error_handler_t::ignore);
+        system.control(
+            {{"entry", {{"id", "odd-" + std::to_string(i % 40)}, {"value", json::parse(text)}}}});
+    }
+    system.control({{"remove", "engine-0"}});
+    for (std::size_t i = 0; i < 2; ++i)
+        system.wait_for_line(i, "name=upstream_unlisted upstream=engine-0");
+    // It reads the list with the odd entries at its start.
+    system.start_gateway(2);
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        auto const name = std::to_string(i);
+        auto const answer = system.prompt(i, "prompt-" + name);
+        system.client.wait({answer});
+        EXPECT_EQ(answer->body, whole_stream()) << name;
+        EXPECT_EQ(system.book(i, "booking-" + name).status, 200) << name;
+        EXPECT_TRUE(system.gateway(i).running()) << name;
+        EXPECT_EQ(system.gateway(i).output().find("name=callback_failed"), std::string::npos)
+            << name;
+    }
+    EXPECT_TRUE(system.state()["engine-0"]["executions"].empty());
+}
+
 // Guards against a process that ends when it is told of changed settings.
 TEST(gateway, goes_on_after_sighup)
 {
