--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -149,8 +149,11 @@
         EXPECT_EQ(found.origins.back(), (streams::stream_origin{2, "s", "v2"}));
         for (auto const& it : found.origins)
             EXPECT_TRUE(is_name(it.service) && is_name(it.software_version)) << shortened(text);
-        for (auto const& it : found.versions)
-            EXPECT_TRUE(is_name(it.service) && is_name(it.software_version)) << shortened(text);
+        for (auto const& record : found.versions)
+        {
+            for (auto const& it : record.versions)
+                EXPECT_TRUE(is_name(it.service) && is_name(it.software_version)) << shortened(text);
+        }
     }
 }
 
