Count a workspace's usage over a changed window

When quota-window-s changes, shared_bucket::set_limit took the new limit and went on to count usage over the window of the start: after 600 s became 1 s, what was used before counted for ten more minutes. The windows of all usage and of the local one now follow the limit.

Usage that a longer window would cover and that a shorter one has dropped is not known any more; it counts as none.

--- a/libraries/savorymount/limits/shared_bucket.cpp
+++ b/libraries/savorymount/limits/shared_bucket.cpp
@@ -58,6 +58,8 @@
     // Usage under the higher limit must not exhaust the lower one.
     if (limit.rate < limit_.rate && limit_.rate > 0)
         usage_.scale(limit.rate / limit_.rate);
+    usage_.set_length(limit.window);
+    local_usage_.set_length(limit.window);
     limit_ = limit;
     level_ = std::min(level_, limit_.burst);
 }
--- a/tests/libraries/limits/shared_bucket_test.cpp
+++ b/tests/libraries/limits/shared_bucket_test.cpp
@@ -61,6 +61,20 @@
     EXPECT_DOUBLE_EQ(bucket.admitted_total(), 0);
 }
 
+// Guards against usage that counts for as long as the window of the start, after a change of it.
+TEST(shared_bucket, counts_usage_over_a_changed_window)
+{
+    shared_bucket bucket(at(0s), {10, 10, 600s, 0}, 1);
+    for (int i = 0; i < 60; ++i)
+        ASSERT_TRUE(bucket.admit(at(0s), 1).admitted);
+    bucket.set_limit(at(0s), {10, 10, 1s, 0});
+    EXPECT_FALSE(bucket.admit(at(0s), 1).admitted);
+    EXPECT_DOUBLE_EQ(bucket.level(at(2s)), 20);
+    EXPECT_TRUE(bucket.admit(at(2s), 20).admitted);
+    bucket.set_limit(at(2s), {10, 10, 8s, 0});
+    EXPECT_DOUBLE_EQ(bucket.level(at(9s)), 70);
+}
+
 // Guards against a wrong debit when an instance restarts and its total starts at zero.
 TEST(shared_bucket, debits_reports_of_each_process_separately)
 {
