Take changed settings into use

The only test over a process checked that the process goes on.

The origin of the settings is now an argument of gateway::make and of the constructor, and settings_reload is a plain member: a gateway without its reload does not compile. The file is compared every 500 ms, so that a change takes effect within a second. SIGHUP marks the content as seen, so that one change is reported once. Changes are logged under the higher one of two limits of log lines. savorymount_settings_rejected_total counts files with a fault.

The deployment of gateway_test moves to a file of its own for both tests.

--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -25,7 +25,7 @@
 constexpr base::duration drain_check_interval = 50ms;
 constexpr base::duration release_timeout = 200ms;
 constexpr base::duration announce_retry_delay = 300ms;
-constexpr base::duration settings_check_interval = 1s;
+constexpr base::duration settings_check_interval = 500ms;
 
 std::string settings_file_path()
 {
@@ -68,18 +68,19 @@
 
 } // namespace
 
-std::unique_ptr<gateway> gateway::make(gateway_settings const& settings, base::error& reason)
+std::unique_ptr<gateway> gateway::make(gateway_settings const& settings,
+                                       runtime::settings_origin const& origin, base::error& reason)
 {
     auto loop = std::make_unique<runtime::event_loop>();
     auto platform = runtime::plugin_registry<platform_adapter>::instance().make(
         settings.platform_plugin, *loop, settings.store_address, reason);
     if (!platform)
         return nullptr;
-    return std::make_unique<gateway>(settings, std::move(loop), std::move(*platform));
+    return std::make_unique<gateway>(settings, origin, std::move(loop), std::move(*platform));
 }
 
-gateway::gateway(gateway_settings const& settings, std::unique_ptr<runtime::event_loop> loop,
-                 platform_adapter platform)
+gateway::gateway(gateway_settings const& settings, runtime::settings_origin origin,
+                 std::unique_ptr<runtime::event_loop> loop, platform_adapter platform)
     : loop_(std::move(loop)), timers_(*loop_), platform_(std::move(platform)),
       random_(std::hash<std::string>()(settings.instance + settings.incarnation)),
       cluster_(settings, timers_.now()), metrics_(cluster_),
@@ -128,7 +129,7 @@
           [](base::duration delay) {
               runtime::log(events::event_loop_late, {{"late_ms", base::to_milliseconds(delay)}});
           }),
-      settings_file_(settings_file_path())
+      settings_reload_(std::move(origin)), settings_file_(settings_file_path())
 {
 }
 
@@ -173,15 +174,15 @@
     runtime::log(events::stopped);
 }
 
-void gateway::enable_settings_reload(settings_source source,
-                                     runtime::parsed_settings const& active_settings)
-{
-    settings_reload_.emplace(std::move(source), active_settings);
-}
-
 void gateway::watch_settings_file()
 {
-    loop_->on_hang_up([this] { reload_settings(); });
+    loop_->on_hang_up(
+        [this]
+        {
+            // The change that the signal announces is reported only once.
+            settings_file_.changed();
+            reload_settings();
+        });
     settings_timer_ = timers_.every(settings_check_interval,
                                     [this]
                                     {
@@ -192,24 +193,27 @@
 
 void gateway::reload_settings()
 {
-    if (!settings_reload_)
-        return;
     auto settings = cluster_.settings();
     base::error reason;
-    auto const changes = settings_reload_->read(settings, reason);
+    auto const changes = settings_reload_.read(settings, reason);
     if (!changes)
     {
+        metrics_.settings_rejected();
         runtime::log(events::settings_unreadable, {{"reason", reason.message}});
         return;
     }
-    if (settings.log_lines_per_second != cluster_.settings().log_lines_per_second)
-        configure_log(settings);
+    auto const lines_before = cluster_.settings().log_lines_per_second;
     cluster_.set_settings(timers_.now(), std::move(settings));
+    // The changes themselves are logged under the higher one of two limits.
+    if (cluster_.settings().log_lines_per_second > lines_before)
+        configure_log(cluster_.settings());
     for (auto const& it : *changes)
         runtime::log(events::setting_changed, {{"setting", it.name},
                                                {"before", it.before},
                                                {"after", it.after},
                                                {"in_force", it.applied ? "true" : "false"}});
+    if (cluster_.settings().log_lines_per_second < lines_before)
+        configure_log(cluster_.settings());
 }
 
 void gateway::configure_log(gateway_settings const& settings)
--- a/libraries/savorymount/gateway/gateway.hpp
+++ b/libraries/savorymount/gateway/gateway.hpp
@@ -29,15 +29,13 @@
 {
 public:
     /// Null, with a reason, if the platform plug-in is unknown.
-    static std::unique_ptr<gateway> make(gateway_settings const& settings, base::error& reason);
+    static std::unique_ptr<gateway> make(gateway_settings const& settings,
+                                         runtime::settings_origin const& origin,
+                                         base::error& reason);
 
-    gateway(gateway_settings const& settings, std::unique_ptr<runtime::event_loop> loop,
-            platform_adapter platform);
-
-    /// Makes the gateway reload its settings on SIGHUP and when the settings file changes. Call it
-    /// before `start`.
-    void enable_settings_reload(settings_source source,
-                                runtime::parsed_settings const& active_settings);
+    /// `origin` is read again on SIGHUP and when the settings file changes.
+    gateway(gateway_settings const& settings, runtime::settings_origin origin,
+            std::unique_ptr<runtime::event_loop> loop, platform_adapter platform);
 
     /// Opens the ports and starts to follow the platform's store.
     bool start(base::error& reason);
@@ -87,7 +85,7 @@
     bool upstreams_known_ = false;
     std::optional<base::time_point> draining_since_;
     runtime::loop_delay_monitor loop_delay_monitor_;
-    std::optional<settings_reload> settings_reload_;
+    settings_reload settings_reload_;
     settings_file_watch settings_file_;
     runtime::timer_service::subscription settings_timer_;
     runtime::timer_service::subscription announce_timer_;
--- a/libraries/savorymount/gateway/gateway_metrics.cpp
+++ b/libraries/savorymount/gateway/gateway_metrics.cpp
@@ -128,6 +128,14 @@
         .add();
 }
 
+void gateway_metrics::settings_rejected()
+{
+    metrics_
+        .counter("savorymount_settings_rejected_total",
+                 "Changed settings that could not be read and changed nothing.")
+        .add();
+}
+
 std::string gateway_metrics::render(base::time_point now)
 {
     update_cluster_gauges(now);
--- a/libraries/savorymount/gateway/gateway_metrics.hpp
+++ b/libraries/savorymount/gateway/gateway_metrics.hpp
@@ -21,6 +21,7 @@
     void configuration_adopted(std::uint64_t version);
     void desired_version_changed(std::string const& model, std::uint64_t version);
     void leadership_changed(bool is_leader);
+    void settings_rejected();
 
     /// The metrics in text exposition format, with gauges as of `now`.
     std::string render(base::time_point now);
--- a/libraries/savorymount/gateway/settings_reload.hpp
+++ b/libraries/savorymount/gateway/settings_reload.hpp
@@ -4,9 +4,9 @@
 #include <savorymount/gateway/gateway_settings.hpp>
 #include <savorymount/runtime/settings_parser.hpp>
 
-#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace savorymount::gateway
@@ -24,15 +24,12 @@
     bool operator==(setting_change const&) const = default;
 };
 
-/// Reads the settings from flags, environment and the settings file.
-using settings_source = std::function<std::optional<runtime::parsed_settings>(base::error&)>;
-
 /// Reloads the settings of a running process.
 class settings_reload
 {
 public:
-    settings_reload(settings_source source, runtime::parsed_settings active_settings)
-        : source_(std::move(source)), active_settings_(std::move(active_settings))
+    explicit settings_reload(runtime::settings_origin origin)
+        : source_(std::move(origin.source)), active_settings_(std::move(origin.active))
     {
     }
 
@@ -42,7 +39,7 @@
                                                     base::error& reason);
 
 private:
-    settings_source source_;
+    runtime::settings_source source_;
     runtime::parsed_settings active_settings_;
 };
 
--- a/libraries/savorymount/runtime/daemon.hpp
+++ b/libraries/savorymount/runtime/daemon.hpp
@@ -14,10 +14,11 @@
 inline constexpr int exit_start_failed = 1;
 inline constexpr int exit_wrong_usage = 2;
 
-/// Parses the settings, builds the daemon and runs it until it has drained.
-template <typename Daemon, typename Declare, typename Parse>
+/// Parses the settings, builds the daemon and runs it until it has drained. `make` takes the
+/// settings, their origin and the reason of a failure.
+template <typename Declare, typename Parse, typename Make>
 int run_daemon(std::string const& program, char const* version, int argc, char const* const* argv,
-               Declare declare, Parse parse)
+               Declare declare, Parse parse, Make make)
 {
     settings_parser parser(program);
     declare(parser);
@@ -45,15 +46,12 @@
         return exit_success;
     }
     configure_log(program);
-    auto const daemon = Daemon::make(*settings, reason);
     // The parser outlives the daemon.
-    if constexpr (requires { daemon->follow_settings({}, *values); })
-    {
-        if (daemon)
-            daemon->follow_settings([&parser, argc, argv](base::error& why)
-                                    { return parser.parse(argc, argv, why); },
-                                    *values);
-    }
+    settings_origin const origin{*values, [&parser, argc, argv](base::error& why)
+                                 {
+                                     return parser.parse(argc, argv, why);
+                                 }};
+    auto const daemon = make(*settings, origin, reason);
     if (!daemon || !daemon->start(reason))
     {
         std::cerr << program << ": " << reason.message << "\n";
--- a/libraries/savorymount/runtime/settings_parser.hpp
+++ b/libraries/savorymount/runtime/settings_parser.hpp
@@ -3,6 +3,7 @@
 #include <savorymount/base/error.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -43,6 +44,16 @@
     std::string const& text(std::string const& name) const { return values.at(name).text; }
 };
 
+/// Reads the settings from flags, environment and the settings file again.
+using settings_source = std::function<std::optional<parsed_settings>(base::error&)>;
+
+/// What a process started with, and where it reads changes of it.
+struct settings_origin
+{
+    parsed_settings active;
+    settings_source source;
+};
+
 /// Declares text settings and reads them from flags, then environment, then the settings file,
 /// then defaults.
 class settings_parser
--- a/services/gateway/main.cpp
+++ b/services/gateway/main.cpp
@@ -4,7 +4,7 @@
 int main(int argc, char** argv)
 {
     using namespace savorymount;
-    return runtime::run_daemon<gateway::gateway>("savorymount-gateway", SAVORYMOUNT_VERSION, argc,
-                                                 argv, gateway::declare_gateway_settings,
-                                                 gateway::parse_gateway_settings);
+    return runtime::run_daemon("savorymount-gateway", SAVORYMOUNT_VERSION, argc, argv,
+                               gateway::declare_gateway_settings, gateway::parse_gateway_settings,
+                               gateway::gateway::make);
 }
--- a/tests/libraries/gateway/settings_reload_test.cpp
+++ b/tests/libraries/gateway/settings_reload_test.cpp
@@ -50,7 +50,10 @@
 {
     auto const before = parsed({{"retry-ratio", "0.2"}, {"lease-ms", "3000"}});
     auto after = parsed({{"retry-ratio", "0.3"}, {"lease-ms", "4000"}});
-    settings_reload reload([&](base::error&) { return after; }, before);
+    settings_reload reload({before, [&](base::error&)
+                            {
+                                return after;
+                            }});
     auto settings = settings_of(before);
     base::error reason;
     auto const changes = reload.read(settings, reason);
@@ -67,7 +70,10 @@
 TEST(settings_reload, keeps_all_settings_if_the_new_ones_are_invalid)
 {
     auto const before = parsed({});
-    settings_reload reload([&](base::error&) { return parsed({{"grace-s", "none"}}); }, before);
+    settings_reload reload({before, [&](base::error&)
+                            {
+                                return parsed({{"grace-s", "none"}});
+                            }});
     auto settings = settings_of(before);
     base::error reason;
     EXPECT_FALSE(reload.read(settings, reason));
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -2,126 +2,13 @@
 
 #include <csignal>
 #include <set>
-#include <tests/system/support/gateway_arguments.hpp>
-#include <tests/system/support/output_line.hpp>
-#include <tests/system/support/process.hpp>
-#include <tests/system/support/test_client.hpp>
+#include <tests/system/support/platform_deployment.hpp>
 
 namespace savorymount::tests
 {
 namespace
 {
 
-using nlohmann::json;
-
-/// The stand-in of the users' platform and some gateways, all as processes of their own.
-class platform_deployment
-{
-public:
-    explicit platform_deployment(std::size_t gateways,
-                                 std::vector<std::string> gateway_options = {})
-        : gateway_options_(std::move(gateway_options)),
-          platform_("savorymount-users-platform-stand-in", {"--port", "0"}),
-          store_{"127.0.0.1", port_of(platform_.wait_for_field("listening", "port"))}
-    {
-        for (std::size_t i = 0; i < gateways; ++i)
-            start_gateway(i);
-    }
-
-    void start_gateway(std::size_t index)
-    {
-        auto const name = "gateway-" + std::to_string(index);
-        std::vector<std::string> options{"--grace-s", "8"};
-        options.insert(options.end(), gateway_options_.begin(), gateway_options_.end());
-        process started("savorymount-gateway",
-                        gateway_arguments(name, to_string(store_), true, options));
-        http_.push_back({"127.0.0.1", port_of(started.wait_for_field("name=started", "http"))});
-        ready_.push_back({"127.0.0.1", port_of(started.wait_for_field("name=started", "ready"))});
-        gateways_.push_back(std::move(started));
-        wait_until([this, index]
-                   { return client.request(ready_[index], "GET", "/").status == 200; });
-    }
-
-    /// Asks again and again until `holds`; a hang ends with the test's own limit.
-    template <typename Condition>
-    void wait_until(Condition holds)
-    {
-        while (!holds())
-            usleep(20'000);
-    }
-
-    /// Waits until a gateway has written a line with this text.
-    void wait_for_line(std::size_t gateway, std::string const& text)
-    {
-        wait_until([&] { return gateways_[gateway].output().find(text) != std::string::npos; });
-    }
-
-    void control(json const& body)
-    {
-        ASSERT_EQ(client.request(store_, "POST", "/control", {}, body.dump()).status, 200);
-    }
-
-    json state() { return client.request(store_, "GET", "/state").json(); }
-
-    /// The keys that a topic of the store holds.
-    std::set<std::string> records(std::string const& topic)
-    {
-        auto const page =
-            client.request(store_, "GET", "/-/log-newest?topic=" + topic + "&part=0").json();
-        std::set<std::string> out;
-        for (auto const& it : page["items"])
-            out.insert(it["key"].get<std::string>());
-        return out;
-    }
-
-    process& platform() { return platform_; }
-
-    runtime::http_headers headers(std::string const& id, std::string const& key) const
-    {
-        return {{"Host", "chat.example"},          {"X-Request-Id", id},
-                {"X-Deadline-Ms", "15000"},        {"X-Model", "crew"},
-                {"X-Token-Count", "300,8"},        {"X-Prompt-Prefix", "aa:200,bb:100"},
-                {"Authorization", "Bearer " + key}};
-    }
-
-    std::shared_ptr<caller_answer> prompt(std::size_t gateway, std::string const& id,
-                                          std::string const& key = "key-a")
-    {
-        return client.start(http_[gateway], "POST", "/p/chat", headers(id, key), "text of " + id);
-    }
-
-    std::shared_ptr<caller_answer> start_booking(std::size_t gateway, std::string const& id)
-    {
-        return client.start(http_[gateway], "POST", "/b/slot", headers(id, "key-a"), "{}");
-    }
-
-    caller_answer book(std::size_t gateway, std::string const& id, std::string const& key = "key-a")
-    {
-        return client.request(http_[gateway], "POST", "/b/slot", headers(id, key), "{}");
-    }
-
-    runtime::network_address const& ready(std::size_t index) const { return ready_[index]; }
-    process& gateway(std::size_t index) { return gateways_[index]; }
-
-    test_client client;
-
-private:
-    std::vector<std::string> gateway_options_;
-    process platform_;
-    runtime::network_address store_;
-    std::vector<process> gateways_;
-    std::vector<runtime::network_address> http_;
-    std::vector<runtime::network_address> ready_;
-};
-
-std::string whole_stream()
-{
-    std::string out;
-    for (int i = 1; i <= 8; ++i)
-        out += "id: " + std::to_string(i) + "\ndata: token " + std::to_string(i) + "\n\n";
-    return out;
-}
-
 // Guards against a path that breaks between gateway, store and upstreams.
 TEST(gateway, serves_streams_and_bookings_on_the_users_platform)
 {
