Apply changed client limits to open connections

An inbound connection copied the limits when it was accepted: after a configuration raised maxBodyBytes, kept connections went on answering 413 (found by reading in the review). Connections now ask for the limits when they use them; the limit of the head is set when a request begins, and an idle connection waits by the changed time limit.

With limits that are copied when a connection is accepted, inbound_server_test.applies_changed_limits_to_open_connections waits for its answer until the limit of 20 s.

--- a/libraries/savorymount/runtime/http_message_reader.hpp
+++ b/libraries/savorymount/runtime/http_message_reader.hpp
@@ -39,6 +39,8 @@
     /// `too_large` or `invalid_input`, when the input is no valid message.
     std::optional<std::size_t> feed(std::string_view bytes, base::error& reason);
 
+    void set_max_header_bytes(std::size_t n) { max_header_bytes_ = n; }
+
     /// Whether the next response answers a HEAD request, and so has no body.
     void expect_head_response(bool expected) { expects_head_response_ = expected; }
 
--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -32,9 +32,9 @@
 
 inbound_connection::inbound_connection(event_loop& loop, timer_service& timers,
                                        evutil_socket_t socket, inbound_hooks hooks)
-    : timers_(timers), hooks_(std::move(hooks)), limits_(hooks_.limits()),
+    : timers_(timers), hooks_(std::move(hooks)),
       buffer_(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE)),
-      reader_(http_message_kind::request, limits_.max_header_bytes,
+      reader_(http_message_kind::request, limits().max_header_bytes,
               {[this](http_head const& head) { take_head(head); },
                [this](std::string_view bytes) { take_body(bytes); },
                [this]
@@ -47,7 +47,7 @@
     bufferevent_setcb(buffer_, handle_read, handle_write, handle_event, this);
     bufferevent_setwatermark(buffer_, EV_READ, 0, read_ahead_bytes);
     bufferevent_enable(buffer_, EV_READ | EV_WRITE);
-    arm(limits_.idle_timeout);
+    arm(limits().idle_timeout);
 }
 
 inbound_connection::~inbound_connection()
@@ -148,6 +148,12 @@
     hooks_.closed(*this);
 }
 
+void inbound_connection::limits_changed()
+{
+    if (phase_ == phase::waiting)
+        arm(limits().idle_timeout);
+}
+
 void inbound_connection::handle_read(bufferevent*, void* self)
 {
     auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
@@ -181,7 +187,8 @@
         if (phase_ == phase::waiting)
         {
             phase_ = phase::receiving;
-            arm(limits_.header_timeout);
+            reader_.set_max_header_bytes(limits().max_header_bytes);
+            arm(limits().header_timeout);
         }
         auto const n = evbuffer_get_contiguous_space(input);
         auto const* const bytes = reinterpret_cast<char const*>(evbuffer_pullup(input, n));
@@ -204,14 +211,15 @@
     keep_alive_ = head.keep_alive;
     answers_head_ = head.method == "HEAD";
     reads_chunks_ = head.reads_chunks;
-    if (head.content_length.value_or(0) > limits_.max_body_bytes)
+    if (head.content_length.value_or(0) > limits().max_body_bytes)
     {
-        refusal_ = base::error{base::error_kind::too_large,
-                               "the body is larger than " + std::to_string(limits_.max_body_bytes) +
-                                   " bytes; send a smaller one"};
+        refusal_ =
+            base::error{base::error_kind::too_large, "the body is larger than " +
+                                                         std::to_string(limits().max_body_bytes) +
+                                                         " bytes; send a smaller one"};
         return;
     }
-    arm(limits_.idle_timeout);
+    arm(limits().idle_timeout);
     if (head.expects_continue)
         send(continue_response);
 }
@@ -220,15 +228,16 @@
 {
     if (refusal_)
         return;
-    if (request_.body.size() + bytes.size() > limits_.max_body_bytes)
+    if (request_.body.size() + bytes.size() > limits().max_body_bytes)
     {
-        refusal_ = base::error{base::error_kind::too_large,
-                               "the body is larger than " + std::to_string(limits_.max_body_bytes) +
-                                   " bytes; send a smaller one"};
+        refusal_ =
+            base::error{base::error_kind::too_large, "the body is larger than " +
+                                                         std::to_string(limits().max_body_bytes) +
+                                                         " bytes; send a smaller one"};
         return;
     }
     request_.body += bytes;
-    arm(limits_.idle_timeout);
+    arm(limits().idle_timeout);
 }
 
 void inbound_connection::take_request()
@@ -256,7 +265,7 @@
         return;
     }
     phase_ = phase::waiting;
-    arm(limits_.idle_timeout);
+    arm(limits().idle_timeout);
     // The next request may be in the buffer already; it is read after the current callback.
     bufferevent_trigger(buffer_, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
--- a/libraries/savorymount/runtime/inbound_connection.hpp
+++ b/libraries/savorymount/runtime/inbound_connection.hpp
@@ -69,6 +69,8 @@
     /// Whether bytes of a request have arrived that were not read yet.
     bool has_unread_input() const;
     void close();
+    /// Applies changed limits to what the connection waits for now.
+    void limits_changed();
 
 private:
     enum class phase
@@ -100,6 +102,7 @@
     void reject(base::error const& reason);
     void end_response();
     void linger();
+    configuration::client_limits limits() const { return hooks_.limits(); }
     void arm(base::duration delay);
     void timed_out();
     http_headers framed(http_headers headers);
@@ -110,7 +113,6 @@
 
     timer_service& timers_;
     inbound_hooks hooks_;
-    configuration::client_limits limits_;
     bufferevent* buffer_;
     http_message_reader reader_;
     base::time_point opened_at_;
--- a/libraries/savorymount/runtime/inbound_server.cpp
+++ b/libraries/savorymount/runtime/inbound_server.cpp
@@ -52,6 +52,15 @@
     return ntohs(name.sin_port);
 }
 
+void inbound_server::set_limits(configuration::client_limits const& limits)
+{
+    if (limits == limits_)
+        return;
+    limits_ = limits;
+    for (auto const& it : connections_)
+        it.second->limits_changed();
+}
+
 void inbound_server::close_idle(base::duration min_age)
 {
     if (listener_ != nullptr)
--- a/libraries/savorymount/runtime/inbound_server.hpp
+++ b/libraries/savorymount/runtime/inbound_server.hpp
@@ -28,8 +28,8 @@
     /// Returns the port; port 0 lets the kernel choose one.
     std::optional<std::uint16_t> listen(network_address const& address, base::error& reason);
 
-    /// Applies to connections that are opened from now on.
-    void set_limits(configuration::client_limits const& limits) { limits_ = limits; }
+    /// Applies to all connections.
+    void set_limits(configuration::client_limits const& limits);
 
     /// From now on each connection ends after its next response.
     void drain() { draining_ = true; }
--- a/tests/libraries/runtime/inbound_server_test.cpp
+++ b/tests/libraries/runtime/inbound_server_test.cpp
@@ -126,6 +126,21 @@
     EXPECT_TRUE(answer_to("nonsense\r\n\r\n").starts_with("HTTP/1.1 400 "));
 }
 
+// Guards against an open connection that keeps the limits of its start.
+TEST_F(inbound_server_test, applies_changed_limits_to_open_connections)
+{
+    server.set_limits({.max_header_bytes = 200, .max_body_bytes = 4});
+    raw_client client(loop, port);
+    client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    run_until(client, [&] { return client.received.ends_with("/1|"); });
+    server.set_limits({.max_header_bytes = 2000, .max_body_bytes = 10, .idle_timeout = 50ms});
+    client.send("POST /2 HTTP/1.1\r\nHost: h\r\nX: " + std::string(1000, 'x') +
+                "\r\nContent-Length: 8\r\n\r\n12345678");
+    run_until(client, [&] { return client.received.ends_with("/2|12345678"); });
+    // The changed time limit ends the connection.
+    run_until(client, [&] { return client.closed; });
+}
+
 // Guards against a kept connection that mixes up its requests, also when the second one is sent
 // before the first one is answered.
 TEST_F(inbound_server_test, answers_the_requests_of_a_connection_in_turn)
