Wait until clients have accepted their answers before a connection ends

A connection counted as idle, and lingered for 1 s, without a look at its unsent output; the time limit of an idle connection cut slow readers without a stop too, and so did the end of a client's sending side.

A connection is now idle when its output buffer is empty and the kernel has no unacknowledged byte (SIOCOUTQ). The time to linger and the idle time begin when the local socket has accepted the response; afterwards, and while it has not, the connection stays for as long as the client accepts bytes. A client that accepts none for 5 s is cut with a client_stalled line. TCP_USER_TIMEOUT is raised meanwhile: the kernel applies its 3 s to a closed window too, and cut clients that paused. It is 3 s again when the next request is complete, so that a client that is gone ends the work of an upstream as before. What is unsent when the process must end is named by answers_cut. An answer that ends with its connection is reset when it is cut.

A client that ends only its sending side gets an answer that is complete.

--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -427,6 +427,8 @@
     bool const done = server_.connections() == 0 && rollout_leader_.idle();
     if (!done && !grace_period_over)
         return;
+    if (auto const cut = server_.unsent_responses(); cut > 0)
+        runtime::log(events::answers_cut, {{"connections", cut}});
     context_.process_exiting = true;
     peer_exchange_.send_shutdown_report();
     drain_timer_ = timers_.after(release_timeout, [this] { loop_->stop(); });
--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -1,9 +1,13 @@
 #include <savorymount/runtime/callback_guard.hpp>
 #include <savorymount/runtime/connection_socket.hpp>
 #include <savorymount/runtime/inbound_connection.hpp>
+#include <savorymount/runtime/log_events.hpp>
 
 #include <event2/buffer.h>
 
+#include <algorithm>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -19,6 +23,13 @@
 // How long a closed connection reads on, so that the response is not lost to a reset.
 constexpr base::duration linger_time = 1s;
 constexpr base::duration client_silence = 3s;
+// How long a client may accept no byte of a complete response.
+constexpr base::duration client_stall_time = 5s;
+// The kernel must not end a connection before the bound above does.
+constexpr base::duration client_silence_at_output = 2 * client_stall_time;
+constexpr base::duration output_check_interval = 250ms;
+// Shorter than `client_silence`, which the kernel applies until the first check.
+constexpr base::duration first_output_check = 1s;
 constexpr char const* continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 int status_of(base::error const& reason, bool in_body)
@@ -41,7 +52,7 @@
                {
                    complete_ = true;
                }}),
-      opened_at_(timers.now())
+      opened_at_(timers.now()), idle_since_(opened_at_), allowed_silence_(client_silence)
 {
     watch_for_silence(socket, client_silence);
     bufferevent_setcb(buffer_, handle_read, handle_write, handle_event, this);
@@ -124,6 +135,16 @@
     return buffer_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(buffer_));
 }
 
+std::size_t inbound_connection::unsent_bytes() const
+{
+    if (buffer_ == nullptr)
+        return 0;
+    int unacknowledged = 0;
+    if (ioctl(bufferevent_getfd(buffer_), SIOCOUTQ, &unacknowledged) != 0)
+        unacknowledged = 0;
+    return buffered_bytes() + static_cast<std::size_t>(unacknowledged);
+}
+
 bool inbound_connection::has_unread_input() const
 {
     if (buffer_ == nullptr)
@@ -150,8 +171,8 @@
 
 void inbound_connection::limits_changed()
 {
-    if (phase_ == phase::waiting)
-        arm(limits().idle_timeout);
+    if (phase_ == phase::waiting && buffered_bytes() == 0)
+        arm(remaining_idle_time());
 }
 
 void inbound_connection::handle_read(bufferevent*, void* self)
@@ -166,14 +187,28 @@
     auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
     if (auto const hook = std::exchange(keep->drained_, nullptr))
         run_guarded("caller output", hook);
-    if (keep->phase_ == phase::lingering)
-        shutdown(bufferevent_getfd(keep->buffer_), SHUT_WR);
+    keep->output_drained();
 }
 
-void inbound_connection::handle_event(bufferevent*, short, void* self)
+void inbound_connection::handle_event(bufferevent*, short what, void* self)
 {
     auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
-    run_guarded("caller end", [&] { keep->close(); });
+    run_guarded("caller end", [&] { keep->handle_end(what); });
+}
+
+void inbound_connection::handle_end(short what)
+{
+    // A client that has ended its sending side may still read a response that is complete. While a
+    // request runs, it can't be told from a client that has left.
+    bool const complete = phase_ == phase::waiting || phase_ == phase::lingering;
+    if ((what & BEV_EVENT_EOF) == 0 || !complete || buffered_bytes() == 0)
+    {
+        close();
+        return;
+    }
+    client_ended_ = true;
+    if (phase_ == phase::waiting)
+        linger();
 }
 
 void inbound_connection::read_input()
@@ -244,6 +279,7 @@
 {
     phase_ = phase::responding;
     timeout_ = {};
+    allow_silence(client_silence);
     hooks_.request(shared_from_this(), std::exchange(request_, {}));
 }
 
@@ -258,14 +294,14 @@
 void inbound_connection::end_response()
 {
     gone_ = nullptr;
-    framing_ = body_framing::none;
     if (!keep_alive_ || hooks_.draining())
     {
         linger();
         return;
     }
     phase_ = phase::waiting;
-    arm(limits().idle_timeout);
+    framing_ = body_framing::none;
+    await_output();
     // The next request may be in the buffer already; it is read after the current callback.
     bufferevent_trigger(buffer_, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
@@ -273,9 +309,64 @@
 void inbound_connection::linger()
 {
     phase_ = phase::lingering;
+    await_output();
+}
+
+void inbound_connection::await_output()
+{
+    output_advanced_at_ = timers_.now();
+    last_unsent_bytes_ = unsent_bytes();
+    if (buffered_bytes() == 0)
+        output_drained();
+    else
+        arm(first_output_check);
+}
+
+void inbound_connection::output_drained()
+{
+    if (phase_ == phase::waiting)
+    {
+        idle_since_ = timers_.now();
+        arm(std::min(first_output_check, limits().idle_timeout));
+    }
+    if (phase_ != phase::lingering)
+        return;
+    if (client_ended_)
+    {
+        close();
+        return;
+    }
+    shutdown(bufferevent_getfd(buffer_), SHUT_WR);
     arm(linger_time);
 }
 
+bool inbound_connection::accepts_output()
+{
+    auto const unsent = unsent_bytes();
+    if (unsent == 0)
+        return false;
+    auto const now = timers_.now();
+    if (std::exchange(last_unsent_bytes_, unsent) != unsent)
+        output_advanced_at_ = now;
+    auto const waited = now - output_advanced_at_;
+    if (waited < client_stall_time)
+        return true;
+    log(log_events::client_stalled,
+        {{"unsent_bytes", unsent}, {"waited_ms", base::to_milliseconds(waited)}});
+    return false;
+}
+
+void inbound_connection::allow_silence(base::duration silence)
+{
+    if (std::exchange(allowed_silence_, silence) != silence)
+        watch_for_silence(bufferevent_getfd(buffer_), silence);
+}
+
+base::duration inbound_connection::remaining_idle_time() const
+{
+    return std::max(idle_since_ + limits().idle_timeout - timers_.now(), base::duration::zero());
+}
+
 void inbound_connection::arm(base::duration delay)
 {
     timeout_ = timers_.after(delay, [this] { timed_out(); });
@@ -291,6 +382,18 @@
         respond(408, {}, "");
         return;
     }
+    if (accepts_output())
+    {
+        allow_silence(client_silence_at_output);
+        arm(output_check_interval);
+        return;
+    }
+    bool const is_waiting = phase_ == phase::waiting && unsent_bytes() == 0;
+    if (is_waiting && remaining_idle_time() > base::duration::zero())
+    {
+        arm(remaining_idle_time());
+        return;
+    }
     close();
 }
 
@@ -306,7 +409,8 @@
 
 void inbound_connection::reset_if_unframed()
 {
-    if (phase_ != phase::responding || framing_ != body_framing::connection_end)
+    bool const complete = phase_ == phase::lingering && buffered_bytes() == 0;
+    if (complete || framing_ != body_framing::connection_end)
         return;
     struct linger const at_once{1, 0};
     setsockopt(bufferevent_getfd(buffer_), SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
--- a/libraries/savorymount/runtime/inbound_connection.hpp
+++ b/libraries/savorymount/runtime/inbound_connection.hpp
@@ -57,14 +57,17 @@
     /// Called once if the client leaves before its response is complete.
     void on_gone(std::function<void()> hook) { gone_ = std::move(hook); }
 
-    /// Bytes of the response that the socket has not accepted yet.
+    /// Bytes of the response that the local socket has not accepted yet.
     std::size_t buffered_bytes() const;
     /// Calls `hook` once when all bytes have been handed to the socket.
     void when_drained(std::function<void()> hook) { drained_ = std::move(hook); }
 
     /// Whether a request awaits its response.
     bool busy() const { return phase_ == phase::responding; }
-    bool idle() const { return phase_ == phase::waiting; }
+    /// Whether no request has begun and the client's side has all of the last response.
+    bool idle() const { return phase_ == phase::waiting && unsent_bytes() == 0; }
+    /// Bytes of responses that the client's side has not accepted yet.
+    std::size_t unsent_bytes() const;
     base::time_point opened_at() const { return opened_at_; }
     /// Whether bytes of a request have arrived that were not read yet.
     bool has_unread_input() const;
@@ -78,7 +81,8 @@
         waiting,
         receiving,
         responding,
-        /// The response is sent and the connection ends once the peer has closed its side.
+        /// The response is complete; the connection ends once the client has accepted it and has
+        /// closed its side.
         lingering,
         closed
     };
@@ -102,6 +106,16 @@
     void reject(base::error const& reason);
     void end_response();
     void linger();
+    /// Starts to wait for the client to accept what was sent.
+    void await_output();
+    /// Goes on once the local socket has accepted the whole response.
+    void output_drained();
+    /// Whether the client still accepts the output of a complete response.
+    bool accepts_output();
+    /// Sets how long the client may leave bytes unacknowledged.
+    void allow_silence(base::duration silence);
+    base::duration remaining_idle_time() const;
+    void handle_end(short what);
     configuration::client_limits limits() const { return hooks_.limits(); }
     void arm(base::duration delay);
     void timed_out();
@@ -125,6 +139,12 @@
     bool answers_head_ = false;
     bool reads_chunks_ = true;
     std::optional<base::error> refusal_;
+    /// When the client last accepted bytes, and how many it had not accepted then.
+    base::time_point output_advanced_at_;
+    std::size_t last_unsent_bytes_ = 0;
+    base::time_point idle_since_;
+    base::duration allowed_silence_;
+    bool client_ended_ = false;
     std::function<void()> gone_;
     std::function<void()> drained_;
     timer_service::subscription timeout_;
--- a/libraries/savorymount/runtime/inbound_server.cpp
+++ b/libraries/savorymount/runtime/inbound_server.cpp
@@ -99,6 +99,13 @@
                                                   { return it.second->busy(); }));
 }
 
+std::size_t inbound_server::unsent_responses() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        connections_.begin(), connections_.end(),
+        [](auto const& it) { return !it.second->busy() && it.second->unsent_bytes() > 0; }));
+}
+
 void inbound_server::handle_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int,
                                    void* self)
 {
--- a/libraries/savorymount/runtime/inbound_server.hpp
+++ b/libraries/savorymount/runtime/inbound_server.hpp
@@ -38,6 +38,8 @@
     void close_idle(base::duration min_age);
 
     std::size_t busy_connections() const;
+    /// Connections whose response is complete and not accepted by the client yet.
+    std::size_t unsent_responses() const;
     std::size_t connections() const { return connections_.size(); }
 
 private:
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -31,6 +31,12 @@
 inline constexpr log_event event_loop_late{
     109, log_level::warning, "event_loop_late",
     "The process handled a timer late; what arrived meanwhile waited as long."};
+inline constexpr log_event client_stalled{
+    110, log_level::warning, "client_stalled",
+    "A client accepted no byte of a complete answer for too long and was cut."};
+inline constexpr log_event answers_cut{
+    111, log_level::warning, "answers_cut",
+    "The process ended while clients were still receiving complete answers."};
 inline constexpr log_event configuration_adopted{200, log_level::info, "configuration_adopted",
                                                  "A newer configuration version is in force here."};
 inline constexpr log_event configuration_rejected{
@@ -149,6 +155,8 @@
                                 callback_failed,
                                 process_resumed,
                                 event_loop_late,
+                                client_stalled,
+                                answers_cut,
                                 configuration_adopted,
                                 configuration_rejected,
                                 snapshot_appended,
