--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -1,9 +1,13 @@
 #include <savorymount/runtime/callback_guard.hpp>
 #include <savorymount/runtime/connection_socket.hpp>
 #include <savorymount/runtime/inbound_connection.hpp>
+#include <savorymount/runtime/log_events.hpp>
 
 #include <event2/buffer.h>
 
+#include <algorithm>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -19,6 +23,13 @@
 // How long a closed connection reads on, so that the response is not lost to a reset.
 constexpr base::duration linger_time = 1s;
 constexpr base::duration client_silence = 3s;
+// How long a client may accept no byte of a complete response.
+constexpr base::duration client_stall_time = 5s;
+// The kernel must not end a connection before the bound above does.
+constexpr base::duration client_silence_at_output = 2 * client_stall_time;
+constexpr base::duration output_check_interval = 250ms;
+// Shorter than `client_silence`, which the kernel applies until the first check.
+constexpr base::duration first_output_check = 1s;
 constexpr char const* continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 int status_of(base::error const& reason, bool in_body)
@@ -32,22 +43,22 @@
 
 inbound_connection::inbound_connection(event_loop& loop, timer_service& timers,
                                        evutil_socket_t socket, inbound_hooks hooks)
-    : timers_(timers), hooks_(std::move(hooks)), limits_(hooks_.limits()),
+    : timers_(timers), hooks_(std::move(hooks)),
       buffer_(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE)),
-      reader_(http_message_kind::request, limits_.max_header_bytes,
+      reader_(http_message_kind::request, limits().max_header_bytes,
               {[this](http_head const& head) { take_head(head); },
                [this](std::string_view bytes) { take_body(bytes); },
                [this]
                {
                    complete_ = true;
                }}),
-      opened_at_(timers.now())
+      opened_at_(timers.now()), idle_since_(opened_at_), allowed_silence_(client_silence)
 {
     watch_for_silence(socket, client_silence);
     bufferevent_setcb(buffer_, handle_read, handle_write, handle_event, this);
     bufferevent_setwatermark(buffer_, EV_READ, 0, read_ahead_bytes);
     bufferevent_enable(buffer_, EV_READ | EV_WRITE);
-    arm(limits_.idle_timeout);
+    arm(limits().idle_timeout);
 }
 
 inbound_connection::~inbound_connection()
@@ -124,6 +135,16 @@
     return buffer_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(buffer_));
 }
 
+std::size_t inbound_connection::unsent_bytes() const
+{
+    if (buffer_ == nullptr)
+        return 0;
+    int unacknowledged = 0;
+    if (ioctl(bufferevent_getfd(buffer_), SIOCOUTQ, &unacknowledged) != 0)
+        unacknowledged = 0;
+    return buffered_bytes() + static_cast<std::size_t>(unacknowledged);
+}
+
 bool inbound_connection::has_unread_input() const
 {
     if (buffer_ == nullptr)
@@ -148,6 +169,12 @@
     hooks_.closed(*this);
 }
 
+void inbound_connection::limits_changed()
+{
+    if (phase_ == phase::waiting && buffered_bytes() == 0)
+        arm(remaining_idle_time());
+}
+
 void inbound_connection::handle_read(bufferevent*, void* self)
 {
     auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
@@ -160,14 +187,28 @@
     auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
     if (auto const hook = std::exchange(keep->drained_, nullptr))
         run_guarded("caller output", hook);
-    if (keep->phase_ == phase::lingering)
-        shutdown(bufferevent_getfd(keep->buffer_), SHUT_WR);
+    keep->output_drained();
 }
 
-void inbound_connection::handle_event(bufferevent*, short, void* self)
+void inbound_connection::handle_event(bufferevent*, short what, void* self)
 {
     auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
-    run_guarded("caller end", [&] { keep->close(); });
+    run_guarded("caller end", [&] { keep->handle_end(what); });
+}
+
+void inbound_connection::handle_end(short what)
+{
+    // A client that has ended its sending side may still read a response that is complete. While a
+    // request runs, it can't be told from a client that has left.
+    bool const complete = phase_ == phase::waiting || phase_ == phase::lingering;
+    if ((what & BEV_EVENT_EOF) == 0 || !complete || buffered_bytes() == 0)
+    {
+        close();
+        return;
+    }
+    client_ended_ = true;
+    if (phase_ == phase::waiting)
+        linger();
 }
 
 void inbound_connection::read_input()
@@ -181,7 +222,8 @@
         if (phase_ == phase::waiting)
         {
             phase_ = phase::receiving;
-            arm(limits_.header_timeout);
+            reader_.set_max_header_bytes(limits().max_header_bytes);
+            arm(limits().header_timeout);
         }
         auto const n = evbuffer_get_contiguous_space(input);
         auto const* const bytes = reinterpret_cast<char const*>(evbuffer_pullup(input, n));
@@ -204,14 +246,15 @@
     keep_alive_ = head.keep_alive;
     answers_head_ = head.method == "HEAD";
     reads_chunks_ = head.reads_chunks;
-    if (head.content_length.value_or(0) > limits_.max_body_bytes)
+    if (head.content_length.value_or(0) > limits().max_body_bytes)
     {
-        refusal_ = base::error{base::error_kind::too_large,
-                               "the body is larger than " + std::to_string(limits_.max_body_bytes) +
-                                   " bytes; send a smaller one"};
+        refusal_ =
+            base::error{base::error_kind::too_large, "the body is larger than " +
+                                                         std::to_string(limits().max_body_bytes) +
+                                                         " bytes; send a smaller one"};
         return;
     }
-    arm(limits_.idle_timeout);
+    arm(limits().idle_timeout);
     if (head.expects_continue)
         send(continue_response);
 }
@@ -220,21 +263,23 @@
 {
     if (refusal_)
         return;
-    if (request_.body.size() + bytes.size() > limits_.max_body_bytes)
+    if (request_.body.size() + bytes.size() > limits().max_body_bytes)
     {
-        refusal_ = base::error{base::error_kind::too_large,
-                               "the body is larger than " + std::to_string(limits_.max_body_bytes) +
-                                   " bytes; send a smaller one"};
+        refusal_ =
+            base::error{base::error_kind::too_large, "the body is larger than " +
+                                                         std::to_string(limits().max_body_bytes) +
+                                                         " bytes; send a smaller one"};
         return;
     }
     request_.body += bytes;
-    arm(limits_.idle_timeout);
+    arm(limits().idle_timeout);
 }
 
 void inbound_connection::take_request()
 {
     phase_ = phase::responding;
     timeout_ = {};
+    allow_silence(client_silence);
     hooks_.request(shared_from_this(), std::exchange(request_, {}));
 }
 
@@ -249,14 +294,14 @@
 void inbound_connection::end_response()
 {
     gone_ = nullptr;
-    framing_ = body_framing::none;
     if (!keep_alive_ || hooks_.draining())
     {
         linger();
         return;
     }
     phase_ = phase::waiting;
-    arm(limits_.idle_timeout);
+    framing_ = body_framing::none;
+    await_output();
     // The next request may be in the buffer already; it is read after the current callback.
     bufferevent_trigger(buffer_, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
@@ -264,9 +309,64 @@
 void inbound_connection::linger()
 {
     phase_ = phase::lingering;
+    await_output();
+}
+
+void inbound_connection::await_output()
+{
+    output_advanced_at_ = timers_.now();
+    last_unsent_bytes_ = unsent_bytes();
+    if (buffered_bytes() == 0)
+        output_drained();
+    else
+        arm(first_output_check);
+}
+
+void inbound_connection::output_drained()
+{
+    if (phase_ == phase::waiting)
+    {
+        idle_since_ = timers_.now();
+        arm(std::min(first_output_check, limits().idle_timeout));
+    }
+    if (phase_ != phase::lingering)
+        return;
+    if (client_ended_)
+    {
+        close();
+        return;
+    }
+    shutdown(bufferevent_getfd(buffer_), SHUT_WR);
     arm(linger_time);
 }
 
+bool inbound_connection::accepts_output()
+{
+    auto const unsent = unsent_bytes();
+    if (unsent == 0)
+        return false;
+    auto const now = timers_.now();
+    if (std::exchange(last_unsent_bytes_, unsent) != unsent)
+        output_advanced_at_ = now;
+    auto const waited = now - output_advanced_at_;
+    if (waited < client_stall_time)
+        return true;
+    log(log_events::client_stalled,
+        {{"unsent_bytes", unsent}, {"waited_ms", base::to_milliseconds(waited)}});
+    return false;
+}
+
+void inbound_connection::allow_silence(base::duration silence)
+{
+    if (std::exchange(allowed_silence_, silence) != silence)
+        watch_for_silence(bufferevent_getfd(buffer_), silence);
+}
+
+base::duration inbound_connection::remaining_idle_time() const
+{
+    return std::max(idle_since_ + limits().idle_timeout - timers_.now(), base::duration::zero());
+}
+
 void inbound_connection::arm(base::duration delay)
 {
     timeout_ = timers_.after(delay, [this] { timed_out(); });
@@ -282,6 +382,18 @@
         respond(408, {}, "");
         return;
     }
+    if (accepts_output())
+    {
+        allow_silence(client_silence_at_output);
+        arm(output_check_interval);
+        return;
+    }
+    bool const is_waiting = phase_ == phase::waiting && unsent_bytes() == 0;
+    if (is_waiting && remaining_idle_time() > base::duration::zero())
+    {
+        arm(remaining_idle_time());
+        return;
+    }
     close();
 }
 
@@ -297,7 +409,8 @@
 
 void inbound_connection::reset_if_unframed()
 {
-    if (phase_ != phase::responding || framing_ != body_framing::connection_end)
+    bool const complete = phase_ == phase::lingering && buffered_bytes() == 0;
+    if (complete || framing_ != body_framing::connection_end)
         return;
     struct linger const at_once{1, 0};
     setsockopt(bufferevent_getfd(buffer_), SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
--- a/libraries/savorymount/runtime/inbound_server.cpp
+++ b/libraries/savorymount/runtime/inbound_server.cpp
@@ -52,6 +52,15 @@
     return ntohs(name.sin_port);
 }
 
+void inbound_server::set_limits(configuration::client_limits const& limits)
+{
+    if (limits == limits_)
+        return;
+    limits_ = limits;
+    for (auto const& it : connections_)
+        it.second->limits_changed();
+}
+
 void inbound_server::close_idle(base::duration min_age)
 {
     if (listener_ != nullptr)
@@ -90,6 +99,13 @@
                                                   { return it.second->busy(); }));
 }
 
+std::size_t inbound_server::unsent_responses() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        connections_.begin(), connections_.end(),
+        [](auto const& it) { return !it.second->busy() && it.second->unsent_bytes() > 0; }));
+}
+
 void inbound_server::handle_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int,
                                    void* self)
 {
--- a/libraries/savorymount/runtime/inbound_server.hpp
+++ b/libraries/savorymount/runtime/inbound_server.hpp
@@ -28,8 +28,8 @@
     /// Returns the port; port 0 lets the kernel choose one.
     std::optional<std::uint16_t> listen(network_address const& address, base::error& reason);
 
-    /// Applies to connections that are opened from now on.
-    void set_limits(configuration::client_limits const& limits) { limits_ = limits; }
+    /// Applies to all connections.
+    void set_limits(configuration::client_limits const& limits);
 
     /// From now on each connection ends after its next response.
     void drain() { draining_ = true; }
@@ -38,6 +38,8 @@
     void close_idle(base::duration min_age);
 
     std::size_t busy_connections() const;
+    /// Connections whose response is complete and not accepted by the client yet.
+    std::size_t unsent_responses() const;
     std::size_t connections() const { return connections_.size(); }
 
 private:
