--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -166,6 +166,48 @@
     EXPECT_EQ(records.at("a"), "1");
 }
 
+// Guards against a relay that was suspended between the store's answer and its handling, and passes
+// on an old page with a key that has been deleted since.
+TEST_F(topic_follower_test, an_update_from_before_the_own_offset_changes_nothing)
+{
+    follow({snapshot(10), page(10), page(10)});
+    run_until_reads(1);
+    follower->apply_update(
+        {"keyed.test", 0, 10, 13, {{"left", "1", 10}, {"left", std::nullopt, 12}}, false, {}},
+        timers.now());
+    records.clear();
+    follower->apply_update(
+        {"keyed.test", 0, 10, 12, {{"left", "1", 10}, {"never seen", "1", 11}}, false, {}},
+        timers.now());
+    follower->apply_update(
+        {"keyed.test", 0, 11, 14, {{"late", "1", 11}, {"new", "1", 13}}, false, {}}, timers.now());
+    EXPECT_EQ(records, (std::map<std::string, std::string>{{"new", "1"}}));
+}
+
+// Guards against the same by an own read: updates of a relay arrived while its answer was on the
+// way.
+TEST_F(topic_follower_test, a_page_from_before_the_own_offset_brings_no_deleted_key_back)
+{
+    reads_store = true;
+    follow({snapshot(10), page(10),
+            page(12, serialize_record("a", "1") + serialize_record("left", "1")), page(13)});
+    run_until_reads(1);
+    on_record = [&]
+    {
+        on_record = nullptr;
+        follower->apply_update({"keyed.test",
+                                0,
+                                10,
+                                13,
+                                {{"a", "1", 10}, {"left", "1", 11}, {"left", std::nullopt, 12}},
+                                false,
+                                0ms},
+                               timers.now());
+    };
+    run_until_reads(2);
+    EXPECT_EQ(records.at("left"), "deleted");
+}
+
 // Guards against a lost update whose records are never read.
 TEST_F(topic_follower_test, reads_the_store_after_a_gap)
 {
