Keep only upstreams whose entries went while the list could not be read

A removal may have been a lapse only if it lies between the last complete read before the failure and the first complete one after it. topic_horizon knows both: the time until which the topic is known, and now the time of the last failure. A failed read of another topic counts no longer, nor does a failure that a complete read has followed.

The class is a state derived from "something failed lately". Other windows that were looked at: - store_rewrite_time (2.5 s after a restore): no event shows that operators are done; docs/platform.md, open question 9. Stays. - startup_time (10 s): being behind the others for a moment is usual later on. Stays; a started process could remember whether it has ever been level with the others. - unlisted_grace: 2 s from when the removal is read, not from the store's return. It ends later than the pages ask by the time to the first read, at which the machine is not in touch yet. Stays. - leader_reported_recently only sets how often the membership is read.

The two tests of topic_follower show which records count.

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -12,8 +12,6 @@
 
 // Longer than the store holds a read of the configuration open.
 constexpr base::duration max_configuration_age = 1800ms;
-// Upstreams whose entries expired during an outage of the store are listed again within this time.
-constexpr base::duration store_failure_window = 2500ms;
 // After the store came back from an older copy, operators write again what it lacks within this
 // time.
 constexpr base::duration store_rewrite_time = 2500ms;
@@ -118,9 +116,10 @@
     apply_limit(process);
 }
 
-void cluster_state::upstream_unlisted(base::time_point now, std::string const& id)
+void cluster_state::upstream_unlisted(base::time_point now, std::string const& id,
+                                      bool may_have_lapsed)
 {
-    upstreams_.remove_listing(now, id, store_recently_failed(now));
+    upstreams_.remove_listing(now, id, may_have_lapsed);
     if (upstreams_.find(id) == nullptr)
         part_locations_.invalidate_engine(id);
 }
@@ -148,7 +147,6 @@
 
 void cluster_state::store_restored(base::time_point now)
 {
-    store_failed(now);
     store_restored_at_ = now;
     configuration_complete_until_.reset();
     stored_configuration_version_ = 0;
@@ -176,11 +174,6 @@
     return lags_behind_others() && now - started_at_ < startup_time;
 }
 
-bool cluster_state::store_recently_failed(base::time_point now) const
-{
-    return store_failed_at_ && now - *store_failed_at_ < store_failure_window;
-}
-
 std::optional<base::duration> cluster_state::store_age(base::time_point now) const
 {
     if (!store_responded_at_)
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -48,7 +48,10 @@
 
     /// The platform's list of upstreams gained, updated or lost an entry.
     void upstream_listed(base::time_point now, membership::upstream_record record);
-    void upstream_unlisted(base::time_point now, std::string const& id);
+    /// `may_have_lapsed` tells that the entry went while the list could not be read, so that the
+    /// upstream may still run.
+    void upstream_unlisted(base::time_point now, std::string const& id,
+                           bool may_have_lapsed = false);
     routing::upstream_table& upstreams() { return upstreams_; }
     routing::upstream_table const& upstreams() const { return upstreams_; }
     routing::part_locations& part_locations() { return part_locations_; }
@@ -98,9 +101,6 @@
     /// The process started from a store that shows an older configuration than the one in force at
     /// other instances, as a store does that came back from an older copy.
     bool started_on_outdated_configuration(base::time_point now) const;
-    /// Whether a read of the store failed within the last few seconds.
-    bool store_recently_failed(base::time_point now) const;
-    void store_failed(base::time_point now) { store_failed_at_ = now; }
     /// Time since the store last responded; empty if it never did.
     std::optional<base::duration> store_age(base::time_point now) const;
 
@@ -187,7 +187,6 @@
     std::function<void(base::duration pause)> resumed_callback_;
     std::optional<base::time_point> store_responded_at_;
     std::optional<base::time_point> configuration_complete_until_;
-    std::optional<base::time_point> store_failed_at_;
     std::optional<base::time_point> store_restored_at_;
     /// Newest version of the configuration that the store is known to hold.
     std::uint64_t stored_configuration_version_ = 0;
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -244,9 +244,9 @@
         upstreams_known_ = true;
         cluster_.upstream_listed(timers_.now(), std::move(it));
     };
-    callbacks.upstream_unlisted = [this](std::string const& id)
+    callbacks.upstream_unlisted = [this](std::string const& id, bool may_have_lapsed)
     {
-        cluster_.upstream_unlisted(timers_.now(), id);
+        cluster_.upstream_unlisted(timers_.now(), id, may_have_lapsed);
         pool_.forget(id);
         runtime::log(events::upstream_unlisted, {{"upstream", id}});
     };
@@ -291,7 +291,6 @@
 
 void gateway::store_failed(store_failure const& failure)
 {
-    cluster_.store_failed(timers_.now());
     metrics_.store_failed();
     if (std::exchange(store_available_, false))
         runtime::log(events::log_unavailable, {{"reason", failure.reason.message}});
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -42,7 +42,8 @@
                        std::optional<base::time_point> not_before)>
         desired_version_changed;
     std::function<void(membership::upstream_record)> upstream_listed;
-    std::function<void(std::string const& upstream)> upstream_unlisted;
+    /// `may_have_lapsed` tells that the entry went while the list could not be read.
+    std::function<void(std::string const& upstream, bool may_have_lapsed)> upstream_unlisted;
     /// An entry could not be parsed and is ignored.
     std::function<void(std::string const& key, base::error const& reason)> entry_invalid;
     /// Every change of the configuration before `complete_until` was reported.
--- a/libraries/savorymount/membership/topic_horizon.hpp
+++ b/libraries/savorymount/membership/topic_horizon.hpp
@@ -39,6 +39,16 @@
         raise(arrived_at - age);
     }
 
+    /// A read failed, or was given up, at this time.
+    void read_failed(base::time_point at) { failed_at_ = at; }
+
+    /// Whether reads have failed and none has been complete since. What a record shows now may have
+    /// happened while nothing could be read.
+    bool reads_outage() const
+    {
+        return failed_at_ && complete_until_.value_or(base::time_point::min()) < *failed_at_;
+    }
+
     /// Empty until something was read.
     std::optional<base::time_point> complete_until() const { return complete_until_; }
 
@@ -46,6 +56,7 @@
     void raise(base::time_point until);
 
     std::optional<base::time_point> complete_until_;
+    std::optional<base::time_point> failed_at_;
 };
 
 } // namespace savorymount::membership
--- a/libraries/savorymount/routing/upstream_table.cpp
+++ b/libraries/savorymount/routing/upstream_table.cpp
@@ -69,12 +69,12 @@
 }
 
 void upstream_table::remove_listing(base::time_point now, std::string const& id,
-                                    bool list_was_unavailable)
+                                    bool may_have_lapsed)
 {
     auto* const state = find(id);
     if (state == nullptr)
         return;
-    if (list_was_unavailable && !state->record.draining)
+    if (may_have_lapsed && !state->record.draining)
         state->unlisted_at = now;
     else
         states_.erase(id);
--- a/libraries/savorymount/routing/upstream_table.hpp
+++ b/libraries/savorymount/routing/upstream_table.hpp
@@ -98,17 +98,17 @@
 class upstream_table
 {
 public:
-    /// An upstream that is missing from the list after an outage of the list is kept for this long,
-    /// since it may still be running.
+    /// An upstream whose entry lapsed during an outage of the list is kept for this long, since it
+    /// may still be running.
     static constexpr base::duration unlisted_grace = std::chrono::milliseconds(2000);
 
     /// Applies an upstream's record from the list. Returns true if the upstream restarted under the
     /// same id.
     bool apply_listing(base::time_point now, membership::upstream_record record);
 
-    /// Handles the removal of an upstream from the list. `list_was_unavailable` is true if the list
-    /// could not be read recently.
-    void remove_listing(base::time_point now, std::string const& id, bool list_was_unavailable);
+    /// Handles the removal of an upstream from the list. `may_have_lapsed` is true if the entry
+    /// went while the list could not be read.
+    void remove_listing(base::time_point now, std::string const& id, bool may_have_lapsed);
 
     /// Removes unlisted upstreams after `unlisted_grace`.
     void expire(base::time_point now);
--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <tests/libraries/runtime/scripted_server.hpp>
 #include <thread>
 
@@ -95,6 +96,8 @@
         callbacks.on_record = [this](keyed_record const& it)
         {
             records[it.key] = it.value.value_or("deleted");
+            if (follower->reads_outage())
+                read_after_outage.insert(it.key);
             if (on_record)
                 on_record();
         };
@@ -140,6 +143,7 @@
     std::unique_ptr<store_client> store;
     std::unique_ptr<topic_follower> follower;
     std::map<std::string, std::string> records;
+    std::set<std::string> read_after_outage;
     std::function<void()> on_record;
     std::optional<base::time_point> page_complete_until;
     int responses = 0;
@@ -472,6 +476,31 @@
     EXPECT_EQ(records, (std::map<std::string, std::string>{{"kept", "old"}, {"lost", "deleted"}}));
 }
 
+// Guards against an upstream that leaves when the store answers again, and is taken for one whose
+// entry lapsed during the outage.
+TEST_F(topic_follower_test, an_outage_ends_with_the_first_complete_read)
+{
+    reads_store = true;
+    follow({snapshot(10), page(10), store_is_unavailable, store_is_unavailable,
+            page(13, serialize_record("lapsed", "")), page(13, serialize_record("same", "")),
+            page(13, serialize_record("page", "")), page(14, serialize_record("left", "")),
+            page(14)});
+    run_until_reads(5);
+    EXPECT_EQ(records.at("left"), "deleted");
+    EXPECT_EQ(read_after_outage, (std::set<std::string>{"lapsed", "same", "page"}));
+}
+
+// Guards against an upstream that a copy lacks and that is dropped at once.
+TEST_F(topic_follower_test, a_restored_copy_is_read_as_after_an_outage)
+{
+    follow({snapshot_of(1, 10, {{"kept", base64_of_old, 2}, {"lost", base64_of_old, 9}}),
+            page_of(1, 10), offset_is_gone(2), snapshot_of(2, 5, {{"kept", base64_of_old, 2}}),
+            page_of(2, 6, serialize_record("kept", "")), page_of(2, 6)});
+    run_until_reads(2);
+    EXPECT_TRUE(read_after_outage.contains("lost"));
+    EXPECT_EQ(records.at("kept"), "deleted");
+}
+
 // Guards against a page with many changes that every instance has to read from the store, and
 // against records or offsets that no update covers.
 TEST(update_splitter, updates_cover_the_whole_page)
--- a/utilities/savorymountctl/users_platform_status.cpp
+++ b/utilities/savorymountctl/users_platform_status.cpp
@@ -69,7 +69,7 @@
             status_.upstreams[id] = std::move(it);
             noted();
         };
-        out.upstream_unlisted = [this](std::string const& id)
+        out.upstream_unlisted = [this](std::string const& id, bool)
         {
             status_.upstreams.erase(id);
             noted();
