Remember the newest weight version beyond all processes

A process that starts sees only the newest record of `version/MODEL`, and took it for the newest version; what was known before stood only in the memory of the processes that had ended.

The newest version is now the highest of all that shows one: - the operators' record, as before; - `weights/<model>` in keyed.savorymount, read with the membership. The leader writes it once it knows a newer version, before all engines have loaded it; another instance does if the second read still lacks it. The append is conditional, so a late write of the system's own can't replace a newer one. That is one read and one accepted write a version; version 1 isn't written, since nothing is older; - what engines have: their entries, X-Weight-Versions, their reports, and the loads that peers report. Entries of services that are not in use don't count. The rollout orders no engine to a version older than the one it reported. An older version that appears after a newer one no longer makes still older engines look superseded later (desired_weights), nor does it lower the metric; older_weights_named and weights_found say so in the log.

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -94,6 +94,8 @@
     }
     stream_origins_.set_lifetime(stream_lifetime(data));
     deployment_ = std::make_shared<configuration::deployment_index>(std::move(data));
+    for (auto const& [id, state] : upstreams_.all())
+        note_engine_versions(state.record);
     return true;
 }
 
@@ -111,6 +113,7 @@
     auto const id = record.id;
     auto const process = membership::process_name(record);
     stream_origins_.version_seen(now, record.service, record.software_version);
+    note_engine_versions(record);
     if (upstreams_.apply_listing(now, std::move(record)))
         part_locations_.invalidate_engine(id);
     apply_limit(process);
@@ -126,9 +129,49 @@
 
 void cluster_state::set_desired_version(std::string const& model, std::uint64_t version,
                                         std::optional<base::time_point> not_before)
+{
+    desired_weights_.add_version(model, version, publication_bound(not_before));
+}
+
+base::time_point cluster_state::publication_bound(std::optional<base::time_point> not_before) const
 {
     auto const assumed_age = settings_.first_start ? base::duration::zero() : assumed_version_age;
-    desired_weights_.add_version(model, version, not_before.value_or(started_at_ - assumed_age));
+    return not_before.value_or(started_at_ - assumed_age);
+}
+
+void cluster_state::version_found(std::string const& model, std::uint64_t version,
+                                  std::optional<base::time_point> not_before)
+{
+    if (version <= desired_weights_.newest_version(model))
+        return;
+    desired_weights_.add_version(model, version, publication_bound(not_before));
+    if (version_found_callback_)
+        version_found_callback_(model, version);
+}
+
+void cluster_state::stored_versions_read(std::map<std::string, std::uint64_t> const& versions)
+{
+    // What the first read shows may have been published long before the start.
+    auto const not_before = members_known_ ? configuration_complete_until_ : std::nullopt;
+    for (auto const& [model, version] : versions)
+        version_found(model, version, not_before);
+}
+
+void cluster_state::note_engine_versions(membership::upstream_record const& record)
+{
+    // An entry of a service that is not in use may be of another writer.
+    if (!deployment_ || deployment_->find_service(record.service) == nullptr)
+        return;
+    for (auto const& [model, version] : record.weights)
+        version_found(model, version, configuration_complete_until_);
+}
+
+void cluster_state::weights_observed(std::string const& upstream, std::string const& model,
+                                     std::uint64_t version)
+{
+    upstreams_.weights_observed(upstream, model, version);
+    if (auto const* const state = upstreams_.find(upstream))
+        note_engine_versions(state->record);
 }
 
 retries::retry_quota& cluster_state::retry_quota(std::string const& service)
@@ -289,7 +332,7 @@
             upstreams_.set_draining(it.upstream, now + it.remaining);
             continue;
         }
-        upstreams_.weights_observed(it.upstream, it.model, it.version);
+        weights_observed(it.upstream, it.model, it.version);
         upstreams_.set_loading(it.upstream, now + it.remaining);
     }
     apply_notices(now, report);
@@ -387,7 +430,10 @@
         return;
     versions_observed_at_ = now;
     for (auto const& [id, state] : upstreams_.all())
+    {
         stream_origins_.version_seen(now, state.record.service, state.record.software_version);
+        note_engine_versions(state.record);
+    }
     stream_origins_.expire(now);
 }
 
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -59,6 +59,18 @@
     /// version may be older than the instance.
     void set_desired_version(std::string const& model, std::uint64_t version,
                              std::optional<base::time_point> not_before);
+    /// The system's own records show these weight versions; operators published them at some time.
+    void stored_versions_read(std::map<std::string, std::uint64_t> const& versions);
+    /// An upstream has this version of a model. Engines load no version that was not published.
+    void weights_observed(std::string const& upstream, std::string const& model,
+                          std::uint64_t version);
+    /// Sets a callback for a newer weight version that became known from elsewhere than the
+    /// operators' record.
+    void
+    on_version_found(std::function<void(std::string const& model, std::uint64_t version)> callback)
+    {
+        version_found_callback_ = std::move(callback);
+    }
     orders::desired_weights const& desired_weights() { return desired_weights_; }
     membership::peer_table& peer_table() { return peer_table_; }
     retries::crash_quarantine& quarantine() { return quarantine_; }
@@ -154,7 +166,12 @@
     bool lags_behind_others() const;
     /// Whether the upstream's current entry in the list belongs to the process.
     bool is_listed(std::string const& process) const;
-    /// Notes the software versions of all upstreams in the list.
+    /// A version was published at an unknown time before now.
+    void version_found(std::string const& model, std::uint64_t version,
+                       std::optional<base::time_point> not_before);
+    void note_engine_versions(membership::upstream_record const& record);
+    base::time_point publication_bound(std::optional<base::time_point> not_before) const;
+    /// Notes the software and weight versions of all upstreams in the list.
     void observe_versions(base::time_point now);
     /// Lets placement know when the upstream's process takes the next request of this instance.
     void apply_limit(std::string const& process);
@@ -173,6 +190,7 @@
     retries::crash_attribution crash_attribution_;
     limits::upstream_limits upstream_limits_;
     streams::stream_origins stream_origins_;
+    std::function<void(std::string const& model, std::uint64_t version)> version_found_callback_;
     base::time_point versions_observed_at_{};
     bool members_known_ = false;
     /// The state of the peer table from which the shares of limits follow.
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -149,6 +149,12 @@
         [](base::duration pause) {
             runtime::log(events::process_resumed, {{"paused_ms", base::to_milliseconds(pause)}});
         });
+    cluster_.on_version_found(
+        [this](std::string const& model, std::uint64_t version)
+        {
+            metrics_.desired_version_changed(model, version);
+            runtime::log(events::weights_found, {{"model", model}, {"version", version}});
+        });
     cluster_.crash_attribution().on_cause_changed(log_crash_cause);
     cluster_.upstream_limits().on_changed(log_upstream_limit);
     loop_->on_termination([this] { start_draining(); });
@@ -232,7 +238,14 @@
         auto const now = timers_.now();
         cluster_.observe_time(now);
         cluster_.set_desired_version(model, version, not_before);
-        metrics_.desired_version_changed(model, version);
+        auto const newest = cluster_.desired_weights().newest_version(model);
+        metrics_.desired_version_changed(model, newest);
+        if (version < newest)
+        {
+            runtime::log(events::older_weights_named,
+                         {{"model", model}, {"version", version}, {"newest", newest}});
+            return;
+        }
         runtime::log(events::weights_wanted,
                      {{"model", model},
                       {"version", version},
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -7,12 +7,14 @@
 #include <savorymount/membership/store_update.hpp>
 #include <savorymount/membership/upstream_record.hpp>
 #include <savorymount/orders/leader_lease.hpp>
+#include <savorymount/orders/stored_versions.hpp>
 #include <savorymount/orders/weight_rollout.hpp>
 #include <savorymount/runtime/http_message.hpp>
 #include <savorymount/streams/stream_origin.hpp>
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -84,6 +86,8 @@
 {
     std::vector<member_record> members;
     std::optional<orders::lease_log_entry> lease;
+    /// The newest weight version of each model that an instance recorded.
+    std::map<std::string, std::uint64_t> weights;
     std::uint64_t end_offset = 0;
     /// Era of the store.
     std::uint64_t era = orders::first_log_era;
@@ -117,6 +121,11 @@
         append_lease;
     std::function<void(member_record const&, std::function<void(append_outcome)>)>
         announce_instance;
+    /// Records a weight version beside the lease, if that topic still ends at `expected_end`. A
+    /// late write can't replace a newer version.
+    std::function<void(orders::version_record const&, std::uint64_t expected_end,
+                       std::function<void(append_outcome, std::uint64_t end_offset)>)>
+        append_version;
 
     /// Which software versions began the streams that may still run, as all instances recorded it;
     /// empty if the store does not answer.
--- a/libraries/savorymount/gateway/rollout_leader.cpp
+++ b/libraries/savorymount/gateway/rollout_leader.cpp
@@ -106,9 +106,12 @@
 void rollout_leader::read_membership()
 {
     membership_read_at_ = timers_.now();
+    is_reading_membership_ = true;
+    membership_timer_ = {};
     platform_.read_membership(
         [this](std::optional<membership_page> page)
         {
+            is_reading_membership_ = false;
             if (page)
                 handle_membership(*page);
             auto const jitter =
@@ -120,19 +123,50 @@
 
 void rollout_leader::handle_membership(membership_page const& page)
 {
+    cluster_.stored_versions_read(page.weights);
+    stored_versions_.on_read(page.weights);
     callbacks_.members_read(page.members);
     lease_.on_log_read(timers_.now(), page.lease, page.end_offset, page.era);
-    update_lease();
+    if (!update_lease())
+        store_versions(page.end_offset);
 }
 
-void rollout_leader::update_lease()
+void rollout_leader::store_versions(std::uint64_t log_end)
 {
     auto const now = timers_.now();
-    if (releasing_ || (stopping_ && !lease_.fencing_token(now)))
+    auto const record = stored_versions_.next_append(now, cluster_.desired_weights(), is_leader_);
+    if (!record || is_storing_version_ || releasing_)
         return;
+    is_storing_version_ = true;
+    platform_.append_version(
+        *record, log_end,
+        [this, record = *record, log_end](append_outcome outcome, std::uint64_t end_offset)
+        {
+            is_storing_version_ = false;
+            if (outcome == append_outcome::condition_failed)
+                read_membership_now();
+            if (outcome != append_outcome::accepted)
+                return;
+            stored_versions_.on_append_accepted(record);
+            lease_.on_other_append_accepted(log_end, end_offset);
+            store_versions(end_offset);
+        });
+}
+
+void rollout_leader::read_membership_now()
+{
+    if (!is_reading_membership_)
+        read_membership();
+}
+
+bool rollout_leader::update_lease()
+{
+    auto const now = timers_.now();
+    if (releasing_ || (stopping_ && !lease_.fencing_token(now)))
+        return false;
     auto const append = lease_.next_append(now);
     if (!append)
-        return;
+        return false;
     platform_.append_lease(*append,
                            [this](append_outcome outcome, std::uint64_t end_offset)
                            {
@@ -144,7 +178,10 @@
                                else
                                    lease_.on_append_rejected();
                                update_leadership(responded_at);
+                               if (outcome == append_outcome::accepted)
+                                   store_versions(end_offset);
                            });
+    return true;
 }
 
 void rollout_leader::update_leadership(base::time_point now)
@@ -169,6 +206,10 @@
     idle_ = true;
     if (!fencing_token || releasing_)
         return;
+    // A newer version stands in the store before all engines have it, also if all instances end.
+    auto newest = cluster_.desired_weights().newest_versions();
+    if (std::exchange(versions_to_store_, newest) != newest)
+        read_membership_now();
     auto const all_engines = engines(now);
     rollout_.set_max_concurrent_loads(max_concurrent_loads(all_engines.size()));
     auto const step =
@@ -220,7 +261,7 @@
                       outcome == orders::order_outcome::already_done;
     if (!done)
         return;
-    cluster_.upstreams().weights_observed(order.upstream, order.model, order.version);
+    cluster_.weights_observed(order.upstream, order.model, order.version);
     if (auto const until = rollout_.loading_until(order.upstream))
     {
         cluster_.upstreams().set_loading(order.upstream, *until);
@@ -247,8 +288,7 @@
                                      {
                                          rollout_.on_report(timers_.now(), upstream, *report);
                                          for (auto const& [model, version] : report->weights)
-                                             cluster_.upstreams().weights_observed(upstream, model,
-                                                                                   version);
+                                             cluster_.weights_observed(upstream, model, version);
                                      }
                                      else
                                          rollout_.on_report_failed(timers_.now(), upstream);
--- a/libraries/savorymount/gateway/rollout_leader.hpp
+++ b/libraries/savorymount/gateway/rollout_leader.hpp
@@ -5,10 +5,12 @@
 #include <savorymount/gateway/platform_adapter.hpp>
 #include <savorymount/membership/peer_report.hpp>
 #include <savorymount/orders/leader_lease.hpp>
+#include <savorymount/orders/stored_versions.hpp>
 #include <savorymount/orders/weight_rollout.hpp>
 #include <savorymount/runtime/timer_service.hpp>
 
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -61,7 +63,11 @@
     bool leader_reported_recently(base::time_point now) const;
     void read_membership();
     void handle_membership(membership_page const& page);
-    void update_lease();
+    /// Returns whether an append of the lease was sent.
+    bool update_lease();
+    /// Records the newest weight versions, if the topic's records lack them.
+    void store_versions(std::uint64_t log_end);
+    void read_membership_now();
     void update_draining_engines(base::time_point now, std::vector<std::string> const& upstreams);
     void send_order(orders::weight_order const& order);
     void request_engine_report(std::string const& upstream);
@@ -77,6 +83,11 @@
     rollout_leader_callbacks callbacks_;
     orders::leader_lease lease_;
     orders::weight_rollout rollout_;
+    orders::stored_versions stored_versions_;
+    /// The newest versions for which the leader has read the topic, to record them.
+    std::map<std::string, std::uint64_t> versions_to_store_;
+    bool is_storing_version_ = false;
+    bool is_reading_membership_ = false;
     std::vector<membership::weight_load> loads_;
     /// When each entry of `loads_` ends.
     std::vector<base::time_point> load_ends_;
--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -121,7 +121,7 @@
     if (metadata_.load)
         upstreams.load_reported(context_.timers.now(), id, *metadata_.load);
     if (metadata_.weight_version && !model_.empty())
-        upstreams.weights_observed(id, model_, *metadata_.weight_version);
+        context_.cluster.weights_observed(id, model_, *metadata_.weight_version);
     record_notices();
     bool const not_authentic = metadata_.request_id.empty() || !metadata_.stamped;
     untrusted_ = not_authentic && !metadata_.not_executed;
--- a/libraries/savorymount/orders/leader_lease.cpp
+++ b/libraries/savorymount/orders/leader_lease.cpp
@@ -134,6 +134,12 @@
     held_since_.reset();
 }
 
+void leader_lease::on_other_append_accepted(std::uint64_t expected_end, std::uint64_t log_end)
+{
+    if (log_end_ == expected_end && !pending_)
+        log_end_ = log_end;
+}
+
 void leader_lease::on_append_outcome_unknown()
 {
     if (!pending_)
--- a/libraries/savorymount/orders/leader_lease.hpp
+++ b/libraries/savorymount/orders/leader_lease.hpp
@@ -93,6 +93,9 @@
     /// The log rejected the append because another record came first. No orders may be sent until
     /// the log has been read again.
     void on_append_rejected();
+    /// The log accepted another record of this instance at `expected_end`; it now ends at
+    /// `log_end`.
+    void on_other_append_accepted(std::uint64_t expected_end, std::uint64_t log_end);
     /// There was no response to the append. The next read of the log shows whether it was accepted.
     void on_append_outcome_unknown();
 
--- a/libraries/savorymount/orders/weight_rollout.cpp
+++ b/libraries/savorymount/orders/weight_rollout.cpp
@@ -112,7 +112,10 @@
         for (auto const& [model, version] : engine.record.weights)
         {
             auto const newest = desired.newest_version(model);
-            if (version >= newest)
+            auto const reported = state.reported_weights.find(model);
+            bool const reported_newer =
+                reported != state.reported_weights.end() && reported->second > newest;
+            if (version >= newest || reported_newer)
                 continue;
             auto const since = desired.superseded_since(model, version);
             out.push_back({&engine, model, newest, since && now - *since > options_.urgent_age});
@@ -148,6 +151,7 @@
         return;
     }
     state.accepted_orders = report.accepted_orders;
+    state.reported_weights = report.weights;
 }
 
 void weight_rollout::on_report_failed(base::time_point now, std::string const& upstream)
--- a/libraries/savorymount/orders/weight_rollout.hpp
+++ b/libraries/savorymount/orders/weight_rollout.hpp
@@ -138,6 +138,8 @@
         std::int64_t started_unix_ms = 0;
         /// Number of orders that the engine has accepted, once known.
         std::optional<std::uint64_t> accepted_orders;
+        /// The versions that it reported with that number. The list and the table lag behind.
+        std::map<std::string, std::uint64_t> reported_weights;
         bool report_requested = false;
         bool order_sent = false;
         base::time_point retry_at{};
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -109,6 +109,12 @@
     "An upstream names how many requests a second it takes from all instances."};
 inline constexpr log_event upstream_limit_ended{513, log_level::info, "upstream_limit_ended",
                                                 "The upstream names no limit any more."};
+inline constexpr log_event older_weights_named{
+    514, log_level::warning, "older_weights_named",
+    "The store names an older weight version than was published before; it is ignored."};
+inline constexpr log_event weights_found{
+    515, log_level::info, "weights_found",
+    "An engine or the system's own records show a newer weight version than the store names."};
 inline constexpr log_event lease_acquired{600, log_level::info, "lease_acquired",
                                           "This agent owns a workspace's token bucket."};
 inline constexpr log_event lease_lost{601, log_level::warning, "lease_lost",
@@ -180,6 +186,8 @@
                                 prompt_parts_accepted,
                                 upstream_limit_named,
                                 upstream_limit_ended,
+                                older_weights_named,
+                                weights_found,
                                 lease_acquired,
                                 lease_lost,
                                 duty_acquired,
--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -389,5 +389,67 @@
     }
 }
 
+std::uint64_t newest_crew(cluster_state& cluster)
+{
+    return cluster.desired_weights().newest_version("crew");
+}
+
+// Guards against a weight version that a started instance takes from the store's newest record,
+// although a newer one was published before.
+TEST(cluster_state, a_version_of_the_own_records_outlasts_an_older_record_of_the_store)
+{
+    cluster_state cluster({}, at(20s));
+    std::vector<std::uint64_t> found;
+    cluster.on_version_found([&](std::string const&, std::uint64_t version)
+                             { found.push_back(version); });
+    cluster.set_desired_version("crew", 2, std::nullopt);
+    cluster.stored_versions_read({{"crew", 3}, {"mate", 1}});
+    cluster.set_desired_version("crew", 2, at(21s));
+    cluster.stored_versions_read({{"crew", 2}, {"mate", 1}});
+    EXPECT_EQ(newest_crew(cluster), 3U);
+    EXPECT_EQ(found, (std::vector<std::uint64_t>{3, 1}));
+    // It may have been published long before the start.
+    EXPECT_EQ(cluster.desired_weights().superseded_since("crew", 2), at(16s));
+}
+
+// Guards against an engine with newer weights than the store names that is ordered back.
+TEST(cluster_state, a_version_that_an_engine_has_counts_as_published)
+{
+    configuration::deployment data;
+    data.version = 1;
+    data.services["bench"].name = "bench";
+    cluster_state cluster({}, at(0s));
+    auto listed = engine(1);
+    listed.weights["crew"] = 3;
+    cluster.upstream_listed(at(0s), listed);
+    EXPECT_EQ(newest_crew(cluster), 0U);
+    cluster.apply_deployment(at(0s), data);
+    EXPECT_EQ(newest_crew(cluster), 3U);
+    cluster.weights_observed("engine-1", "crew", 4);
+    EXPECT_EQ(newest_crew(cluster), 4U);
+    // An entry of another writer.
+    listed.id = "engine-2";
+    listed.service = "unknown";
+    listed.weights["crew"] = 900;
+    cluster.upstream_listed(at(1s), listed);
+    EXPECT_EQ(newest_crew(cluster), 4U);
+}
+
+// Guards against an instance that hears of a load and still takes the older version for the newest.
+TEST(cluster_state, a_version_that_another_instance_has_ordered_counts_as_published)
+{
+    configuration::deployment data;
+    data.version = 1;
+    data.services["bench"].name = "bench";
+    cluster_state cluster({}, at(0s));
+    cluster.apply_deployment(at(0s), data);
+    cluster.upstream_listed(at(0s), engine(1));
+    cluster_state other({}, at(0s));
+    auto report = report_of(other, at(1s), 1);
+    report.weight_loads.push_back({"engine-1", "crew", 5, 100ms, false});
+    cluster.apply_report(at(1s), report);
+    EXPECT_EQ(newest_crew(cluster), 5U);
+}
+
 } // namespace
 } // namespace savorymount::gateway
--- a/tests/libraries/orders/desired_weights_test.cpp
+++ b/tests/libraries/orders/desired_weights_test.cpp
@@ -48,6 +48,20 @@
     EXPECT_EQ(desired.superseded_since("crew", 3), at(9s));
 }
 
+// Guards against a late write of an older version that counts as the newest one, and that makes
+// engines with still older weights look superseded later than they are.
+TEST(desired_weights, an_older_version_that_appears_late_changes_nothing)
+{
+    desired_weights desired;
+    desired.add_version("crew", 1, at(0s));
+    desired.add_version("crew", 3, at(4s));
+    desired.add_version("crew", 2, at(6s));
+    EXPECT_EQ(desired.newest_version("crew"), 3U);
+    EXPECT_EQ(desired.newest_versions(), (std::map<std::string, std::uint64_t>{{"crew", 3}}));
+    EXPECT_EQ(desired.superseded_since("crew", 1), at(4s));
+    EXPECT_EQ(desired.superseded_since("crew", 2), at(4s));
+}
+
 // Guards against a repeated publication that resets the time of a version.
 TEST(desired_weights, repeated_publication_keeps_the_first_time)
 {
--- a/tests/libraries/orders/weight_rollout_test.cpp
+++ b/tests/libraries/orders/weight_rollout_test.cpp
@@ -186,5 +186,22 @@
     EXPECT_EQ(rollout.next_step(at(0s), fencing_token, desired, cluster.engines), rollout_step{});
 }
 
+// Guards against an engine that is ordered back to older weights, since the leader knows less than
+// it.
+TEST(weight_rollout, an_engine_that_reports_newer_weights_is_not_ordered_back)
+{
+    desired_weights desired;
+    desired.add_version("crew", 2, at(0s));
+    weight_rollout rollout({});
+    fake_cluster cluster(1, 0);
+    auto const step = rollout.next_step(at(0s), fencing_token, desired, cluster.engines);
+    ASSERT_EQ(step.report_requests.size(), 1U);
+    rollout.on_report(at(0s), "engine-0", {false, 1, {{"crew", 3}}});
+    EXPECT_TRUE(
+        rollout.next_step(at(50ms), fencing_token, desired, cluster.engines).orders.empty());
+    desired.add_version("crew", 4, at(1s));
+    EXPECT_EQ(rollout.next_step(at(1s), fencing_token, desired, cluster.engines).orders.size(), 1U);
+}
+
 } // namespace
 } // namespace savorymount::orders
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -494,6 +494,28 @@
         system.wait_until([&] { return system.state()[it]["version"] == 2; });
 }
 
+// Guards against a weight version that is forgotten when the store executes a write of an older one
+// late and all processes start again.
+TEST(gateway, a_late_write_of_an_older_version_is_ignored_after_all_have_ended)
+{
+    platform_deployment system(2);
+    system.control({{"weights", 3}});
+    for (char const* it : {"engine-0", "engine-1"})
+        system.wait_until([&] { return system.state()[it]["version"] == 3; });
+    system.wait_until([&] { return system.records("keyed.savorymount").contains("weights/crew"); });
+    system.control({{"weights", 2}});
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        system.gateway(i).send_signal(SIGKILL);
+        system.gateway(i).wait();
+    }
+    system.start_gateway(2);
+    system.wait_for_line(2, "name=weights_found model=crew version=3");
+    system.control({{"weights", 4}});
+    for (char const* it : {"engine-0", "engine-1"})
+        system.wait_until([&] { return system.state()[it]["version"] == 4; });
+}
+
 // Guards against a shutdown that cuts a stream or stays in rotation.
 TEST(gateway, finishes_its_streams_after_sigterm)
 {
