--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -48,7 +48,10 @@
 
     /// The platform's list of upstreams gained, updated or lost an entry.
     void upstream_listed(base::time_point now, membership::upstream_record record);
-    void upstream_unlisted(base::time_point now, std::string const& id);
+    /// `may_have_lapsed` tells that the entry went while the list could not be read, so that the
+    /// upstream may still run.
+    void upstream_unlisted(base::time_point now, std::string const& id,
+                           bool may_have_lapsed = false);
     routing::upstream_table& upstreams() { return upstreams_; }
     routing::upstream_table const& upstreams() const { return upstreams_; }
     routing::part_locations& part_locations() { return part_locations_; }
@@ -56,6 +59,18 @@
     /// version may be older than the instance.
     void set_desired_version(std::string const& model, std::uint64_t version,
                              std::optional<base::time_point> not_before);
+    /// The system's own records show these weight versions; operators published them at some time.
+    void stored_versions_read(std::map<std::string, std::uint64_t> const& versions);
+    /// An upstream has this version of a model. Engines load no version that was not published.
+    void weights_observed(std::string const& upstream, std::string const& model,
+                          std::uint64_t version);
+    /// Sets a callback for a newer weight version that became known from elsewhere than the
+    /// operators' record.
+    void
+    on_version_found(std::function<void(std::string const& model, std::uint64_t version)> callback)
+    {
+        version_found_callback_ = std::move(callback);
+    }
     orders::desired_weights const& desired_weights() { return desired_weights_; }
     membership::peer_table& peer_table() { return peer_table_; }
     retries::crash_quarantine& quarantine() { return quarantine_; }
@@ -98,9 +113,6 @@
     /// The process started from a store that shows an older configuration than the one in force at
     /// other instances, as a store does that came back from an older copy.
     bool started_on_outdated_configuration(base::time_point now) const;
-    /// Whether a read of the store failed within the last few seconds.
-    bool store_recently_failed(base::time_point now) const;
-    void store_failed(base::time_point now) { store_failed_at_ = now; }
     /// Time since the store last responded; empty if it never did.
     std::optional<base::duration> store_age(base::time_point now) const;
 
@@ -156,7 +168,12 @@
     bool is_listed(std::string const& process) const;
     /// Notes that the software version with which the upstream is listed serves until now.
     void note_version_of(base::time_point now, std::string const& id);
-    /// Notes the software versions of all upstreams in the list.
+    /// A version was published at an unknown time before now.
+    void version_found(std::string const& model, std::uint64_t version,
+                       std::optional<base::time_point> not_before);
+    void note_engine_versions(membership::upstream_record const& record);
+    base::time_point publication_bound(std::optional<base::time_point> not_before) const;
+    /// Notes the software and weight versions of all upstreams in the list.
     void observe_versions(base::time_point now);
     /// Lets placement know when the upstream's process takes the next request of this instance.
     void apply_limit(std::string const& process);
@@ -175,6 +192,7 @@
     retries::crash_attribution crash_attribution_;
     limits::upstream_limits upstream_limits_;
     streams::stream_origins stream_origins_;
+    std::function<void(std::string const& model, std::uint64_t version)> version_found_callback_;
     base::time_point versions_observed_at_{};
     bool members_known_ = false;
     /// The state of the peer table from which the shares of limits follow.
@@ -189,7 +207,6 @@
     std::function<void(base::duration pause)> resumed_callback_;
     std::optional<base::time_point> store_responded_at_;
     std::optional<base::time_point> configuration_complete_until_;
-    std::optional<base::time_point> store_failed_at_;
     std::optional<base::time_point> store_restored_at_;
     /// Newest version of the configuration that the store is known to hold.
     std::uint64_t stored_configuration_version_ = 0;
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -150,6 +150,12 @@
         [](base::duration pause) {
             runtime::log(events::process_resumed, {{"paused_ms", base::to_milliseconds(pause)}});
         });
+    cluster_.on_version_found(
+        [this](std::string const& model, std::uint64_t version)
+        {
+            metrics_.desired_version_changed(model, version);
+            runtime::log(events::weights_found, {{"model", model}, {"version", version}});
+        });
     cluster_.crash_attribution().on_cause_changed(log_crash_cause);
     cluster_.upstream_limits().on_changed(log_upstream_limit);
     loop_->on_termination([this] { start_draining(); });
@@ -236,7 +242,14 @@
         auto const now = timers_.now();
         cluster_.observe_time(now);
         cluster_.set_desired_version(model, version, not_before);
-        metrics_.desired_version_changed(model, version);
+        auto const newest = cluster_.desired_weights().newest_version(model);
+        metrics_.desired_version_changed(model, newest);
+        if (version < newest)
+        {
+            runtime::log(events::older_weights_named,
+                         {{"model", model}, {"version", version}, {"newest", newest}});
+            return;
+        }
         runtime::log(events::weights_wanted,
                      {{"model", model},
                       {"version", version},
@@ -248,9 +261,9 @@
         upstreams_known_ = true;
         cluster_.upstream_listed(timers_.now(), std::move(it));
     };
-    callbacks.upstream_unlisted = [this](std::string const& id)
+    callbacks.upstream_unlisted = [this](std::string const& id, bool may_have_lapsed)
     {
-        cluster_.upstream_unlisted(timers_.now(), id);
+        cluster_.upstream_unlisted(timers_.now(), id, may_have_lapsed);
         pool_.forget(id);
         runtime::log(events::upstream_unlisted, {{"upstream", id}});
     };
@@ -299,7 +312,6 @@
 
 void gateway::store_failed(store_failure const& failure)
 {
-    cluster_.store_failed(timers_.now());
     metrics_.store_failed();
     streams_.upstreams_unreadable();
     if (std::exchange(store_available_, false))
