Check the route and the key before a body is read

A caller without a valid key could make a gateway read bodies of up to maxBodyBytes, and learned only after its last byte that the request was refused. With `Expect: 100-continue` it was even told to send the body.

Cause: `inbound_connection` handed over whole requests only, so the admission ran after the body.

Now a connection whose head has arrived without its whole body asks a hook, and reads nothing more until `read_body` or `refuse_body` is called. `body_admission` decodes the head and finds route and workspace by `authorize`, the part of `admit` that needs no body. A refused request is answered at once with `Connection: close`; what still arrives of its body, and of one over maxBodyBytes, is discarded, so that a client that reads only after its last byte isn't reset. `100 Continue` is sent once the body is accepted. A body that arrives together with its head takes the former path.

The time of a request counts from its head, since that is when its caller begins to wait.

--- a/libraries/savorymount/gateway/admission.cpp
+++ b/libraries/savorymount/gateway/admission.cpp
@@ -138,8 +138,8 @@
         0};
 }
 
-bool admit(base::time_point now, cluster_state& cluster, caller_request const& request,
-           std::string const& body, admitted_request& out, refusal& refused)
+bool authorize(base::time_point now, cluster_state& cluster, caller_request const& request,
+               admitted_request& out, refusal& refused)
 {
     cluster.observe_time(now);
     out.deployment = cluster.deployment();
@@ -168,7 +168,13 @@
             refused = outdated_configuration();
         return false;
     }
-    if (!find_workspace(cluster, now, request, out, refused))
+    return find_workspace(cluster, now, request, out, refused);
+}
+
+bool admit(base::time_point now, cluster_state& cluster, caller_request const& request,
+           std::string const& body, admitted_request& out, refusal& refused)
+{
+    if (!authorize(now, cluster, request, out, refused))
         return false;
     out.request_digest = request_digest_of(request, body);
     if (auto const remaining_quarantine =
--- a/libraries/savorymount/gateway/admission.hpp
+++ b/libraries/savorymount/gateway/admission.hpp
@@ -54,6 +54,11 @@
                                           admitted_request const& admitted,
                                           caller_request const& request);
 
+/// Finds the route and the workspace of a request, which need only its head. On false, `refused` is
+/// set and `out` holds what was found before the refusal.
+bool authorize(base::time_point now, cluster_state& cluster, caller_request const& request,
+               admitted_request& out, refusal& refused);
+
 /// Finds the route and the workspace of a request and charges its tokens. On false, `refused` is
 /// set and `out` holds what was found before the refusal.
 bool admit(base::time_point now, cluster_state& cluster, caller_request const& request,
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -97,6 +97,8 @@
                {
                    request_ended(it);
                }},
+      body_admission_(timers_, cluster_, platform_,
+                      [this](request_outcome const& it) { request_ended(it); }),
       server_(*loop_, timers_,
               [this](auto client, runtime::http_request&& request)
               { handle_request(std::move(client), std::move(request)); }),
@@ -130,6 +132,9 @@
           }),
       settings_file_(settings_file_path())
 {
+    server_.on_body_announced([this](std::shared_ptr<runtime::inbound_connection> const& client,
+                                     runtime::http_head const& head)
+                              { body_admission_.handle_head(client, head); });
 }
 
 bool gateway::start(base::error& reason)
--- a/libraries/savorymount/gateway/gateway.hpp
+++ b/libraries/savorymount/gateway/gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <savorymount/base/random_source.hpp>
+#include <savorymount/gateway/body_admission.hpp>
 #include <savorymount/gateway/cluster_state.hpp>
 #include <savorymount/gateway/gateway_metrics.hpp>
 #include <savorymount/gateway/gateway_request.hpp>
@@ -76,6 +77,7 @@
     response_memory responses_;
     stream_directory streams_;
     gateway_context context_;
+    body_admission body_admission_;
     runtime::inbound_server server_;
     runtime::http_server ready_server_;
     runtime::http_server metrics_server_;
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -1,8 +1,8 @@
 #include <savorymount/gateway/gateway_request.hpp>
+#include <savorymount/gateway/refusal_response.hpp>
 #include <savorymount/gateway/upstream_refusal.hpp>
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
 namespace savorymount::gateway
@@ -24,13 +24,6 @@
 constexpr int first_error_status = 400;
 constexpr int first_server_error_status = 500;
 
-std::string seconds_text(base::duration time)
-{
-    char text[32];
-    std::snprintf(text, sizeof(text), "%.3f", std::chrono::duration<double>(time).count());
-    return text;
-}
-
 runtime::http_headers text_headers()
 {
     return {{"Content-Type", "text/plain"}};
@@ -42,7 +35,8 @@
                                  std::shared_ptr<runtime::inbound_connection> client,
                                  runtime::http_request request)
     : context_(context), client_(std::move(client)), http_request_(std::move(request)),
-      arrived_at_(context.timers.now()), failure_response_memory_(context.responses)
+      arrived_at_(http_request_.head_arrived_at.value_or(context.timers.now())),
+      failure_response_memory_(context.responses)
 {
 }
 
@@ -60,15 +54,24 @@
     last_event_id_ = caller_request_.last_event_id;
     refusal refused;
     admitted_.emplace();
-    if (!admit(arrived_at_, context_.cluster, caller_request_, http_request_.body, *admitted_,
-               refused))
+    auto const now = context_.timers.now();
+    if (!admit(now, context_.cluster, caller_request_, http_request_.body, *admitted_, refused))
     {
         refuse(refused);
         return;
     }
+    if (elapsed() >= admitted_->timeout)
+    {
+        refuse({{base::error_kind::unavailable,
+                 "the time limit was reached before the body had arrived"},
+                std::nullopt,
+                0,
+                0});
+        return;
+    }
     service_ = choose_service(*admitted_->route, context_.random);
-    context_.cluster.retry_quota(service_).record_request(arrived_at_);
-    timeout_timer_ = context_.timers.after(admitted_->timeout + timeout_margin,
+    context_.cluster.retry_quota(service_).record_request(now);
+    timeout_timer_ = context_.timers.after(admitted_->timeout + timeout_margin - elapsed(),
                                            [self = shared_from_this()] { self->handle_timeout(); });
     if (resumes_stream())
         find_stream_origin();
@@ -438,16 +441,13 @@
 void gateway_request::refuse(refusal const& it)
 {
     auto const status = http_status(it);
-    auto headers = text_headers();
-    if (it.retry_after)
-        headers.push_back({"Retry-After", seconds_text(*it.retry_after)});
     outcome_.refusal_kind = it.reason.kind;
     outcome_.requested_tokens = it.requested_tokens;
     outcome_.bucket_level = it.bucket_level;
     if (admitted_ && admitted_->charged_tokens > 0)
         context_.cluster.bucket(admitted_->workspace->name)
             ->refund(context_.timers.now(), admitted_->charged_tokens);
-    client_->respond(status, std::move(headers), it.reason.message + "\n");
+    client_->respond(status, refusal_headers(it), it.reason.message + "\n");
     finish(request_end::refused, status, it.reason.message);
 }
 
--- a/libraries/savorymount/runtime/http_message.hpp
+++ b/libraries/savorymount/runtime/http_message.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <savorymount/base/time.hpp>
 #include <savorymount/runtime/http_header.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -36,6 +38,10 @@
 {
     http_head head;
     std::string body;
+    /// When the head arrived, if the body followed later.
+    std::optional<base::time_point> head_arrived_at = std::nullopt;
+    /// Owns the memory that was reserved for the body; null if none was.
+    std::shared_ptr<void> memory = nullptr;
 
     bool operator==(http_request const&) const = default;
 };
--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -58,6 +58,32 @@
     bufferevent_free(buffer_);
 }
 
+void inbound_connection::read_body(std::shared_ptr<void> memory)
+{
+    if (phase_ != phase::receiving || body_state_ != body_state::held)
+        return;
+    body_state_ = body_state::reading;
+    request_.memory = std::move(memory);
+    if (request_.head.content_length)
+        request_.body.reserve(static_cast<std::size_t>(*request_.head.content_length));
+    if (request_.head.expects_continue)
+        send(continue_response);
+    arm(limits_.idle_timeout);
+    bufferevent_enable(buffer_, EV_READ);
+}
+
+void inbound_connection::refuse_body(int status, http_headers headers, std::string_view body)
+{
+    if (phase_ != phase::receiving || body_state_ != body_state::held)
+        return;
+    request_ = {};
+    keep_alive_ = false;
+    phase_ = phase::responding;
+    discardable_bytes_ = limits_.max_body_bytes;
+    bufferevent_enable(buffer_, EV_READ);
+    respond(status, std::move(headers), body);
+}
+
 void inbound_connection::respond(int status, http_headers headers, std::string_view body)
 {
     if (phase_ != phase::responding)
@@ -174,7 +200,7 @@
 {
     auto* const input = bufferevent_get_input(buffer_);
     if (phase_ == phase::lingering)
-        evbuffer_drain(input, evbuffer_get_length(input));
+        discard_input();
     while ((phase_ == phase::waiting || phase_ == phase::receiving) &&
            evbuffer_get_length(input) > 0)
     {
@@ -196,6 +222,38 @@
         if (std::exchange(complete_, false))
             take_request();
     }
+    if (phase_ == phase::receiving && body_state_ == body_state::head_arrived)
+        announce_body();
+}
+
+void inbound_connection::announce_body()
+{
+    body_state_ = body_state::held;
+    request_.head_arrived_at = timers_.now();
+    if (!hooks_.body_announced)
+    {
+        read_body(nullptr);
+        return;
+    }
+    // The hook may end the request, and its head with it.
+    auto const head = request_.head;
+    hooks_.body_announced(shared_from_this(), head);
+    if (phase_ != phase::receiving || body_state_ != body_state::held)
+        return;
+    timeout_ = {};
+    bufferevent_disable(buffer_, EV_READ);
+}
+
+void inbound_connection::discard_input()
+{
+    auto* const input = bufferevent_get_input(buffer_);
+    auto const n = evbuffer_get_length(input);
+    evbuffer_drain(input, n);
+    if (n == 0 || n > discardable_bytes_)
+        return;
+    // A client may read the response only after it has sent the whole body.
+    discardable_bytes_ -= n;
+    arm(linger_time);
 }
 
 void inbound_connection::take_head(http_head const& head)
@@ -212,8 +270,7 @@
         return;
     }
     arm(limits_.idle_timeout);
-    if (head.expects_continue)
-        send(continue_response);
+    body_state_ = body_state::head_arrived;
 }
 
 void inbound_connection::take_body(std::string_view bytes)
@@ -234,6 +291,7 @@
 void inbound_connection::take_request()
 {
     phase_ = phase::responding;
+    body_state_ = body_state::unannounced;
     timeout_ = {};
     hooks_.request(shared_from_this(), std::exchange(request_, {}));
 }
@@ -241,6 +299,8 @@
 void inbound_connection::reject(base::error const& reason)
 {
     bool const in_body = refusal_.has_value();
+    if (in_body)
+        discardable_bytes_ = limits_.max_body_bytes;
     phase_ = phase::responding;
     keep_alive_ = false;
     respond(status_of(reason, in_body), {{"Content-Type", "text/plain"}}, reason.message + "\n");
--- a/libraries/savorymount/runtime/inbound_connection.hpp
+++ b/libraries/savorymount/runtime/inbound_connection.hpp
@@ -23,6 +23,9 @@
 struct inbound_hooks
 {
     std::function<void(std::shared_ptr<inbound_connection>, http_request&&)> request;
+    /// The head of a request has arrived and its body has not, at least not whole. Nothing more is
+    /// read until `read_body` or `refuse_body` is called. Without this hook, all bodies are read.
+    std::function<void(std::shared_ptr<inbound_connection>, http_head const&)> body_announced;
     /// The connection is closed; called once.
     std::function<void(inbound_connection const&)> closed;
     std::function<configuration::client_limits()> limits;
@@ -41,6 +44,13 @@
     inbound_connection(inbound_connection const&) = delete;
     inbound_connection& operator=(inbound_connection const&) = delete;
 
+    /// Reads the body that was announced, whose request then owns `memory`.
+    void read_body(std::shared_ptr<void> memory);
+    /// Responds without reading the body that was announced, and closes the connection.
+    void refuse_body(int status, http_headers headers, std::string_view body);
+    /// Largest body that is accepted.
+    std::size_t max_body_bytes() const { return limits_.max_body_bytes; }
+
     /// Sends a whole response.
     void respond(int status, http_headers headers, std::string_view body);
 
@@ -81,6 +91,17 @@
         closed
     };
 
+    /// How far the decision about the body of the current request is.
+    enum class body_state
+    {
+        /// No head, or nothing is to be decided.
+        unannounced,
+        head_arrived,
+        /// The hook was called and has not decided yet.
+        held,
+        reading
+    };
+
     enum class body_framing
     {
         none,
@@ -96,6 +117,8 @@
     void read_input();
     void take_head(http_head const& head);
     void take_body(std::string_view bytes);
+    void announce_body();
+    void discard_input();
     void take_request();
     void reject(base::error const& reason);
     void end_response();
@@ -116,6 +139,9 @@
     base::time_point opened_at_;
     phase phase_ = phase::waiting;
     http_request request_;
+    body_state body_state_ = body_state::unannounced;
+    /// Bytes of a refused body that may still be discarded before the connection is closed.
+    std::size_t discardable_bytes_ = 0;
     bool complete_ = false;
     bool keep_alive_ = true;
     /// How the body of the current response is sent.
--- a/libraries/savorymount/runtime/inbound_server.cpp
+++ b/libraries/savorymount/runtime/inbound_server.cpp
@@ -100,6 +100,7 @@
 {
     inbound_hooks hooks;
     hooks.request = hook_;
+    hooks.body_announced = body_hook_;
     hooks.closed = [this](inbound_connection const& it)
     {
         connections_.erase(&it);
--- a/libraries/savorymount/runtime/inbound_server.hpp
+++ b/libraries/savorymount/runtime/inbound_server.hpp
@@ -19,6 +19,7 @@
 {
 public:
     using request_hook = std::function<void(std::shared_ptr<inbound_connection>, http_request&&)>;
+    using body_hook = std::function<void(std::shared_ptr<inbound_connection>, http_head const&)>;
 
     inbound_server(event_loop& loop, timer_service& timers, request_hook hook);
     ~inbound_server();
@@ -28,6 +29,9 @@
     /// Returns the port; port 0 lets the kernel choose one.
     std::optional<std::uint16_t> listen(network_address const& address, base::error& reason);
 
+    /// Called when a body is announced; see `inbound_hooks`.
+    void on_body_announced(body_hook hook) { body_hook_ = std::move(hook); }
+
     /// Applies to connections that are opened from now on.
     void set_limits(configuration::client_limits const& limits) { limits_ = limits; }
 
@@ -49,6 +53,7 @@
     event_loop& loop_;
     timer_service& timers_;
     request_hook hook_;
+    body_hook body_hook_;
     configuration::client_limits limits_;
     bool draining_ = false;
     evconnlistener* listener_ = nullptr;
--- a/tests/libraries/runtime/inbound_server_test.cpp
+++ b/tests/libraries/runtime/inbound_server_test.cpp
@@ -76,6 +76,68 @@
               std::string::npos);
 }
 
+// Guards against a body that is read although its request is refused by its head.
+TEST_F(inbound_server_test, refuses_an_announced_body_without_reading_it)
+{
+    server.on_body_announced([](auto const& client, http_head const&)
+                             { client->refuse_body(401, {}, "no"); });
+    std::size_t requests = 0;
+    on_request = [&](auto const&, http_request const&)
+    {
+        ++requests;
+    };
+    raw_client client(loop, port);
+    client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+    run_until(client, [&] { return client.received.find("no") != std::string::npos; });
+    EXPECT_NE(client.received.find("401"), std::string::npos);
+    EXPECT_NE(client.received.find("Connection: close"), std::string::npos);
+    // A client that goes on with the body must still be able to read the response.
+    client.send(std::string(900'000, 'x'));
+    while (server.connections() > 0)
+        event_base_loop(loop.base(), EVLOOP_ONCE);
+    EXPECT_FALSE(client.reset);
+    EXPECT_EQ(requests, 0U);
+}
+
+// Guards against a client that waits for `100 Continue` and sends a body that nobody reads.
+TEST_F(inbound_server_test, asks_for_a_body_only_once_it_is_accepted)
+{
+    std::shared_ptr<inbound_connection> announced;
+    server.on_body_announced([&](auto const& client, http_head const&) { announced = client; });
+    raw_client client(loop, port);
+    client.send("POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 2\r\n"
+                "Expect: 100-continue\r\n\r\n");
+    while (!announced)
+        event_base_loop(loop.base(), EVLOOP_ONCE);
+    EXPECT_EQ(client.received, "");
+    announced->read_body(nullptr);
+    run_until(client, [&] { return !client.received.empty(); });
+    EXPECT_EQ(client.received, "HTTP/1.1 100 Continue\r\n\r\n");
+    client.send("hi");
+    run_until(client, [&] { return client.closed; });
+    EXPECT_NE(client.received.find("/a|hi"), std::string::npos);
+}
+
+// Guards against a body that fills the memory while it waits for its turn.
+TEST_F(inbound_server_test, reads_nothing_of_a_body_that_is_held)
+{
+    std::shared_ptr<inbound_connection> announced;
+    server.on_body_announced([&](auto const& client, http_head const&) { announced = client; });
+    constexpr std::size_t size = 4'000'000;
+    raw_client client(loop, port);
+    client.send("POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " +
+                std::to_string(size) + "\r\n\r\n" + std::string(size, 'x'));
+    while (!announced)
+        event_base_loop(loop.base(), EVLOOP_ONCE);
+    auto const wait_over = timers.after(100ms, [this] { loop.stop(); });
+    loop.run();
+    EXPECT_TRUE(announced->has_unread_input());
+    announced->read_body(nullptr);
+    run_until(client, [&] { return client.closed; });
+    EXPECT_NE(client.received.find("/a|xxx"), std::string::npos);
+    EXPECT_GE(client.received.size(), size);
+}
+
 // Guards against a request that is smuggled inside another one.
 TEST_F(inbound_server_test, refuses_framing_that_can_be_read_in_two_ways)
 {
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -1,11 +1,15 @@
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
 #include <csignal>
+#include <netinet/in.h>
 #include <set>
+#include <sys/socket.h>
 #include <tests/system/support/gateway_arguments.hpp>
 #include <tests/system/support/output_line.hpp>
 #include <tests/system/support/process.hpp>
 #include <tests/system/support/test_client.hpp>
+#include <unistd.h>
 
 namespace savorymount::tests
 {
@@ -100,6 +104,7 @@
         return client.request(http_[gateway], "POST", "/b/slot", headers(id, key), "{}");
     }
 
+    runtime::network_address const& http(std::size_t index) const { return http_[index]; }
     runtime::network_address const& ready(std::size_t index) const { return ready_[index]; }
     process& gateway(std::size_t index) { return gateways_[index]; }
 
@@ -114,6 +119,29 @@
     std::vector<runtime::network_address> ready_;
 };
 
+/// Sends bytes on a connection of its own and returns what has come back by the next empty line.
+std::string head_of_answer(runtime::network_address const& address, std::string const& bytes)
+{
+    int const fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.host.c_str(), &name.sin_addr);
+    std::string out;
+    if (connect(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0 &&
+        write(fd, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()))
+    {
+        char buffer[1024];
+        for (ssize_t n = 1; n > 0 && out.find("\r\n\r\n") == std::string::npos;)
+        {
+            n = read(fd, buffer, sizeof(buffer));
+            out.append(buffer, n > 0 ? static_cast<std::size_t>(n) : 0);
+        }
+    }
+    close(fd);
+    return out;
+}
+
 std::string whole_stream()
 {
     std::string out;
@@ -509,5 +537,25 @@
     EXPECT_EQ(system.gateway(0).wait(), 0);
 }
 
+// Guards against a body that is read before the key and the route are checked.
+TEST(gateway, refuses_by_the_head_before_the_body_arrives)
+{
+    platform_deployment system(1);
+    auto const head = [](std::string const& path, std::string const& key, std::string const& more)
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: chat.example\r\nX-Request-Id: request-1\r\n" +
+               "Authorization: Bearer " + key + "\r\nContent-Length: 4000000\r\n" + more + "\r\n";
+    };
+    auto const& address = system.http(0);
+    EXPECT_TRUE(
+        head_of_answer(address, head("/b/slot", "unknown", "")).starts_with("HTTP/1.1 401"));
+    EXPECT_TRUE(head_of_answer(address, head("/none", "key-a", "")).starts_with("HTTP/1.1 404"));
+    std::string const expects = "Expect: 100-continue\r\n";
+    EXPECT_TRUE(
+        head_of_answer(address, head("/b/slot", "unknown", expects)).starts_with("HTTP/1.1 401"));
+    EXPECT_TRUE(
+        head_of_answer(address, head("/b/slot", "key-a", expects)).starts_with("HTTP/1.1 100"));
+}
+
 } // namespace
 } // namespace savorymount::tests
