Bound the memory of all request bodies together

Cause: nothing bounded the bodies of all requests, each one grew by doubling, and `outbound_connection::call` copied it.

The bound is taken from `memory-mb`, which the platform passes on the command line. A body is kept once: room is reserved, connections to upstreams share it, and it is returned at the end of the request, or when a stream that can't be resumed begins.

While a refused body still arrives, the connection isn't half-closed: a client that writes its whole body first (libevent's) otherwise fails without the response.

Tried and left: 64 % of the memory for bodies and 18 % for responses.

Not covered: responses that slow callers have not read are not counted, and responses beyond their memory end in 502 instead of holding the upstream back.

--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -48,6 +48,16 @@
     return out;
 }
 
+queueing::body_budget_limits body_limits(gateway_settings const& settings)
+{
+    // The rest is for responses, the tables of the process and what the allocator keeps.
+    constexpr double body_share = 0.55;
+    constexpr double waiting_share = 0.05;
+    auto const memory = static_cast<double>(settings.memory_bytes);
+    return queueing::make_body_budget_limits(static_cast<std::size_t>(memory * body_share),
+                                             static_cast<std::size_t>(memory * waiting_share));
+}
+
 void log_crash_cause(retries::crash_cause const& cause, bool refused)
 {
     std::string digests;
@@ -97,7 +107,7 @@
                {
                    request_ended(it);
                }},
-      body_admission_(timers_, cluster_, platform_,
+      body_admission_(timers_, cluster_, platform_, body_limits(settings),
                       [this](request_outcome const& it) { request_ended(it); }),
       server_(*loop_, timers_,
               [this](auto client, runtime::http_request&& request)
@@ -379,7 +389,14 @@
 void gateway::handle_request(std::shared_ptr<runtime::inbound_connection> client,
                              runtime::http_request&& request)
 {
-    std::make_shared<gateway_request>(context_, std::move(client), std::move(request))->start();
+    refusal refused;
+    bool const has_memory = body_admission_.handle_body(request, refused);
+    auto const it =
+        std::make_shared<gateway_request>(context_, std::move(client), std::move(request));
+    if (has_memory)
+        it->start();
+    else
+        it->refuse(refused);
 }
 
 void gateway::request_ended(request_outcome const& it)
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -34,8 +34,9 @@
 gateway_request::gateway_request(gateway_context& context,
                                  std::shared_ptr<runtime::inbound_connection> client,
                                  runtime::http_request request)
-    : context_(context), client_(std::move(client)), http_request_(std::move(request)),
-      arrived_at_(http_request_.head_arrived_at.value_or(context.timers.now())),
+    : context_(context), client_(std::move(client)),
+      http_request_(std::make_shared<runtime::http_request>(std::move(request))),
+      arrived_at_(http_request_->head_arrived_at.value_or(context.timers.now())),
       failure_response_memory_(context.responses)
 {
 }
@@ -44,7 +45,7 @@
 {
     client_->on_gone([self = shared_from_this()] { self->handle_client_disconnect(); });
     base::error reason;
-    auto decoded = context_.platform.decode_request(http_request_.head, reason);
+    auto decoded = context_.platform.decode_request(http_request_->head, reason);
     if (!decoded)
     {
         refuse({reason, std::nullopt, 0, 0});
@@ -55,7 +56,7 @@
     refusal refused;
     admitted_.emplace();
     auto const now = context_.timers.now();
-    if (!admit(now, context_.cluster, caller_request_, http_request_.body, *admitted_, refused))
+    if (!admit(now, context_.cluster, caller_request_, http_request_->body, *admitted_, refused))
     {
         refuse(refused);
         return;
@@ -148,7 +149,7 @@
         return;
     }
     placed->request.timeout = admitted_->timeout - elapsed();
-    placed->request.body_bytes = http_request_.body.size();
+    placed->request.body_bytes = http_request_->body.size();
     placed->request.last_event_id = last_event_id_;
     start_attempt(std::move(*placed));
 }
@@ -180,7 +181,17 @@
     };
     // An attempt that fails immediately resets `attempt_` before `start` returns.
     auto const attempt = attempt_;
-    attempt->start(caller_request_, http_request_.body, std::move(callbacks));
+    attempt->start(caller_request_, body(), std::move(callbacks));
+}
+
+std::shared_ptr<std::string const> gateway_request::body() const
+{
+    return {http_request_, &http_request_->body};
+}
+
+void gateway_request::release_body()
+{
+    http_request_ = std::make_shared<runtime::http_request>();
 }
 
 void gateway_request::record_weights(std::uint64_t version)
@@ -199,6 +210,8 @@
         streaming_ = true;
         record_stream_origin();
         outcome_.time_to_first_byte = elapsed();
+        if (!is_repeatable(admitted_->route->kind, admitted_->route->resumable))
+            release_body();
         client_->start(attempt_->head().status,
                        context_.platform.response_headers(attempt_->head()));
     }
@@ -474,6 +487,7 @@
     stall_timer_ = {};
     client_->on_gone(nullptr);
     finish_attempt(result == request_end::answered);
+    release_body();
     if (admitted_ && result != request_end::refused)
         outcome_.requested_tokens = admitted_->charged_tokens;
     outcome_.id = caller_request_.id;
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -25,6 +25,8 @@
                     runtime::http_request request);
 
     void start();
+    /// Refuses the request instead of starting it.
+    void refuse(refusal const& it);
 
 private:
     /// Whether the request resumes a stream that another one began.
@@ -64,7 +66,9 @@
     void apply_backpressure();
     void handle_timeout();
     void handle_client_disconnect();
-    void refuse(refusal const& it);
+    std::shared_ptr<std::string const> body() const;
+    /// Returns the memory of the body, which no retry needs.
+    void release_body();
     void fail(int status, std::string const& reason);
     void finish_attempt(bool keep_connection);
     void finish(request_end result, int status, std::string const& reason);
@@ -74,7 +78,8 @@
 
     gateway_context& context_;
     std::shared_ptr<runtime::inbound_connection> client_;
-    runtime::http_request http_request_;
+    /// Shared with the connection that sends the body.
+    std::shared_ptr<runtime::http_request> http_request_;
     caller_request caller_request_;
     std::optional<admitted_request> admitted_;
     std::string service_;
--- a/libraries/savorymount/gateway/gateway_settings.cpp
+++ b/libraries/savorymount/gateway/gateway_settings.cpp
@@ -1,6 +1,7 @@
 #include <savorymount/base/digest.hpp>
 #include <savorymount/gateway/gateway_settings.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <random>
 
@@ -11,6 +12,10 @@
 
 constexpr std::int64_t max_time_ms = 600'000;
 constexpr double max_relay_weight = 1e9;
+constexpr double min_memory_mb = 32;
+constexpr double max_memory_mb = 1e6;
+// Responses may use this share of the process's memory.
+constexpr double response_memory_share = 0.23;
 constexpr std::int64_t max_size_kib = std::int64_t{1024} * 1024;
 
 /// Parses settings one by one and records whether all of them are valid.
@@ -119,6 +124,8 @@
         .add("response-overhead-kib", "256",
              "heads, interim responses, trailers, chunk extensions and responses to other requests "
              "that one call may receive, KiB")
+        .add("memory-mb", "110",
+             "memory that the process may use, MB; bounds request bodies and responses")
         .add("log-lines", "200", "log lines per second");
 }
 
@@ -159,6 +166,11 @@
                      reader.kibibytes("response-memory-kib")};
     out.max_response_overhead_bytes = reader.kibibytes("response-overhead-kib");
     out.log_lines_per_second = static_cast<std::size_t>(reader.number("log-lines", 1, 100'000));
+    out.memory_bytes =
+        static_cast<std::size_t>(reader.decimal("memory-mb", min_memory_mb, max_memory_mb) * 1e6);
+    out.responses.max_total_bytes = std::min(
+        out.responses.max_total_bytes,
+        static_cast<std::size_t>(static_cast<double>(out.memory_bytes) * response_memory_share));
     if (!reader.is_valid())
         return std::nullopt;
     return out;
--- a/libraries/savorymount/gateway/gateway_settings.hpp
+++ b/libraries/savorymount/gateway/gateway_settings.hpp
@@ -45,6 +45,8 @@
     /// Engines that may load weights at the same time; 0 derives it from the number of engines.
     std::size_t max_concurrent_loads = 0;
     response_limits responses;
+    /// Memory that the process may use.
+    std::size_t memory_bytes = 0;
     /// Bytes of a response that belong to no body, for example heads and interim responses.
     std::size_t max_response_overhead_bytes = 0;
     /// Log lines per second; half of them are reserved for failures.
--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -37,7 +37,7 @@
 {
 }
 
-void upstream_attempt::start(caller_request const& request, std::string const& body,
+void upstream_attempt::start(caller_request const& request, std::shared_ptr<std::string const> body,
                              attempt_callbacks callbacks)
 {
     callbacks_ = std::move(callbacks);
@@ -54,8 +54,8 @@
         return;
     }
     connection_ = context_.pool.take(upstream.id, *address);
-    connection_->call(context_.platform.encode_upstream_request(request, placement_.request), body,
-                      make_call_callbacks(request.id));
+    connection_->call(context_.platform.encode_upstream_request(request, placement_.request),
+                      std::move(body), make_call_callbacks(request.id));
 }
 
 runtime::call_hooks upstream_attempt::make_call_callbacks(std::string const& request_id)
--- a/libraries/savorymount/gateway/upstream_attempt.hpp
+++ b/libraries/savorymount/gateway/upstream_attempt.hpp
@@ -50,8 +50,9 @@
     upstream_attempt(gateway_context& context, placed_request placed, bool streaming,
                      base::duration target_event_gap);
 
-    /// `request` and `body` must outlive the attempt.
-    void start(caller_request const& request, std::string const& body, attempt_callbacks callbacks);
+    /// `request` must outlive the attempt.
+    void start(caller_request const& request, std::shared_ptr<std::string const> body,
+               attempt_callbacks callbacks);
 
     /// Stops or resumes reading, for backpressure from a slow caller.
     void pause_reading(bool paused);
--- a/libraries/savorymount/runtime/connection_socket.cpp
+++ b/libraries/savorymount/runtime/connection_socket.cpp
@@ -31,4 +31,9 @@
     set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(silence_ms));
 }
 
+void set_receive_buffer(evutil_socket_t socket, int bytes)
+{
+    set_option(socket, SOL_SOCKET, SO_RCVBUF, bytes);
+}
+
 } // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/connection_socket.hpp
+++ b/libraries/savorymount/runtime/connection_socket.hpp
@@ -11,4 +11,10 @@
 /// `silence` bounds how long sent bytes may stay unacknowledged.
 void watch_for_silence(evutil_socket_t socket, base::duration silence);
 
+/// Receive buffer of a connection whose peer may send more than is wanted now.
+inline constexpr int waiting_receive_buffer_bytes = 64 * 1024;
+
+/// Bounds what the kernel keeps of received bytes that were not read yet.
+void set_receive_buffer(evutil_socket_t socket, int bytes);
+
 } // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <event2/buffer.h>
 
+#include <algorithm>
 #include <sys/socket.h>
 #include <utility>
 
@@ -19,6 +20,8 @@
 // How long a closed connection reads on, so that the response is not lost to a reset.
 constexpr base::duration linger_time = 1s;
 constexpr base::duration client_silence = 3s;
+// For a body that is being read; other connections have a small buffer.
+constexpr int body_receive_buffer_bytes = 512 * 1024;
 constexpr char const* continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 int status_of(base::error const& reason, bool in_body)
@@ -64,8 +67,12 @@
         return;
     body_state_ = body_state::reading;
     request_.memory = std::move(memory);
-    if (request_.head.content_length)
-        request_.body.reserve(static_cast<std::size_t>(*request_.head.content_length));
+    auto const size =
+        static_cast<std::size_t>(request_.head.content_length.value_or(limits_.max_body_bytes));
+    // Growing step by step would take up to three times the memory.
+    request_.body.reserve(size);
+    if (size > std::size_t{waiting_receive_buffer_bytes})
+        set_receive_buffer(bufferevent_getfd(buffer_), body_receive_buffer_bytes);
     if (request_.head.expects_continue)
         send(continue_response);
     arm(limits_.idle_timeout);
@@ -76,10 +83,11 @@
 {
     if (phase_ != phase::receiving || body_state_ != body_state::held)
         return;
+    auto const size = request_.head.content_length.value_or(limits_.max_body_bytes);
+    discardable_bytes_ = static_cast<std::size_t>(size) - request_.body.size();
     request_ = {};
     keep_alive_ = false;
     phase_ = phase::responding;
-    discardable_bytes_ = limits_.max_body_bytes;
     bufferevent_enable(buffer_, EV_READ);
     respond(status, std::move(headers), body);
 }
@@ -186,7 +194,8 @@
     auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
     if (auto const hook = std::exchange(keep->drained_, nullptr))
         run_guarded("caller output", hook);
-    if (keep->phase_ == phase::lingering)
+    // Some clients read no response from a connection that ends while they send.
+    if (keep->phase_ == phase::lingering && keep->discardable_bytes_ == 0)
         shutdown(bufferevent_getfd(keep->buffer_), SHUT_WR);
 }
 
@@ -249,11 +258,13 @@
     auto* const input = bufferevent_get_input(buffer_);
     auto const n = evbuffer_get_length(input);
     evbuffer_drain(input, n);
-    if (n == 0 || n > discardable_bytes_)
+    if (n == 0 || discardable_bytes_ == 0)
         return;
     // A client may read the response only after it has sent the whole body.
-    discardable_bytes_ -= n;
+    discardable_bytes_ -= std::min(n, discardable_bytes_);
     arm(linger_time);
+    if (discardable_bytes_ == 0 && buffered_bytes() == 0)
+        shutdown(bufferevent_getfd(buffer_), SHUT_WR);
 }
 
 void inbound_connection::take_head(http_head const& head)
@@ -299,6 +310,7 @@
 void inbound_connection::reject(base::error const& reason)
 {
     bool const in_body = refusal_.has_value();
+    request_ = {};
     if (in_body)
         discardable_bytes_ = limits_.max_body_bytes;
     phase_ = phase::responding;
@@ -337,6 +349,7 @@
     auto const keep = shared_from_this();
     if (phase_ == phase::receiving)
     {
+        request_ = {};
         phase_ = phase::responding;
         keep_alive_ = false;
         respond(408, {}, "");
--- a/libraries/savorymount/runtime/inbound_server.cpp
+++ b/libraries/savorymount/runtime/inbound_server.cpp
@@ -1,3 +1,4 @@
+#include <savorymount/runtime/connection_socket.hpp>
 #include <savorymount/runtime/inbound_server.hpp>
 
 #include <algorithm>
@@ -47,6 +48,8 @@
                                                      "; choose a free address of this instance"};
         return std::nullopt;
     }
+    // Connections inherit it from the listening socket.
+    set_receive_buffer(evconnlistener_get_fd(listener_), waiting_receive_buffer_bytes);
     socklen_t size = sizeof(name);
     getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&name), &size);
     return ntohs(name.sin_port);
--- a/libraries/savorymount/runtime/outbound_connection.cpp
+++ b/libraries/savorymount/runtime/outbound_connection.cpp
@@ -18,6 +18,8 @@
 
 // Bytes read ahead of a paused reader.
 constexpr std::size_t read_ahead_bytes = std::size_t{64} * 1024;
+// Copying more costs more than owning the original.
+constexpr std::size_t max_copied_body_bytes = std::size_t{16} * 1024;
 // A chunk of one byte takes six bytes; this leaves room for a short chunk extension.
 constexpr std::size_t max_overhead_per_body_byte = 16;
 
@@ -72,7 +74,31 @@
     bufferevent_free(buffer_);
 }
 
-void outbound_connection::call(std::string head, std::string_view body, call_hooks hooks)
+void outbound_connection::call(std::string const& head, std::string_view body, call_hooks hooks)
+{
+    if (begin_call(head, std::move(hooks)))
+        bufferevent_write(buffer_, body.data(), body.size());
+}
+
+void outbound_connection::call(std::string const& head, std::shared_ptr<std::string const> body,
+                               call_hooks hooks)
+{
+    if (body->size() <= max_copied_body_bytes)
+    {
+        call(head, std::string_view(*body), std::move(hooks));
+        return;
+    }
+    if (!begin_call(head, std::move(hooks)))
+        return;
+    auto* const owner = new std::shared_ptr<std::string const>(std::move(body));
+    evbuffer_add_reference(
+        bufferevent_get_output(buffer_), (*owner)->data(), (*owner)->size(),
+        [](void const*, std::size_t, void* it)
+        { delete static_cast<std::shared_ptr<std::string const>*>(it); },
+        owner);
+}
+
+bool outbound_connection::begin_call(std::string const& head, call_hooks hooks)
 {
     hooks_ = std::move(hooks);
     in_call_ = true;
@@ -86,10 +112,10 @@
     {
         connect_timer_ = timers_.after(base::duration::zero(),
                                        [this] { peer_closed(false, "connecting failed at once"); });
-        return;
+        return false;
     }
     bufferevent_write(buffer_, head.data(), head.size());
-    bufferevent_write(buffer_, body.data(), body.size());
+    return true;
 }
 
 void outbound_connection::pause_reading(bool paused)
--- a/libraries/savorymount/runtime/outbound_connection.hpp
+++ b/libraries/savorymount/runtime/outbound_connection.hpp
@@ -67,7 +67,10 @@
 
     /// Sends a serialised request. The connection must be idle. Hooks are called from the loop and
     /// may destroy this object.
-    void call(std::string head, std::string_view body, call_hooks hooks);
+    void call(std::string const& head, std::string_view body, call_hooks hooks);
+
+    /// Sends a request whose body is not copied if it is large.
+    void call(std::string const& head, std::shared_ptr<std::string const> body, call_hooks hooks);
 
     /// For the `body` hook: ends the call as malformed, with this reason, after the hook returns.
     /// The connection carries no further call.
@@ -92,6 +95,8 @@
     static void handle_read(bufferevent*, void* self);
     static void handle_event(bufferevent*, short what, void* self);
 
+    /// Begins a call. False if the connection is broken, in which case the call fails later.
+    bool begin_call(std::string const& head, call_hooks hooks);
     /// Runs a callback. If it throws, the call fails, since its state is unknown.
     void run_or_fail(std::function<void()> const& callback);
     void read_input();
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -557,5 +557,31 @@
         head_of_answer(address, head("/b/slot", "key-a", expects)).starts_with("HTTP/1.1 100"));
 }
 
+// Guards against bodies of many callers that exhaust the memory of the process.
+TEST(gateway, bounds_the_memory_of_large_bodies)
+{
+    platform_deployment system(1, {"--memory-mb", "80"});
+    constexpr std::size_t callers = 40;
+    constexpr std::size_t body_bytes = 4'000'000;
+    constexpr std::size_t memory_bytes = 80'000'000;
+    std::vector<std::shared_ptr<caller_answer>> answers;
+    for (std::size_t i = 0; i < callers; ++i)
+        answers.push_back(system.client.start(
+            system.http(0), "POST", "/p/chat",
+            system.headers("request-" + std::to_string(i), "key-a"), std::string(body_bytes, 'x')));
+    system.client.wait(answers);
+    std::size_t served = 0;
+    for (auto const& it : answers)
+    {
+        served += it->status == 200 ? 1U : 0U;
+        EXPECT_TRUE(it->status == 200 || it->status == 503) << it->status << it->body;
+        EXPECT_TRUE(it->status == 200 || !it->header("Retry-After").empty()) << it->body;
+    }
+    // So many fit at once, and others follow them.
+    EXPECT_GE(served, memory_bytes / 4 / body_bytes);
+    EXPECT_LT(system.gateway(0).peak_resident_bytes(), memory_bytes);
+    EXPECT_EQ(system.book(0, "afterwards").status, 200);
+}
+
 } // namespace
 } // namespace savorymount::tests
--- a/tests/system/support/process.cpp
+++ b/tests/system/support/process.cpp
@@ -128,4 +128,15 @@
     return info.si_pid == 0;
 }
 
+std::size_t process::peak_resident_bytes() const
+{
+    std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(in, line);)
+    {
+        if (line.starts_with("VmHWM:"))
+            return std::stoul(line.substr(line.find_first_of("0123456789"))) * 1024;
+    }
+    return 0;
+}
+
 } // namespace savorymount::tests
--- a/tests/system/support/process.hpp
+++ b/tests/system/support/process.hpp
@@ -31,6 +31,9 @@
 
     bool running();
 
+    /// Highest resident memory since the start, in bytes; 0 if it is not known.
+    std::size_t peak_resident_bytes() const;
+
 private:
     pid_t pid_ = -1;
     std::string output_path_;
