--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -1,8 +1,8 @@
 #include <savorymount/gateway/gateway_request.hpp>
+#include <savorymount/gateway/refusal_response.hpp>
 #include <savorymount/gateway/upstream_refusal.hpp>
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
 namespace savorymount::gateway
@@ -24,13 +24,6 @@
 constexpr int first_error_status = 400;
 constexpr int first_server_error_status = 500;
 
-std::string seconds_text(base::duration time)
-{
-    char text[32];
-    std::snprintf(text, sizeof(text), "%.3f", std::chrono::duration<double>(time).count());
-    return text;
-}
-
 runtime::http_headers text_headers()
 {
     return {{"Content-Type", "text/plain"}};
@@ -41,8 +34,10 @@
 gateway_request::gateway_request(gateway_context& context,
                                  std::shared_ptr<runtime::inbound_connection> client,
                                  runtime::http_request request)
-    : context_(context), client_(std::move(client)), http_request_(std::move(request)),
-      arrived_at_(context.timers.now()), failure_response_memory_(context.responses)
+    : context_(context), client_(std::move(client)),
+      http_request_(std::make_shared<runtime::http_request>(std::move(request))),
+      arrived_at_(http_request_->head_arrived_at.value_or(context.timers.now())),
+      failure_response_memory_(context.responses)
 {
 }
 
@@ -50,7 +45,7 @@
 {
     client_->on_gone([self = shared_from_this()] { self->handle_client_disconnect(); });
     base::error reason;
-    auto decoded = context_.platform.decode_request(http_request_.head, reason);
+    auto decoded = context_.platform.decode_request(http_request_->head, reason);
     if (!decoded)
     {
         refuse({reason, std::nullopt, 0, 0});
@@ -60,15 +55,24 @@
     last_event_id_ = caller_request_.last_event_id;
     refusal refused;
     admitted_.emplace();
-    if (!admit(arrived_at_, context_.cluster, caller_request_, http_request_.body, *admitted_,
-               refused))
+    auto const now = context_.timers.now();
+    if (!admit(now, context_.cluster, caller_request_, http_request_->body, *admitted_, refused))
     {
         refuse(refused);
         return;
     }
+    if (elapsed() >= admitted_->timeout)
+    {
+        refuse({{base::error_kind::unavailable,
+                 "the time limit was reached before the body had arrived"},
+                std::nullopt,
+                0,
+                0});
+        return;
+    }
     service_ = choose_service(*admitted_->route, context_.random);
-    context_.cluster.retry_quota(service_).record_request(arrived_at_);
-    timeout_timer_ = context_.timers.after(admitted_->timeout + timeout_margin,
+    context_.cluster.retry_quota(service_).record_request(now);
+    timeout_timer_ = context_.timers.after(admitted_->timeout + timeout_margin - elapsed(),
                                            [self = shared_from_this()] { self->handle_timeout(); });
     if (resumes_stream())
         find_stream_origin();
@@ -149,7 +153,7 @@
         return;
     }
     placed->request.timeout = admitted_->timeout - elapsed();
-    placed->request.body_bytes = http_request_.body.size();
+    placed->request.body_bytes = http_request_->body.size();
     placed->request.last_event_id = last_event_id_;
     start_attempt(std::move(*placed));
 }
@@ -181,7 +185,17 @@
     };
     // An attempt that fails immediately resets `attempt_` before `start` returns.
     auto const attempt = attempt_;
-    attempt->start(caller_request_, http_request_.body, std::move(callbacks));
+    attempt->start(caller_request_, body(), std::move(callbacks));
+}
+
+std::shared_ptr<std::string const> gateway_request::body() const
+{
+    return {http_request_, &http_request_->body};
+}
+
+void gateway_request::release_body()
+{
+    http_request_ = std::make_shared<runtime::http_request>();
 }
 
 void gateway_request::record_weights(std::uint64_t version)
@@ -200,6 +214,8 @@
         streaming_ = true;
         record_stream_origin();
         outcome_.time_to_first_byte = elapsed();
+        if (!is_repeatable(admitted_->route->kind, admitted_->route->resumable))
+            release_body();
         client_->start(attempt_->head().status,
                        context_.platform.response_headers(attempt_->head()));
     }
@@ -455,16 +471,13 @@
 void gateway_request::refuse(refusal const& it)
 {
     auto const status = http_status(it);
-    auto headers = text_headers();
-    if (it.retry_after)
-        headers.push_back({"Retry-After", seconds_text(*it.retry_after)});
     outcome_.refusal_kind = it.reason.kind;
     outcome_.requested_tokens = it.requested_tokens;
     outcome_.bucket_level = it.bucket_level;
     if (admitted_ && admitted_->charged_tokens > 0)
         context_.cluster.bucket(admitted_->workspace->name)
             ->refund(context_.timers.now(), admitted_->charged_tokens);
-    client_->respond(status, std::move(headers), it.reason.message + "\n");
+    client_->respond(status, refusal_headers(it), it.reason.message + "\n");
     finish(request_end::refused, status, it.reason.message);
 }
 
@@ -491,6 +504,7 @@
     stall_timer_ = {};
     client_->on_gone(nullptr);
     finish_attempt(result == request_end::answered);
+    release_body();
     if (admitted_ && result != request_end::refused)
         outcome_.requested_tokens = admitted_->charged_tokens;
     outcome_.id = caller_request_.id;
--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -30,6 +30,8 @@
 constexpr base::duration output_check_interval = 250ms;
 // Shorter than `client_silence`, which the kernel applies until the first check.
 constexpr base::duration first_output_check = 1s;
+// For a body that is being read; other connections have a small buffer.
+constexpr int body_receive_buffer_bytes = 512 * 1024;
 constexpr char const* continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 int status_of(base::error const& reason, bool in_body)
@@ -69,6 +71,37 @@
     bufferevent_free(buffer_);
 }
 
+void inbound_connection::read_body(std::shared_ptr<void> memory)
+{
+    if (phase_ != phase::receiving || body_state_ != body_state::held)
+        return;
+    body_state_ = body_state::reading;
+    request_.memory = std::move(memory);
+    auto const size =
+        static_cast<std::size_t>(request_.head.content_length.value_or(limits().max_body_bytes));
+    // Growing step by step would take up to three times the memory.
+    request_.body.reserve(size);
+    if (size > std::size_t{waiting_receive_buffer_bytes})
+        set_receive_buffer(bufferevent_getfd(buffer_), body_receive_buffer_bytes);
+    if (request_.head.expects_continue)
+        send(continue_response);
+    arm(limits().idle_timeout);
+    bufferevent_enable(buffer_, EV_READ);
+}
+
+void inbound_connection::refuse_body(int status, http_headers headers, std::string_view body)
+{
+    if (phase_ != phase::receiving || body_state_ != body_state::held)
+        return;
+    auto const size = request_.head.content_length.value_or(limits().max_body_bytes);
+    discardable_bytes_ = static_cast<std::size_t>(size) - request_.body.size();
+    request_ = {};
+    keep_alive_ = false;
+    phase_ = phase::responding;
+    bufferevent_enable(buffer_, EV_READ);
+    respond(status, std::move(headers), body);
+}
+
 void inbound_connection::respond(int status, http_headers headers, std::string_view body)
 {
     if (phase_ != phase::responding)
@@ -215,7 +248,7 @@
 {
     auto* const input = bufferevent_get_input(buffer_);
     if (phase_ == phase::lingering)
-        evbuffer_drain(input, evbuffer_get_length(input));
+        discard_input();
     while ((phase_ == phase::waiting || phase_ == phase::receiving) &&
            evbuffer_get_length(input) > 0)
     {
@@ -238,6 +271,40 @@
         if (std::exchange(complete_, false))
             take_request();
     }
+    if (phase_ == phase::receiving && body_state_ == body_state::head_arrived)
+        announce_body();
+}
+
+void inbound_connection::announce_body()
+{
+    body_state_ = body_state::held;
+    request_.head_arrived_at = timers_.now();
+    if (!hooks_.body_announced)
+    {
+        read_body(nullptr);
+        return;
+    }
+    // The hook may end the request, and its head with it.
+    auto const head = request_.head;
+    hooks_.body_announced(shared_from_this(), head);
+    if (phase_ != phase::receiving || body_state_ != body_state::held)
+        return;
+    timeout_ = {};
+    bufferevent_disable(buffer_, EV_READ);
+}
+
+void inbound_connection::discard_input()
+{
+    auto* const input = bufferevent_get_input(buffer_);
+    auto const n = evbuffer_get_length(input);
+    evbuffer_drain(input, n);
+    if (n == 0 || discardable_bytes_ == 0)
+        return;
+    // A client may read the response only after it has sent the whole body.
+    discardable_bytes_ -= std::min(n, discardable_bytes_);
+    arm(linger_time);
+    if (discardable_bytes_ == 0 && buffered_bytes() == 0)
+        shutdown(bufferevent_getfd(buffer_), SHUT_WR);
 }
 
 void inbound_connection::take_head(http_head const& head)
@@ -255,8 +322,7 @@
         return;
     }
     arm(limits().idle_timeout);
-    if (head.expects_continue)
-        send(continue_response);
+    body_state_ = body_state::head_arrived;
 }
 
 void inbound_connection::take_body(std::string_view bytes)
@@ -278,6 +344,7 @@
 void inbound_connection::take_request()
 {
     phase_ = phase::responding;
+    body_state_ = body_state::unannounced;
     timeout_ = {};
     allow_silence(client_silence);
     hooks_.request(shared_from_this(), std::exchange(request_, {}));
@@ -286,6 +353,9 @@
 void inbound_connection::reject(base::error const& reason)
 {
     bool const in_body = refusal_.has_value();
+    request_ = {};
+    if (in_body)
+        discardable_bytes_ = limits().max_body_bytes;
     phase_ = phase::responding;
     keep_alive_ = false;
     respond(status_of(reason, in_body), {{"Content-Type", "text/plain"}}, reason.message + "\n");
@@ -336,7 +406,9 @@
         close();
         return;
     }
-    shutdown(bufferevent_getfd(buffer_), SHUT_WR);
+    // Some clients read no response from a connection that ends while they send.
+    if (discardable_bytes_ == 0)
+        shutdown(bufferevent_getfd(buffer_), SHUT_WR);
     arm(linger_time);
 }
 
@@ -377,6 +449,7 @@
     auto const keep = shared_from_this();
     if (phase_ == phase::receiving)
     {
+        request_ = {};
         phase_ = phase::responding;
         keep_alive_ = false;
         respond(408, {}, "");
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -283,7 +283,7 @@
         {
             listed[it.id] = it;
         };
-        callbacks.upstream_unlisted = [this](std::string const& it)
+        callbacks.upstream_unlisted = [this](std::string const& it, bool)
         {
             listed.erase(it);
         };
@@ -293,6 +293,10 @@
         };
         callbacks.configuration_read = [](base::time_point) {
         };
+        callbacks.upstreams_read = [](base::time_point) {
+        };
+        callbacks.upstreams_unreadable = [](base::time_point) {
+        };
         callbacks.store_responded = [] {
         };
         callbacks.store_failed = [this](gateway::store_failure const& it)
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -1,15 +1,44 @@
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
 #include <csignal>
+#include <netinet/in.h>
 #include <set>
+#include <sys/socket.h>
 #include <tests/platform/odd_entries.hpp>
 #include <tests/system/support/platform_deployment.hpp>
+#include <unistd.h>
 
 namespace savorymount::tests
 {
 namespace
 {
 
+using nlohmann::json;
+
+/// Sends bytes on a connection of its own and returns what has come back by the next empty line.
+std::string head_of_answer(runtime::network_address const& address, std::string const& bytes)
+{
+    int const fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.host.c_str(), &name.sin_addr);
+    std::string out;
+    if (connect(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0 &&
+        write(fd, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()))
+    {
+        char buffer[1024];
+        for (ssize_t n = 1; n > 0 && out.find("\r\n\r\n") == std::string::npos;)
+        {
+            n = read(fd, buffer, sizeof(buffer));
+            out.append(buffer, n > 0 ? static_cast<std::size_t>(n) : 0);
+        }
+    }
+    close(fd);
+    return out;
+}
+
 // Guards against a path that breaks between gateway, store and upstreams.
 TEST(gateway, serves_streams_and_bookings_on_the_users_platform)
 {
@@ -480,5 +509,51 @@
     EXPECT_EQ(system.gateway(0).wait(), 0);
 }
 
+// Guards against a body that is read before the key and the route are checked.
+TEST(gateway, refuses_by_the_head_before_the_body_arrives)
+{
+    platform_deployment system(1);
+    auto const head = [](std::string const& path, std::string const& key, std::string const& more)
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: chat.example\r\nX-Request-Id: request-1\r\n" +
+               "Authorization: Bearer " + key + "\r\nContent-Length: 4000000\r\n" + more + "\r\n";
+    };
+    auto const& address = system.http(0);
+    EXPECT_TRUE(
+        head_of_answer(address, head("/b/slot", "unknown", "")).starts_with("HTTP/1.1 401"));
+    EXPECT_TRUE(head_of_answer(address, head("/none", "key-a", "")).starts_with("HTTP/1.1 404"));
+    std::string const expects = "Expect: 100-continue\r\n";
+    EXPECT_TRUE(
+        head_of_answer(address, head("/b/slot", "unknown", expects)).starts_with("HTTP/1.1 401"));
+    EXPECT_TRUE(
+        head_of_answer(address, head("/b/slot", "key-a", expects)).starts_with("HTTP/1.1 100"));
+}
+
+// Guards against bodies of many callers that exhaust the memory of the process.
+TEST(gateway, bounds_the_memory_of_large_bodies)
+{
+    platform_deployment system(1, {"--memory-mb", "80"});
+    constexpr std::size_t callers = 40;
+    constexpr std::size_t body_bytes = 4'000'000;
+    constexpr std::size_t memory_bytes = 80'000'000;
+    std::vector<std::shared_ptr<caller_answer>> answers;
+    for (std::size_t i = 0; i < callers; ++i)
+        answers.push_back(system.client.start(
+            system.http(0), "POST", "/p/chat",
+            system.headers("request-" + std::to_string(i), "key-a"), std::string(body_bytes, 'x')));
+    system.client.wait(answers);
+    std::size_t served = 0;
+    for (auto const& it : answers)
+    {
+        served += it->status == 200 ? 1U : 0U;
+        EXPECT_TRUE(it->status == 200 || it->status == 503) << it->status << it->body;
+        EXPECT_TRUE(it->status == 200 || !it->header("Retry-After").empty()) << it->body;
+    }
+    // So many fit at once, and others follow them.
+    EXPECT_GE(served, memory_bytes / 4 / body_bytes);
+    EXPECT_LT(system.gateway(0).peak_resident_bytes(), memory_bytes);
+    EXPECT_EQ(system.book(0, "afterwards").status, 200);
+}
+
 } // namespace
 } // namespace savorymount::tests
