--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -294,6 +294,10 @@
     {
         streams_.upstreams_read(complete_until);
     };
+    callbacks.upstreams_unreadable = [this](base::time_point sent_at)
+    {
+        streams_.upstreams_unreadable(sent_at);
+    };
     callbacks.store_responded = [this]
     {
         store_responded();
@@ -328,7 +332,6 @@
 void gateway::store_failed(store_failure const& failure)
 {
     metrics_.store_failed();
-    streams_.upstreams_unreadable();
     if (std::exchange(store_available_, false))
         runtime::log(events::log_unavailable, {{"reason", failure.reason.message}});
     runtime::log(events::store_read_failed, {{"topic", failure.topic},
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -405,6 +405,8 @@
         context_.cluster.retry_quota(service_).try_spend(context_.timers.now());
     constraints_.tried_upstreams.insert(upstream);
     outcome_.failed_attempts.push_back({upstream, reason, elapsed()});
+    if (streaming_ && first_upstream_.empty())
+        first_upstream_ = upstream;
     if (streaming_)
         resume_elsewhere();
     else
@@ -417,10 +419,20 @@
         [self = shared_from_this()]
         {
             if (!self->finished_)
-                self->dispatch();
+                self->dispatch_elsewhere();
         });
 }
 
+void gateway_request::dispatch_elsewhere()
+{
+    // Its upstream may have been another process already than the one that was listed.
+    auto const* const first = context_.cluster.upstreams().find(first_upstream_);
+    if (first != nullptr && first->record.software_version != constraints_.software_version)
+        give_up("the upstream that began the stream has started anew at another version");
+    else
+        dispatch();
+}
+
 void gateway_request::give_up(std::string const& reason)
 {
     if (streaming_)
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -58,9 +58,11 @@
     /// Whether the process ran again after a suspension later than `time`.
     bool resumed_since(base::time_point time);
     /// Retries on another upstream if that is allowed, and gives up otherwise.
+    void retry_or_give_up(attempt_failure failure, std::string const& reason);
     /// Sends a stream that broke off to another upstream.
     void resume_elsewhere();
-    void retry_or_give_up(attempt_failure failure, std::string const& reason);
+    /// The same with a list of upstreams that was read since.
+    void dispatch_elsewhere();
     void give_up(std::string const& reason);
     /// Closes the connection of a caller that has received part of a stream.
     void abort_stream(std::string const& reason);
@@ -100,6 +102,8 @@
     std::string failure_response_body_;
     response_memory::share failure_response_memory_;
     bool finished_ = false;
+    /// The upstream that began a stream which broke off.
+    std::string first_upstream_;
     request_outcome outcome_;
     runtime::timer_service::subscription timeout_timer_;
     runtime::timer_service::subscription stall_timer_;
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -52,6 +52,8 @@
     std::function<void(base::time_point complete_until)> configuration_read;
     /// Every change of the list of upstreams before `complete_until` was reported.
     std::function<void(base::time_point complete_until)> upstreams_read;
+    /// A read of the list of upstreams that was sent at that time failed.
+    std::function<void(base::time_point sent_at)> upstreams_unreadable;
     /// A read of the store succeeded or failed.
     std::function<void()> store_responded;
     std::function<void(store_failure const&)> store_failed;
--- a/libraries/savorymount/gateway/stream_directory.cpp
+++ b/libraries/savorymount/gateway/stream_directory.cpp
@@ -84,10 +84,16 @@
     platform_.read_upstreams();
 }
 
-void stream_directory::upstreams_unreadable()
+void stream_directory::upstreams_unreadable(base::time_point sent_at)
 {
     // The instance goes on with what it knows, as without the store in general.
-    end_confirmations(timers_.now());
+    end_confirmations(sent_at);
+}
+
+bool stream_directory::upstreams_read_since(base::time_point time) const
+{
+    auto const read_until = cluster_.stream_origins().upstreams_complete_until();
+    return read_until && *read_until >= time;
 }
 
 void stream_directory::end_confirmations(base::time_point asked_before)
@@ -146,10 +152,13 @@
     for (auto& it : std::exchange(waiting_, {}))
     {
         auto const known = find_known(it);
-        if (known.origin)
+        bool const list_is_read = upstreams_read_since(it.asked_at);
+        if (known.origin && list_is_read)
             it.callback(known);
+        else if (known.origin)
+            confirm_upstreams([known, callback = std::move(it.callback)] { callback(known); });
         else if (now >= it.until)
-            it.callback({std::nullopt, origin_source::unknown, last_read_failed_});
+            it.callback({std::nullopt, origin_source::unknown, last_read_failed_ || !list_is_read});
         else
             still_waiting.push_back(std::move(it));
     }
--- a/libraries/savorymount/gateway/stream_directory.hpp
+++ b/libraries/savorymount/gateway/stream_directory.hpp
@@ -31,7 +31,7 @@
     /// Empty if nobody knows it.
     std::optional<streams::stream_origin> origin;
     origin_source source = origin_source::unknown;
-    /// The store could not be read, so a later request may find it.
+    /// The store or the list could not be read, so a later request may find it.
     bool store_failed = false;
 
     bool operator==(stream_lookup const&) const = default;
@@ -62,8 +62,8 @@
 
     /// Every change of the list of upstreams before `complete_until` was applied.
     void upstreams_read(base::time_point complete_until);
-    /// A read of the list of upstreams failed.
-    void upstreams_unreadable();
+    /// A read of the list of upstreams that was sent at that time failed.
+    void upstreams_unreadable(base::time_point sent_at);
 
 private:
     struct waiting_lookup
@@ -83,6 +83,8 @@
 
     /// What is known of the stream now; no origin if it must be looked for.
     stream_lookup find_known(waiting_lookup const& lookup) const;
+    /// Whether the list was read at some time after this one.
+    bool upstreams_read_since(base::time_point time) const;
     /// Ends the waits for the list that were asked for before `asked_before`.
     void end_confirmations(base::time_point asked_before);
     void read_store();
--- a/libraries/savorymount/streams/stream_origins.cpp
+++ b/libraries/savorymount/streams/stream_origins.cpp
@@ -100,9 +100,9 @@
         std::max(upstreams_complete_until_.value_or(complete_until), complete_until);
 }
 
-void stream_origins::upstreams_uncertain(base::time_point now)
+void stream_origins::upstreams_uncertain(base::time_point certain_from)
 {
-    upstreams_certain_from_ = now;
+    upstreams_certain_from_ = certain_from;
     upstreams_complete_until_.reset();
 }
 
--- a/libraries/savorymount/streams/stream_origins.hpp
+++ b/libraries/savorymount/streams/stream_origins.hpp
@@ -48,8 +48,8 @@
 
     /// Every change of the list of upstreams before `complete_until` was applied.
     void upstreams_read(base::time_point complete_until);
-    /// The list may lack upstreams that serve, until it is read again after `now`.
-    void upstreams_uncertain(base::time_point now);
+    /// The list may lack upstreams that serve, until it is read again after `certain_from`.
+    void upstreams_uncertain(base::time_point certain_from);
     /// Empty if the list was never read.
     std::optional<base::time_point> upstreams_complete_until() const
     {
--- a/tests/platform/request_harness.hpp
+++ b/tests/platform/request_harness.hpp
@@ -86,6 +86,15 @@
         return out;
     }
 
+    /// Each read of the list of upstreams takes this time.
+    void delay_list_reads(base::duration delay)
+    {
+        platform.read_upstreams = [this, delay, read = platform.read_upstreams]
+        {
+            list_timer_ = timers.after(delay, read);
+        };
+    }
+
     /// Runs the loop until so many requests have ended.
     void run_until_ended(std::size_t count)
     {
@@ -153,6 +162,7 @@
         return out;
     }
 
+    runtime::timer_service::subscription list_timer_;
     runtime::outbound_pool pool_;
     gateway::stream_directory streams_{timers, cluster, platform,
                                        []
--- a/tests/platform/software_version_test.cpp
+++ b/tests/platform/software_version_test.cpp
@@ -149,6 +149,82 @@
     EXPECT_EQ(system.outcomes[0].end, gateway::request_end::answered);
 }
 
+// Guards against text of two versions when an origin is found before the list is read.
+TEST(software_version, a_stream_found_in_the_store_waits_for_the_list)
+{
+    request_harness system;
+    scripted_server one(system.loop, {whole_stream("again", 3, 4)}, afterwards::keep);
+    system.add_upstream("one", "engines", one.address(), "v1");
+    system.stored_streams->origins = {{streams::stream_key("begun"), "engines", "v1"}};
+    system.unread_changes = [&]
+    {
+        system.add_upstream("one", "engines", one.address(), "v2");
+    };
+    system.delay_list_reads(std::chrono::milliseconds(30));
+    auto const caller = system.connect();
+    caller->send(resumption("again", "begun"));
+    system.run_until_ended(1);
+    EXPECT_EQ(one.requests(), 0U);
+    EXPECT_EQ(system.outcomes[0].status, 503);
+}
+
+// Guards against refusing a stream although an upstream of its version has just joined.
+TEST(software_version, a_stream_found_in_the_store_goes_on_at_an_upstream_that_has_just_joined)
+{
+    request_harness system;
+    scripted_server one(system.loop, {whole_stream("again", 3, 4)}, afterwards::keep);
+    scripted_server two(system.loop, {whole_stream("again", 3, 4)}, afterwards::keep);
+    system.add_upstream("one", "engines", one.address(), "v1");
+    system.stored_streams->origins = {{streams::stream_key("begun"), "engines", "v2"}};
+    system.unread_changes = [&]
+    {
+        system.add_upstream("two", "engines", two.address(), "v2");
+    };
+    system.delay_list_reads(std::chrono::milliseconds(30));
+    auto const caller = system.connect();
+    caller->send(resumption("again", "begun"));
+    system.run_until_ended(1);
+    EXPECT_EQ(system.outcomes[0].status, 200) << system.outcomes[0].reason;
+    EXPECT_EQ(two.requests(), 1U);
+}
+
+// Guards against text of two versions when the upstream that began a stream had started anew under
+// its id before its entry was read.
+TEST(software_version, a_stream_begun_at_an_upstream_of_an_outdated_version_does_not_go_on)
+{
+    request_harness system;
+    scripted_server broken(system.loop, {broken_stream("r", 2)}, afterwards::reset);
+    scripted_server other(system.loop, {whole_stream("r", 3, 4)}, afterwards::keep);
+    system.add_upstream("broken", "engines", broken.address(), "v1");
+    system.unread_changes = [&]
+    {
+        system.add_upstream("broken", "engines", broken.address(), "v2");
+    };
+    auto const caller = system.send("/stream/ask", "r");
+    system.run_until([&] { return broken.connections() > 0; });
+    system.add_upstream("other", "engines", other.address(), "v1");
+    system.run_until_ended(1);
+    EXPECT_EQ(other.requests(), 0U);
+}
+
+// Guards against text of two services when a route moved between a stream and its resumption.
+TEST(software_version, a_stream_does_not_go_on_at_the_service_to_which_its_route_has_moved)
+{
+    request_harness system;
+    scripted_server one(system.loop, {whole_stream("again", 3, 4)}, afterwards::keep);
+    scripted_server two(system.loop, {whole_stream("again", 3, 4)}, afterwards::keep);
+    system.add_upstream("one", "engines", one.address(), "v1");
+    system.add_upstream("two", "desk", two.address(), "v7");
+    auto data = system.cluster.deployment()->data();
+    data.version = 2;
+    data.routes[2].shares = {{"desk", 1.0}};
+    system.cluster.apply_deployment(system.timers.now(), data);
+    auto const caller = system.connect();
+    caller->send(resumption("again", "begun"));
+    system.run_until_ended(1);
+    EXPECT_EQ(two.requests(), 0U) << system.outcomes[0].origin_source;
+}
+
 // Guards against refusing a stream of another instance although there is one version only.
 TEST(software_version, a_stream_of_elsewhere_goes_on_while_all_upstreams_have_one_version)
 {
--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -1,3 +1,4 @@
+#include "platform/stream_topic.hpp"
 #include "platform/topic_follower.hpp"
 #include "platform/update_splitter.hpp"
 
@@ -573,5 +574,75 @@
     EXPECT_EQ(incomplete, 1U);
 }
 
+// Guards against records that are dropped with a later page that fails, and are not read again.
+TEST(stream_topic, records_before_a_failed_page_are_not_lost)
+{
+    runtime::event_loop loop;
+    runtime::timer_service timers{loop};
+    runtime::outbound_client client{loop, timers};
+    auto const versions = serialize_versions({{"engines", "v2"}});
+    auto const record = serialize_record("versions/a", versions);
+    scripted_server server(
+        loop,
+        {snapshot(5), page(7, record), store_is_unavailable, page(7, record), page(7, record)},
+        scripted_server::afterwards::keep);
+    store_client store(client, server.address());
+    stream_topic topic(store);
+    std::vector<std::size_t> found;
+    bool done = false;
+    auto const read = [&]
+    {
+        done = false;
+        topic.read("b",
+                   [&](std::optional<streams::stored_origins> it)
+                   {
+                       done = true;
+                       if (it)
+                           found.push_back(it->versions.size());
+                   });
+        while (!done)
+            event_base_loop(loop.base(), EVLOOP_ONCE);
+    };
+    read();
+    read();
+    ASSERT_EQ(found.size(), 1U);
+    read();
+    ASSERT_EQ(found.size(), 2U);
+    EXPECT_EQ(found[1], 2U);
+}
+
+// Guards against two reads in flight, of which the later one would date the answer of the first.
+TEST(topic_follower, read_now_within_a_callback_sends_one_read)
+{
+    runtime::event_loop loop;
+    runtime::timer_service timers{loop};
+    runtime::outbound_client client{loop, timers};
+    scripted_server server(loop, {snapshot(5), page(5), no_answer, page(5), page(5), page(5)},
+                           scripted_server::afterwards::keep);
+    store_client store(client, server.address());
+    std::unique_ptr<topic_follower> follower;
+    int responses = 0;
+    topic_callbacks callbacks;
+    callbacks.on_record = [](keyed_record const&) {
+    };
+    callbacks.on_response = [&]
+    {
+        if (++responses == 2)
+            follower->read_now();
+    };
+    callbacks.on_error = [](failed_read const&) {
+    };
+    follower = std::make_unique<topic_follower>(
+        timers, store,
+        topic_options{
+            "keyed.test", {}, [] { return base::duration(60s); }, [] { return true; }, 2s},
+        callbacks);
+    follower->start();
+    auto const timer = timers.after(100ms, [&] { loop.stop(); });
+    loop.run();
+    // The snapshot, the read after it, and the one that was asked for, which is unanswered.
+    EXPECT_EQ(server.requests(), 3U);
+}
+
 } // namespace
 } // namespace savorymount::platform
