Believe no weight version far above the published ones

An entry of another writer may name any version for a service that exists. Since the newest version that an upstream has is never forgotten, one such entry would leave every upstream outdated for good.

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -20,6 +20,8 @@
 // Age at the start of a weight version that is found then; its time of publication is unknown.
 // It leaves a started instance 2.5 s in which it uses engines with older weights.
 constexpr base::duration assumed_version_age = 4s;
+// An entry of another writer may name any version, and the newest one is never forgotten.
+constexpr std::uint64_t max_unseen_versions = 1000;
 constexpr base::duration crash_quarantine_time = 60s;
 // A crash is reported repeatedly for this long, so that a lost datagram does not matter.
 constexpr base::duration crash_report_time = 3s;
@@ -151,7 +153,8 @@
 void cluster_state::version_found(std::string const& model, std::uint64_t version,
                                   std::optional<base::time_point> not_before)
 {
-    if (version <= desired_weights_.newest_version(model))
+    auto const newest = desired_weights_.newest_version(model);
+    if (version <= newest || version - newest > max_unseen_versions)
         return;
     desired_weights_.add_version(model, version, publication_bound(not_before));
     if (version_found_callback_)
--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -412,6 +412,22 @@
     EXPECT_EQ(cluster.desired_weights().superseded_since("crew", 2), at(16s));
 }
 
+// Guards against an odd entry whose version would count as the newest one for good.
+TEST(cluster_state, a_version_far_above_the_published_ones_is_not_believed)
+{
+    configuration::deployment data;
+    data.version = 1;
+    data.services["bench"].name = "bench";
+    cluster_state cluster({}, at(0s));
+    cluster.apply_deployment(at(0s), std::move(data));
+    cluster.set_desired_version("crew", 5, at(0s));
+    auto odd = engine(1);
+    odd.weights["crew"] = (std::uint64_t{1} << 53) - 1;
+    cluster.upstream_listed(at(1s), odd);
+    cluster.stored_versions_read({{"crew", std::uint64_t{1} << 52}});
+    EXPECT_EQ(newest_crew(cluster), 5U);
+}
+
 // Guards against an engine with newer weights than the store names that is ordered back.
 TEST(cluster_state, a_version_that_an_engine_has_counts_as_published)
 {
