--- a/tests/libraries/queueing/body_budget_test.cpp
+++ b/tests/libraries/queueing/body_budget_test.cpp
@@ -75,8 +75,10 @@
 TEST(body_budget, rejects_at_once_if_the_wait_would_be_too_long)
 {
     body_budget budget(small_limits());
+    constexpr int count = 8;
     std::vector<body_budget::ticket> held;
-    for (int i = 0; i < 8; ++i)
+    held.reserve(count);
+    for (int i = 0; i < count; ++i)
         held.push_back(budget.request(at({}), "ab"s.substr(i % 2, 1), 300 * kib, 1s).id);
     budget.release(held[0]);
     EXPECT_EQ(budget.grant_waiting(at(900ms)).size(), 1U);
