Name no origin of a stream that can have begun at another service

Cause: a stream's origin was handed out and looked up among the versions of one service, the one that the route leads to now. While each service has one version nothing was recorded, so a stream that began before its route moved, or at the other service of a split route, went on where it did not begin. The lifetime of origins also followed the newest configuration alone, and forgot long streams when a new one allowed only short ones.

The instance now keeps the configurations under which a stream that may still run can have begun. A resumption is looked up among all services to which they lead its path; several candidates mean that the origin must be recorded, else the request is refused as not run, with the text of today. Streams of services that share a path are handed out as those of several versions are, also the ones that began before the change.

Ruled out: recording the origin of each resumable stream always, which costs bytes in every report; matching routes by name, which misses a new route with a longer prefix. Reports and records change only while a path has two services.

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -94,8 +94,10 @@
         if (!added)
             bucket->second.set_limit(now, limit);
     }
-    stream_origins_.set_lifetime(stream_lifetime(data));
+    auto const lifetime = stream_lifetime(data);
     deployment_ = std::make_shared<configuration::deployment_index>(std::move(data));
+    route_history_.adopt(now, deployment_, lifetime);
+    observe_routes(now);
     for (auto const& [id, state] : upstreams_.all())
         note_engine_versions(state.record);
     return true;
@@ -437,6 +439,15 @@
     return catches_up ? paused_at_ : now;
 }
 
+void cluster_state::observe_routes(base::time_point now)
+{
+    route_history_.expire(now);
+    if (!deployment_)
+        return;
+    stream_origins_.set_lifetime(route_history_.lifetime(now));
+    stream_origins_.set_shared_services(route_history_.shared_services(now));
+}
+
 void cluster_state::observe_versions(base::time_point now)
 {
     if (now - versions_observed_at_ < version_observation_interval)
@@ -447,6 +458,7 @@
         stream_origins_.version_seen(now, state.record.service, state.record.software_version);
         note_engine_versions(state.record);
     }
+    observe_routes(now);
     stream_origins_.expire(now);
 }
 
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -3,6 +3,7 @@
 #include <savorymount/base/time.hpp>
 #include <savorymount/configuration/deployment.hpp>
 #include <savorymount/gateway/gateway_settings.hpp>
+#include <savorymount/gateway/route_history.hpp>
 #include <savorymount/limits/shared_bucket.hpp>
 #include <savorymount/limits/upstream_limits.hpp>
 #include <savorymount/membership/peer_report.hpp>
@@ -76,6 +77,7 @@
     retries::crash_quarantine& quarantine() { return quarantine_; }
     retries::crash_attribution& crash_attribution() { return crash_attribution_; }
     streams::stream_origins& stream_origins() { return stream_origins_; }
+    gateway::route_history const& route_history() const { return route_history_; }
     limits::upstream_limits& upstream_limits() { return upstream_limits_; }
     /// An upstream responded to a request that was sent at `sent_at`; `limit` is empty if the
     /// response names none.
@@ -173,6 +175,8 @@
                        std::optional<base::time_point> not_before);
     void note_engine_versions(membership::upstream_record const& record);
     base::time_point publication_bound(std::optional<base::time_point> not_before) const;
+    /// Notes at which services the streams that may still run can have begun, and until when.
+    void observe_routes(base::time_point now);
     /// Notes the software and weight versions of all upstreams in the list.
     void observe_versions(base::time_point now);
     /// Lets placement know when the upstream's process takes the next request of this instance.
@@ -192,6 +196,7 @@
     retries::crash_attribution crash_attribution_;
     limits::upstream_limits upstream_limits_;
     streams::stream_origins stream_origins_;
+    gateway::route_history route_history_;
     std::function<void(std::string const& model, std::uint64_t version)> version_found_callback_;
     base::time_point versions_observed_at_{};
     bool members_known_ = false;
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -88,7 +88,9 @@
 
 void gateway_request::find_stream_origin()
 {
-    context_.streams.find(caller_request_.resumes.value_or(""), service_,
+    auto const services = context_.cluster.route_history().services(
+        context_.timers.now(), caller_request_.host, caller_request_.target);
+    context_.streams.find(caller_request_.resumes.value_or(""), services,
                           [self = shared_from_this()](stream_lookup const& found)
                           { self->handle_stream_origin(found); });
 }
--- a/libraries/savorymount/gateway/stream_directory.cpp
+++ b/libraries/savorymount/gateway/stream_directory.cpp
@@ -53,21 +53,21 @@
     auto const& origins = cluster_.stream_origins();
     if (auto known = origins.find(lookup.request_id))
         return {std::move(known), origin_source::recorded, false};
-    auto const version = origins.only_version(timers_.now(), lookup.asked_at, lookup.service);
-    if (!version)
+    auto const only = origins.only_version(timers_.now(), lookup.asked_at, lookup.services);
+    if (!only)
         return {};
-    return {
-        streams::stream_origin{streams::stream_key(lookup.request_id), lookup.service, *version},
-        origin_source::only_version, false};
+    return {streams::stream_origin{streams::stream_key(lookup.request_id), only->service,
+                                   only->software_version},
+            origin_source::only_version, false};
 }
 
-void stream_directory::find(std::string const& request_id, std::string const& service,
+void stream_directory::find(std::string const& request_id, std::set<std::string> const& services,
                             std::function<void(stream_lookup const&)> callback)
 {
     auto const now = timers_.now();
     // The instance at which the stream began may have to tell its relay first.
     auto const lookup_time = write_time + cluster_.peer_table().local_report_interval();
-    waiting_lookup lookup{request_id, service, now, now + lookup_time, std::move(callback)};
+    waiting_lookup lookup{request_id, services, now, now + lookup_time, std::move(callback)};
     if (auto const known = find_known(lookup); known.origin)
     {
         confirm_upstreams([known, callback = std::move(lookup.callback)] { callback(known); });
--- a/libraries/savorymount/gateway/stream_directory.hpp
+++ b/libraries/savorymount/gateway/stream_directory.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,9 +51,9 @@
 
     void start();
 
-    /// Finds the stream that began with the request, and reads the list of upstreams anew. Calls
-    /// back soon in any case.
-    void find(std::string const& request_id, std::string const& service,
+    /// Finds the stream that began with the request at one of the services, and reads the list of
+    /// upstreams anew. Calls back soon in any case.
+    void find(std::string const& request_id, std::set<std::string> const& services,
               std::function<void(stream_lookup const&)> callback);
 
     /// Reads the list of upstreams, so that a stream goes on at an upstream whose version is known
@@ -69,7 +70,8 @@
     struct waiting_lookup
     {
         std::string request_id;
-        std::string service;
+        /// Where it can have begun.
+        std::set<std::string> services;
         base::time_point asked_at;
         base::time_point until;
         std::function<void(stream_lookup const&)> callback;
--- a/libraries/savorymount/streams/stream_origins.cpp
+++ b/libraries/savorymount/streams/stream_origins.cpp
@@ -28,6 +28,11 @@
     lifetime_ = lifetime;
 }
 
+void stream_origins::set_shared_services(std::set<std::string> services)
+{
+    shared_services_ = std::move(services);
+}
+
 void stream_origins::version_seen(base::time_point now, std::string const& service,
                                   std::string const& software_version)
 {
@@ -112,22 +117,22 @@
     return it == known_.end() ? std::nullopt : std::optional(it->second.origin);
 }
 
-std::optional<std::string> stream_origins::only_version(base::time_point now,
-                                                        base::time_point until,
-                                                        std::string const& service) const
+std::optional<service_version>
+stream_origins::only_version(base::time_point now, base::time_point until,
+                             std::set<std::string> const& services) const
 {
     bool const knows_upstreams = upstreams_complete_until_ && *upstreams_complete_until_ >= until;
     bool const knows_records = store_read_at_ && *store_read_at_ >= until;
     if (!knows_upstreams || !knows_records)
         return std::nullopt;
-    std::optional<std::string> out;
+    std::optional<service_version> out;
     for (auto const& it : recent_versions(now))
     {
-        if (it.service != service)
+        if (!services.contains(it.service))
             continue;
         if (out)
             return std::nullopt;
-        out = it.software_version;
+        out = it;
     }
     return out;
 }
@@ -148,7 +153,7 @@
 
 std::set<std::string> stream_origins::mixed_services(base::time_point now) const
 {
-    std::set<std::string> out;
+    auto out = shared_services_;
     std::string const* previous = nullptr;
     auto const recent = recent_versions(now);
     for (auto const& it : recent)
--- a/libraries/savorymount/streams/stream_origins.hpp
+++ b/libraries/savorymount/streams/stream_origins.hpp
@@ -18,10 +18,10 @@
 
 /// Knows which software version began a stream, for as long as a caller may resume it.
 ///
-/// While all upstreams of a service have the same version, that is the answer for each stream, and
-/// nothing is recorded outside. While there are several, or one has just left, the origins of the
-/// streams are handed out for the other instances and for the platform's store. A stream of which
-/// nothing is known has no version then: its text must not be joined by chance.
+/// While a stream can have begun at one version of one service only, that is the answer for each
+/// stream, and nothing is recorded outside. While there are several, or one has just left, the
+/// origins of the streams are handed out for the other instances and for the platform's store. A
+/// stream of which nothing is known has no version then: its text must not be joined by chance.
 class stream_origins
 {
 public:
@@ -31,6 +31,10 @@
     /// The longest time after its first event in which a caller resumes a stream.
     void set_lifetime(base::duration lifetime);
 
+    /// The services whose streams may be resumed where a stream can have begun at another service
+    /// too, in place of those set before.
+    void set_shared_services(std::set<std::string> services);
+
     /// An upstream with this version is listed, or was lately.
     void version_seen(base::time_point now, std::string const& service,
                       std::string const& software_version);
@@ -59,11 +63,11 @@
     /// The origin of the stream that began with the request; empty if it is not known.
     std::optional<stream_origin> find(std::string_view request_id) const;
 
-    /// The version that began each stream of the service that began before `until` and may still
-    /// run; empty if there are several, or if the list of upstreams or the store was not read since
-    /// then: other instances may have used a version that this one has not seen.
-    std::optional<std::string> only_version(base::time_point now, base::time_point until,
-                                            std::string const& service) const;
+    /// The version that began each stream of these services that began before `until` and may
+    /// still run; empty if there are several, or if the list of upstreams or the store was not read
+    /// since then: other instances may have used a version that this one has not seen.
+    std::optional<service_version> only_version(base::time_point now, base::time_point until,
+                                                std::set<std::string> const& services) const;
 
     /// Takes the origins for the other instances that were not taken before, `max_count` at most.
     std::vector<stream_origin> take_unreported(base::time_point now, std::size_t max_count);
@@ -99,7 +103,8 @@
     std::set<service_version> recent_versions(base::time_point now) const;
     /// Notes what the records of other instances that are new here tell.
     void add_version_records(base::time_point now, std::vector<version_record> const& records);
-    /// Services of which several versions may have begun a stream that still runs.
+    /// Services whose streams can have begun at another version or service, as far as a caller that
+    /// resumes one can tell.
     std::set<std::string> mixed_services(base::time_point now) const;
     /// Takes the oldest origins of these services.
     std::vector<stream_origin>
@@ -108,6 +113,7 @@
     void remember(base::time_point now, stream_origin const& origin);
 
     base::duration lifetime_ = std::chrono::seconds(20);
+    std::set<std::string> shared_services_;
     std::unordered_map<std::uint64_t, entry> known_;
     std::deque<std::pair<base::time_point, std::uint64_t>> expiry_order_;
     /// When an upstream with the version was last listed.
--- /dev/null
+++ b/tests/libraries/gateway/route_history_test.cpp
@@ -0,0 +1,103 @@
+#include <savorymount/gateway/route_history.hpp>
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <set>
+#include <string>
+#include <tests/libraries/time_points.hpp>
+#include <vector>
+
+namespace savorymount::gateway
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using tests::at;
+
+constexpr base::duration lifetime = 10s;
+using names = std::set<std::string>;
+
+configuration::service_route route(std::string const& prefix,
+                                   std::vector<std::string> const& services)
+{
+    configuration::service_route out;
+    out.name = prefix;
+    out.host = "h.example";
+    out.path_prefix = prefix;
+    out.kind = configuration::repeat_rule::streaming;
+    out.resumable = true;
+    for (auto const& it : services)
+        out.shares.push_back({it, 1.0});
+    return out;
+}
+
+route_history::index make_index(std::vector<configuration::service_route> routes)
+{
+    configuration::deployment data;
+    data.routes = std::move(routes);
+    return std::make_shared<configuration::deployment_index>(std::move(data));
+}
+
+// Guards against streams that are recorded outside although no route can lead them elsewhere.
+TEST(route_history, shares_no_service_while_each_path_has_one)
+{
+    route_history it;
+    it.adopt(at(0s), make_index({route("/a/", {"one"}), route("/b/", {"two"})}), lifetime);
+    it.adopt(at(5s), make_index({route("/a/", {"one"}), route("/c/", {"two"})}), lifetime);
+    EXPECT_EQ(it.services(at(5s), "h.example", "/a/ask?x"), names{"one"});
+    EXPECT_EQ(it.shared_services(at(5s)), names{});
+}
+
+// Guards against a stream that goes on at the service to which its route has moved, and against
+// refusals for ever after a move.
+TEST(route_history, a_route_that_moved_shares_its_services_until_its_streams_have_ended)
+{
+    route_history it;
+    it.adopt(at(0s), make_index({route("/a/", {"one"})}), lifetime);
+    it.adopt(at(5s), make_index({route("/a/", {"two"})}), lifetime);
+    for (auto const now : {at(5s), at(15s)})
+    {
+        EXPECT_EQ(it.services(now, "h.example", "/a/ask"), (names{"one", "two"}));
+        EXPECT_EQ(it.shared_services(now), (names{"one", "two"}));
+    }
+    it.expire(at(30s));
+    EXPECT_EQ(it.services(at(30s), "h.example", "/a/ask"), names{"two"});
+    EXPECT_EQ(it.shared_services(at(30s)), names{});
+}
+
+// Guards against overlooking a new route that takes over a part of the paths of another one.
+TEST(route_history, a_longer_prefix_shares_the_services_of_the_route_that_had_its_paths)
+{
+    route_history it;
+    it.adopt(at(0s), make_index({route("/a/", {"one"}), route("/b/", {"other"})}), lifetime);
+    it.adopt(
+        at(5s),
+        make_index({route("/a/", {"one"}), route("/a/new/", {"two"}), route("/b/", {"other"})}),
+        lifetime);
+    EXPECT_EQ(it.services(at(6s), "h.example", "/a/new/ask"), (names{"one", "two"}));
+    EXPECT_EQ(it.services(at(6s), "h.example", "/a/ask"), names{"one"});
+    EXPECT_EQ(it.shared_services(at(6s)), (names{"one", "two"}));
+}
+
+// Guards against text of two services on a route that is split between them.
+TEST(route_history, a_split_route_shares_its_services_as_long_as_it_is_split)
+{
+    route_history it;
+    it.adopt(at(0s), make_index({route("/a/", {"one", "two"})}), lifetime);
+    EXPECT_EQ(it.shared_services(at(100s)), (names{"one", "two"}));
+}
+
+// Guards against forgetting long streams because a new configuration allows only short ones.
+TEST(route_history, a_shorter_time_limit_counts_from_the_end_of_the_longer_streams)
+{
+    route_history it;
+    it.adopt(at(0s), make_index({route("/a/", {"one"})}), lifetime);
+    it.adopt(at(5s), make_index({route("/a/", {"one"})}), 1s);
+    EXPECT_EQ(it.lifetime(at(15s)), lifetime);
+    EXPECT_EQ(it.lifetime(at(30s)), base::duration(1s));
+}
+
+} // namespace
+} // namespace savorymount::gateway
--- a/tests/libraries/streams/stream_origins_test.cpp
+++ b/tests/libraries/streams/stream_origins_test.cpp
@@ -30,11 +30,11 @@
 }
 
 /// The only version at an instance that has just read the list and the store without news.
-std::optional<std::string> only_version_after_reading(stream_origins& it, base::time_point now)
+std::optional<service_version> only_version_after_reading(stream_origins& it, base::time_point now)
 {
     it.upstreams_read(now);
     it.add_stored(now, now, {});
-    return it.only_version(now, now, "engines");
+    return it.only_version(now, now, {"engines"});
 }
 
 // Guards against refusing streams although all upstreams have the version that began them.
@@ -44,7 +44,7 @@
     EXPECT_EQ(only_version_after_reading(*it, at(0s)), std::nullopt);
     it->version_seen(at(0s), "engines", "v1");
     it->stream_began(at(1s), "r", "engines", "v1");
-    EXPECT_EQ(only_version_after_reading(*it, at(1s)), "v1");
+    EXPECT_EQ(only_version_after_reading(*it, at(1s)), (service_version{"engines", "v1"}));
     EXPECT_EQ(it->next_record(at(2s)), std::nullopt);
     EXPECT_TRUE(it->take_unreported(at(2s), 10).empty());
 }
@@ -56,7 +56,7 @@
     it->version_seen(at(0s), "engines", "v1");
     it->version_seen(at(5s), "engines", "v2");
     EXPECT_EQ(only_version_after_reading(*it, at(14s)), std::nullopt);
-    EXPECT_EQ(only_version_after_reading(*it, at(15s)), "v2");
+    EXPECT_EQ(only_version_after_reading(*it, at(15s)), (service_version{"engines", "v2"}));
 }
 
 // Guards against an instance that was out of step and names the only version that it has seen.
@@ -65,11 +65,11 @@
     auto const it = make_started(at(0s), {});
     it->version_seen(at(0s), "engines", "v1");
     it->upstreams_read(at(1s));
-    EXPECT_EQ(it->only_version(at(2s), at(2s), "engines"), std::nullopt);
+    EXPECT_EQ(it->only_version(at(2s), at(2s), {"engines"}), std::nullopt);
     it->upstreams_read(at(2s));
-    EXPECT_EQ(it->only_version(at(2s), at(2s), "engines"), std::nullopt);
+    EXPECT_EQ(it->only_version(at(2s), at(2s), {"engines"}), std::nullopt);
     it->add_stored(at(2s), at(2s), {});
-    EXPECT_EQ(it->only_version(at(2s), at(2s), "engines"), "v1");
+    EXPECT_EQ(it->only_version(at(2s), at(2s), {"engines"}), (service_version{"engines", "v1"}));
 }
 
 // Guards against a version that joined and left while an instance was out of step.
@@ -79,13 +79,13 @@
     it->version_seen(at(8s), "engines", "v1");
     it->upstreams_read(at(8s));
     it->add_stored(at(8s), at(8s), {{}, {{"other", 3, {{"engines", "v2"}}}}, 0});
-    EXPECT_EQ(it->only_version(at(8s), at(8s), "engines"), std::nullopt);
+    EXPECT_EQ(it->only_version(at(8s), at(8s), {"engines"}), std::nullopt);
     // What only others have seen is not recorded again.
     EXPECT_EQ(it->versions(at(8s)), (std::vector<service_version>{{"engines", "v1"}}));
     it->version_seen(at(23s), "engines", "v1");
     it->upstreams_read(at(23s));
     it->add_stored(at(23s), at(23s), {{}, {{"other", 3, {{"engines", "v2"}}}}, 0});
-    EXPECT_EQ(it->only_version(at(23s), at(23s), "engines"), "v1");
+    EXPECT_EQ(it->only_version(at(23s), at(23s), {"engines"}), (service_version{"engines", "v1"}));
 }
 
 // Guards against taking the list of a restored store for complete.
@@ -95,7 +95,7 @@
     it->version_seen(at(0s), "engines", "v1");
     it->upstreams_uncertain(at(5s));
     EXPECT_EQ(only_version_after_reading(*it, at(4s)), std::nullopt);
-    EXPECT_EQ(only_version_after_reading(*it, at(5s)), "v1");
+    EXPECT_EQ(only_version_after_reading(*it, at(5s)), (service_version{"engines", "v1"}));
 }
 
 // Guards against a process that takes the versions that serve now for those that served before it.
@@ -105,9 +105,9 @@
     it.set_lifetime(lifetime);
     it.version_seen(at(1s), "engines", "v1");
     it.upstreams_read(at(1s));
-    EXPECT_EQ(it.only_version(at(1s), at(1s), "engines"), std::nullopt);
+    EXPECT_EQ(it.only_version(at(1s), at(1s), {"engines"}), std::nullopt);
     it.version_seen(at(15s), "engines", "v1");
-    EXPECT_EQ(only_version_after_reading(it, at(15s)), "v1");
+    EXPECT_EQ(only_version_after_reading(it, at(15s)), (service_version{"engines", "v1"}));
     auto const restarted = make_started(at(0s), {{}, {{"other", 1, {{"engines", "v0"}}}}, 0});
     restarted->version_seen(at(1s), "engines", "v1");
     EXPECT_EQ(only_version_after_reading(*restarted, at(1s)), std::nullopt);
@@ -130,6 +130,36 @@
     EXPECT_EQ(it->next_record(at(4s)), (origin_record{8, {expected}}));
 }
 
+// Guards against streams that are recorded nowhere when their route moves to another service, each
+// service with one version.
+TEST(stream_origins, records_running_streams_when_their_route_gets_a_second_service)
+{
+    auto const it = make_started(at(0s), {{}, {}, 7});
+    it->version_seen(at(0s), "engines", "v1");
+    it->version_seen(at(0s), "desk", "v7");
+    it->stream_began(at(1s), "early", "engines", "v1");
+    EXPECT_EQ(it->next_record(at(2s)), std::nullopt);
+    it->set_shared_services({"engines", "desk"});
+    stream_origin const expected{stream_key("early"), "engines", "v1"};
+    EXPECT_EQ(it->next_record(at(2s)), (origin_record{8, {expected}}));
+    EXPECT_EQ(it->take_unreported(at(2s), 10), std::vector{expected});
+    it->set_shared_services({});
+    it->stream_began(at(3s), "late", "engines", "v1");
+    EXPECT_EQ(it->next_record(at(4s)), std::nullopt);
+}
+
+// Guards against a stream that goes on at the only version of a service that did not begin it.
+TEST(stream_origins, names_no_version_while_a_stream_can_have_begun_at_two_services)
+{
+    auto const it = make_started(at(0s), {});
+    it->version_seen(at(1s), "engines", "v1");
+    it->version_seen(at(1s), "desk", "v7");
+    it->upstreams_read(at(1s));
+    it->add_stored(at(1s), at(1s), {});
+    EXPECT_EQ(it->only_version(at(1s), at(1s), {"desk", "engines"}), std::nullopt);
+    EXPECT_EQ(it->only_version(at(1s), at(1s), {"desk"}), (service_version{"desk", "v7"}));
+}
+
 /// Instances that share a store. Streams begin, versions come and go, instances are out of step for
 /// a while, and all instances are killed at times.
 class shared_history
@@ -183,11 +213,11 @@
             for (auto const& it : instances_)
             {
                 auto const known = it->find(id);
-                auto const only = it->only_version(now_, now_, "engines");
+                auto const only = it->only_version(now_, now_, {"engines"});
                 if (known)
                     RC_ASSERT(known->software_version == began.second);
                 else if (only)
-                    RC_ASSERT(*only == began.second);
+                    RC_ASSERT(only->software_version == began.second);
             }
         }
     }
--- a/tests/platform/software_version_test.cpp
+++ b/tests/platform/software_version_test.cpp
@@ -225,6 +225,55 @@
     EXPECT_EQ(two.requests(), 0U) << system.outcomes[0].origin_source;
 }
 
+// Guards against text of two services when a stream of a split route is resumed at another
+// instance, which draws the service anew; and against refusing the stream although its origin is
+// recorded.
+TEST(software_version, a_stream_of_a_split_route_goes_on_at_its_recorded_service_only)
+{
+    for (bool const is_recorded : {false, true})
+    {
+        request_harness system;
+        scripted_server one(system.loop, {whole_stream("again", 3, 4)}, afterwards::keep);
+        scripted_server two(system.loop, {whole_stream("again", 3, 4)}, afterwards::keep);
+        system.add_upstream("one", "engines", one.address(), "v1");
+        system.add_upstream("two", "desk", two.address(), "v7");
+        auto data = system.cluster.deployment()->data();
+        data.version = 2;
+        data.routes[2].shares = {{"engines", 1.0}, {"desk", 1.0}};
+        system.cluster.apply_deployment(system.timers.now(), data);
+        if (is_recorded)
+            system.stored_streams->origins = {{streams::stream_key("begun"), "engines", "v1"}};
+        auto const caller = system.connect();
+        caller->send(resumption("again", "begun"));
+        system.run_until_ended(1);
+        EXPECT_EQ(system.outcomes[0].status, is_recorded ? 200 : 503);
+        EXPECT_EQ(one.requests(), is_recorded ? 1U : 0U);
+        EXPECT_EQ(two.requests(), 0U);
+    }
+}
+
+// Guards against refusing streams of a route that moved so long ago that all its former streams
+// have ended.
+TEST(software_version, a_stream_goes_on_when_its_route_has_moved_long_ago)
+{
+    request_harness system({}, {}, std::chrono::milliseconds(0));
+    auto data = system.cluster.deployment()->data();
+    data.version = 2;
+    data.routes[2].shares = {{"desk", 1.0}};
+    data.routes[2].timeout = std::chrono::seconds(5);
+    auto const moved_at = system.timers.now() - std::chrono::seconds(5);
+    system.cluster.apply_deployment(moved_at, data);
+    scripted_server one(system.loop, {whole_stream("again", 3, 4)}, afterwards::keep);
+    scripted_server two(system.loop, {whole_stream("again", 3, 4)}, afterwards::keep);
+    system.add_upstream("one", "engines", one.address(), "v1");
+    system.add_upstream("two", "desk", two.address(), "v7");
+    auto const caller = system.connect();
+    caller->send(resumption("again", "begun"));
+    system.run_until_ended(1);
+    EXPECT_EQ(system.outcomes[0].status, 200) << system.outcomes[0].reason;
+    EXPECT_EQ(two.requests(), 1U);
+}
+
 // Guards against refusing a stream of another instance although there is one version only.
 TEST(software_version, a_stream_of_elsewhere_goes_on_while_all_upstreams_have_one_version)
 {
