--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -272,7 +272,9 @@
         adapter = *runtime::plugin_registry<gateway::platform_adapter>::instance().make(
             "users-platform", loop, {"127.0.0.1", *port}, reason);
         gateway::platform_events callbacks;
-        callbacks.deployment_changed = [](configuration::deployment const&) {
+        callbacks.deployment_changed = [this](configuration::deployment const& it)
+        {
+            configurations.insert(it.version);
         };
         callbacks.desired_version_changed =
             [this](std::string const& model, std::uint64_t version, std::optional<base::time_point>)
@@ -336,6 +338,7 @@
                                 }};
     gateway::platform_adapter adapter;
     std::map<std::string, membership::upstream_record> listed;
+    std::set<std::uint64_t> configurations;
     std::map<std::string, std::uint64_t> versions;
     std::map<std::string, int> ignored;
     std::vector<std::string> failures;
@@ -380,6 +383,58 @@
     EXPECT_TRUE(passed_on.contains("end"));
 }
 
+// Guards against a version that is forgotten because a write that the store executed late replaced
+// its record while no process ran, and against keeping what operators have deleted.
+TEST_F(followed_store, takes_the_highest_version_that_the_log_still_holds)
+{
+    auto const configuration = [](int version)
+    {
+        return R"({"version":)" + std::to_string(version) +
+               R"(,"routes":[],"services":[],"limits":{}})";
+    };
+    topics.put("keyed.op", "version/deleted", R"({"model":"deleted","version":9})");
+    topics.put("keyed.op", "version/deleted", "");
+    topics.put("keyed.op", "version/m", R"({"model":"m","version":8})");
+    topics.put("keyed.op", "version/m", R"({"model":"m","version":7})");
+    topics.put("keyed.op", "config", configuration(4));
+    topics.put("keyed.op", "config", configuration(3));
+    follow();
+    run_until([&] { return versions["m"] == 8 && configurations.contains(4); });
+    EXPECT_FALSE(versions.contains("deleted"));
+    // Later records are followed as before.
+    topics.put("keyed.op", "version/m", R"({"model":"m","version":10})");
+    run_until([&] { return versions["m"] == 10; });
+    EXPECT_TRUE(failures.empty()) << failures.front();
+}
+
+// Guards against older records that are not read because the oldest ones have expired, and against
+// a version from so long ago that it was read for nothing.
+TEST_F(followed_store, reads_the_older_records_that_have_not_expired)
+{
+    topics.put("keyed.op", "version/m", R"({"model":"m","version":9})");
+    topics.put("keyed.op", "version/n", R"({"model":"n","version":8})");
+    topics.put("keyed.op", "version/m", R"({"model":"m","version":2})");
+    topics.put("keyed.op", "version/n", R"({"model":"n","version":1})");
+    topics.trim("keyed.op", 1);
+    follow();
+    run_until([&] { return versions["n"] == 8; });
+    EXPECT_EQ(versions["m"], 2U);
+}
+
+// Guards against a store that is out when a process has read the newest records, so that the older
+// ones are never read.
+TEST_F(followed_store, reads_the_older_records_after_an_outage)
+{
+    topics.put("keyed.op", "version/m", R"({"model":"m","version":8})");
+    topics.put("keyed.op", "version/m", R"({"model":"m","version":7})");
+    follow();
+    run_until([&] { return versions["m"] == 7; });
+    topics.set_fault("refuse");
+    run_until([&] { return !failures.empty() || versions["m"] == 8; });
+    topics.set_fault("");
+    run_until([&] { return versions["m"] == 8; });
+}
+
 // Guards against a weight version that is so large that no later one is newer.
 TEST_F(followed_store, goes_on_after_odd_weight_versions)
 {
--- a/tests/stand_ins/users_platform/keyed_topics.hpp
+++ b/tests/stand_ins/users_platform/keyed_topics.hpp
@@ -25,6 +25,9 @@
     /// Drops all records but the newest of each key.
     void compact();
 
+    /// Drops the records of a topic before the offset, but for the newest of each key.
+    void trim(std::string const& topic, std::size_t before) { first_[topic] = before; }
+
     /// Comes back from a copy of the time `age` ago: later records are gone and their offsets are
     /// given out again. The answers carry the next era.
     void restore(base::duration age);
