Retry elsewhere when another process answers at an upstream's address

A 421 that names another instance shows that the addressed process has ended and nothing ran. The attempt used up the route's attempts, so requests with one attempt were refused in the seconds after engines had crashed. It no longer does; it still needs a retry of the quota, since the request was sent.

Ruled out: sending to the instance that the answer names. Its record is not known, and the address may belong to another service by now.

--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -259,6 +259,10 @@
         ++attempts_sent_;
         retry_or_give_up(attempt_failure::rejected, reason);
         return;
+    case attempt_result::upstream_ended:
+        ++attempts_not_sent_;
+        retry_or_give_up(attempt_failure::upstream_ended, reason);
+        return;
     case attempt_result::connection_lost:
         record_lost_upstream();
         break;
--- a/libraries/savorymount/gateway/retry_decision.cpp
+++ b/libraries/savorymount/gateway/retry_decision.cpp
@@ -28,8 +28,12 @@
         return false;
     if (history.attempts_sent >= history.max_attempts)
         return false;
+    bool const missed_upstream =
+        failure == attempt_failure::not_sent || failure == attempt_failure::upstream_ended;
+    if (missed_upstream && history.attempts_not_sent >= max_attempts_not_sent)
+        return false;
     if (failure == attempt_failure::not_sent)
-        return history.attempts_not_sent < max_attempts_not_sent;
+        return true;
     return history.retries_available >= 1;
 }
 
--- a/libraries/savorymount/gateway/retry_decision.hpp
+++ b/libraries/savorymount/gateway/retry_decision.hpp
@@ -15,6 +15,8 @@
     not_sent,
     /// The upstream responded that it did not execute the request.
     rejected,
+    /// Another process responded at the upstream's address, and did not execute the request.
+    upstream_ended,
     /// The request may have been executed.
     outcome_unknown,
     /// The upstream executed the request and responded with a failure.
@@ -27,9 +29,9 @@
     configuration::repeat_rule repeatability = configuration::repeat_rule::unsafe;
     bool resumable = false;
     std::uint32_t max_attempts = 1;
-    /// Attempts that sent at least one byte.
+    /// Attempts that sent at least one byte to the upstream.
     std::uint32_t attempts_sent = 0;
-    /// Attempts that sent no byte.
+    /// Attempts that sent no byte, or whose upstream had ended.
     std::uint32_t attempts_not_sent = 0;
     /// Whether an attempt may have executed the request.
     bool may_have_run = false;
--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -135,8 +135,7 @@
 
 void upstream_attempt::record_notices()
 {
-    bool const other_upstream =
-        !metadata_.upstream.empty() && metadata_.upstream != placement_.upstream.id;
+    bool const other_upstream = is_from_other_upstream();
     auto& upstreams = context_.cluster.upstreams();
     auto const now = context_.timers.now();
     if (!other_upstream && metadata_.leaving)
@@ -216,8 +215,11 @@
     if (metadata_.not_executed)
     {
         record_rejection();
-        report_result(attempt_result::rejected, "the upstream rejected the request with status " +
-                                                    std::to_string(head_.status));
+        auto const result = metadata_.misdirected && is_from_other_upstream()
+                                ? attempt_result::upstream_ended
+                                : attempt_result::rejected;
+        report_result(result, "the upstream rejected the request with status " +
+                                  std::to_string(head_.status));
         return;
     }
     // The end of a connection may end a response in good order, also that of an engine that failed.
@@ -291,9 +293,7 @@
     auto backoff = engine ? busy_engine_backoff : rejection_backoff;
     if (metadata_.misdirected)
     {
-        bool const other_upstream =
-            !metadata_.upstream.empty() && metadata_.upstream != placement_.upstream.id;
-        if (other_upstream || !engine)
+        if (is_from_other_upstream() || !engine)
             backoff = misdirected_backoff;
         else
             record_version_mismatch();
@@ -302,6 +302,11 @@
                                                   backoff);
 }
 
+bool upstream_attempt::is_from_other_upstream() const
+{
+    return !metadata_.upstream.empty() && metadata_.upstream != placement_.upstream.id;
+}
+
 void upstream_attempt::record_version_mismatch()
 {
     auto& upstreams = context_.cluster.upstreams();
--- a/libraries/savorymount/gateway/upstream_attempt.hpp
+++ b/libraries/savorymount/gateway/upstream_attempt.hpp
@@ -26,6 +26,8 @@
     not_sent,
     /// The upstream responded that it did not execute the request.
     rejected,
+    /// Another process responded at its address, and did not execute the request.
+    upstream_ended,
     /// The connection broke, or the stream ended inside an event; the request may have been
     /// executed.
     connection_lost,
@@ -83,6 +85,8 @@
     void handle_end();
     void handle_failure(runtime::call_failure kind, std::string const& reason);
     void record_rejection();
+    /// Whether the response names another upstream than the one that was addressed.
+    bool is_from_other_upstream() const;
     /// The engine has another weight version than the request expected.
     void record_version_mismatch();
     void record_first_byte();
--- a/tests/libraries/gateway/retry_decision_test.cpp
+++ b/tests/libraries/gateway/retry_decision_test.cpp
@@ -54,6 +54,25 @@
     EXPECT_FALSE(may_retry(attempt_failure::not_sent, without_quota));
 }
 
+// Guards against refusing a request whose only attempt met the successor of an upstream that had
+// ended: nothing ran it. The attempt was sent, so it needs a retry of the quota, and the number of
+// such attempts is bounded.
+TEST(retry_decision, retries_after_an_ended_upstream_beyond_the_attempt_limit_within_the_quota)
+{
+    auto it = history(repeat_rule::unsafe, 0);
+    it.max_attempts = 1;
+    it.attempts_not_sent = 1;
+    EXPECT_TRUE(may_retry(attempt_failure::upstream_ended, it));
+    it.retries_available = 0.9;
+    EXPECT_FALSE(may_retry(attempt_failure::upstream_ended, it));
+    it.retries_available = 5;
+    it.attempts_not_sent = 4;
+    EXPECT_FALSE(may_retry(attempt_failure::upstream_ended, it));
+    it.attempts_not_sent = 1;
+    it.attempts_sent = 1;
+    EXPECT_FALSE(may_retry(attempt_failure::upstream_ended, it));
+}
+
 // Guards against an attempt that can't finish before the deadline.
 TEST(retry_decision, does_not_retry_without_enough_time_left)
 {
