--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -97,17 +97,18 @@
       request_log_(settings.log_lines_per_second),
       pool_(*loop_, timers_, connection_options(settings)), responses_(settings.responses),
       streams_(timers_, cluster_, platform_, [this] { return peer_exchange_.reads_store(); }),
-      context_{timers_,
-               pool_,
-               cluster_,
-               platform_,
-               random_,
-               responses_,
-               streams_,
-               [this](request_outcome const& it)
-               {
-                   request_ended(it);
-               }},
+      admission_(timers_, cluster_, random_), context_{timers_,
+                                                       pool_,
+                                                       cluster_,
+                                                       platform_,
+                                                       random_,
+                                                       responses_,
+                                                       streams_,
+                                                       admission_,
+                                                       [this](request_outcome const& it)
+                                                       {
+                                                           request_ended(it);
+                                                       }},
       body_admission_(timers_, cluster_, platform_, body_limits(settings),
                       [this](request_outcome const& it) { request_ended(it); }),
       server_(*loop_, timers_,
--- a/libraries/savorymount/gateway/gateway.hpp
+++ b/libraries/savorymount/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include <savorymount/gateway/gateway_settings.hpp>
 #include <savorymount/gateway/peer_exchange.hpp>
 #include <savorymount/gateway/platform_adapter.hpp>
+#include <savorymount/gateway/request_admission.hpp>
 #include <savorymount/gateway/request_log.hpp>
 #include <savorymount/gateway/rollout_leader.hpp>
 #include <savorymount/gateway/settings_reload.hpp>
@@ -74,6 +75,7 @@
     runtime::outbound_pool pool_;
     response_memory responses_;
     stream_directory streams_;
+    request_admission admission_;
     gateway_context context_;
     body_admission body_admission_;
     runtime::inbound_server server_;
--- a/libraries/savorymount/gateway/gateway_context.hpp
+++ b/libraries/savorymount/gateway/gateway_context.hpp
@@ -3,6 +3,7 @@
 #include <savorymount/base/random_source.hpp>
 #include <savorymount/gateway/cluster_state.hpp>
 #include <savorymount/gateway/platform_adapter.hpp>
+#include <savorymount/gateway/request_admission.hpp>
 #include <savorymount/gateway/request_outcome.hpp>
 #include <savorymount/gateway/response_memory.hpp>
 #include <savorymount/gateway/stream_directory.hpp>
@@ -24,6 +25,7 @@
     base::random_source& random;
     response_memory& responses;
     stream_directory& streams;
+    request_admission& admission;
     /// Called once at the end of each request.
     std::function<void(request_outcome const&)> request_ended;
     /// The process exits now and cuts off the requests that still run.
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -77,7 +77,7 @@
     if (resumes_stream())
         find_stream_origin();
     else
-        dispatch();
+        dispatch_with_room();
 }
 
 bool gateway_request::resumes_stream() const
@@ -113,7 +113,7 @@
     }
     service_ = found.origin->service;
     constraints_.software_version = found.origin->software_version;
-    dispatch();
+    dispatch_with_room();
 }
 
 void gateway_request::record_stream_origin()
@@ -140,6 +140,21 @@
     return true;
 }
 
+void gateway_request::dispatch_with_room()
+{
+    auto const asked_at = context_.timers.now();
+    context_.admission.ask(
+        *admitted_, caller_request_, service_, admitted_->timeout - elapsed(), admission_ticket_,
+        [self = shared_from_this(), asked_at](std::optional<refusal> const& refused)
+        {
+            self->outcome_.admission_wait = self->context_.timers.now() - asked_at;
+            if (refused)
+                self->refuse(*refused);
+            else
+                self->dispatch();
+        });
+}
+
 void gateway_request::dispatch()
 {
     if (give_up_after_crashes())
@@ -212,6 +227,7 @@
     if (!streaming_)
     {
         streaming_ = true;
+        context_.admission.response_started(admission_ticket_);
         record_stream_origin();
         outcome_.time_to_first_byte = elapsed();
         if (!is_repeatable(admitted_->route->kind, admitted_->route->resumable))
@@ -446,8 +462,18 @@
     else if (may_have_run_)
         fail(status_bad_gateway, reason);
     else
-        refuse(no_upstream_refusal(context_.timers.now(), context_.cluster, service_, constraints_,
-                                   reason));
+        refuse(rejection_refusal(reason));
+}
+
+refusal gateway_request::rejection_refusal(std::string const& reason)
+{
+    auto out = no_upstream_refusal(context_.timers.now(), context_.cluster, service_, constraints_,
+                                   reason);
+    auto const time_left = admitted_->timeout - elapsed();
+    auto const until_room = context_.admission.retry_after(admission_ticket_, time_left);
+    if (out.retry_after && until_room)
+        out.retry_after = std::max(*out.retry_after, *until_room);
+    return out;
 }
 
 void gateway_request::abort_stream(std::string const& reason)
@@ -519,6 +545,7 @@
     timeout_timer_ = {};
     stall_timer_ = {};
     client_->on_gone(nullptr);
+    context_.admission.leave(admission_ticket_);
     finish_attempt(result == request_end::answered);
     release_body();
     if (admitted_ && result != request_end::refused)
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -36,6 +36,8 @@
     void handle_stream_origin(stream_lookup const& found);
     /// Notes the software version that begins the stream.
     void record_stream_origin();
+    /// Dispatches the request when an engine can begin it.
+    void dispatch_with_room();
     void dispatch();
     void start_attempt(placed_request placed);
     /// Records the weight version of an attempt for the log.
@@ -64,6 +66,8 @@
     /// The same with a list of upstreams that was read since.
     void dispatch_elsewhere();
     void give_up(std::string const& reason);
+    /// The refusal of a request that no upstream took.
+    refusal rejection_refusal(std::string const& reason);
     /// Closes the connection of a caller that has received part of a stream.
     void abort_stream(std::string const& reason);
     void deliver_response(runtime::http_head const& head, std::string const& body);
@@ -91,6 +95,8 @@
     base::time_point stall_timer_started_at_{};
     std::shared_ptr<upstream_attempt> attempt_;
     upstream_constraints constraints_;
+    /// Of the admission; 0 if it is not in force for the service.
+    std::uint64_t admission_ticket_ = 0;
     std::uint32_t attempts_sent_ = 0;
     std::uint32_t attempts_not_sent_ = 0;
     bool may_have_run_ = false;
--- a/libraries/savorymount/gateway/placement.cpp
+++ b/libraries/savorymount/gateway/placement.cpp
@@ -2,6 +2,7 @@
 #include <savorymount/routing/engine_placement.hpp>
 #include <savorymount/routing/service_placement.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace savorymount::gateway
@@ -9,15 +10,6 @@
 namespace
 {
 
-constexpr std::int32_t max_priority = 9;
-
-std::int32_t priority_of(admitted_request const& admitted)
-{
-    auto const workspace_priority =
-        admitted.workspace == nullptr ? std::nullopt : admitted.workspace->priority;
-    return std::clamp(workspace_priority.value_or(admitted.route->priority), 0, max_priority);
-}
-
 placed_request make_placement(cluster_state const& cluster, base::time_point now,
                               admitted_request const& admitted, std::string const& upstream)
 {
@@ -65,6 +57,13 @@
 
 } // namespace
 
+std::int32_t priority_of(admitted_request const& admitted)
+{
+    auto const workspace_priority =
+        admitted.workspace == nullptr ? std::nullopt : admitted.workspace->priority;
+    return std::clamp(workspace_priority.value_or(admitted.route->priority), 0, max_priority);
+}
+
 std::string choose_service(configuration::service_route const& route, base::random_source& random)
 {
     double total = 0;
--- a/libraries/savorymount/gateway/placement.hpp
+++ b/libraries/savorymount/gateway/placement.hpp
@@ -6,6 +6,7 @@
 #include <savorymount/gateway/cluster_state.hpp>
 #include <savorymount/routing/upstream_table.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
@@ -37,6 +38,12 @@
     bool operator==(upstream_constraints const&) const = default;
 };
 
+/// The least urgent priority that engines know.
+inline constexpr std::int32_t max_priority = 9;
+
+/// Priority of a request, 0 being the most urgent: that of its workspace, or of its route.
+std::int32_t priority_of(admitted_request const& admitted);
+
 /// Chooses a service at random, by the weights of the route's traffic shares.
 std::string choose_service(configuration::service_route const& route, base::random_source& random);
 
--- a/libraries/savorymount/gateway/request_outcome.hpp
+++ b/libraries/savorymount/gateway/request_outcome.hpp
@@ -84,6 +84,8 @@
     base::duration weights_superseded_for{};
     /// Time since the platform's store last responded; negative if it never did.
     base::duration store_age{};
+    /// Time for which the request waited at the gateway for room.
+    base::duration admission_wait{};
     base::duration time_to_first_byte{};
     base::duration total_time{};
     /// Expected wait at the upstream when it was chosen.
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -149,6 +149,12 @@
 inline constexpr log_event request_repeated{
     714, log_level::info, "request_repeated",
     "A request goes to another upstream; shows what went wrong at the first."};
+inline constexpr log_event requests_wait{
+    720, log_level::warning, "requests_wait",
+    "Requests of a service begin to wait at this instance, since no engine can begin them."};
+inline constexpr log_event requests_waited{
+    721, log_level::info, "requests_waited",
+    "No request of a service waits any more; shows how many waited or were refused, and how long."};
 
 /// Every event above, in the order of their numbers.
 inline constexpr std::array all{started,
@@ -206,6 +212,8 @@
                                 request_refused,
                                 request_failed,
                                 request_abandoned,
-                                request_repeated};
+                                request_repeated,
+                                requests_wait,
+                                requests_waited};
 
 } // namespace savorymount::runtime::log_events
--- a/tests/platform/request_harness.hpp
+++ b/tests/platform/request_harness.hpp
@@ -169,6 +169,7 @@
                                        {
                                            return true;
                                        }};
+    gateway::request_admission admission_{timers, cluster, random};
     gateway::gateway_context context_{timers,
                                       pool_,
                                       cluster,
@@ -176,6 +177,7 @@
                                       random,
                                       responses,
                                       streams_,
+                                      admission_,
                                       [this](gateway::request_outcome const& it)
                                       {
                                           outcomes.push_back(it);
