--- a/libraries/savorymount/queueing/concurrency_limit.cpp
+++ b/libraries/savorymount/queueing/concurrency_limit.cpp
@@ -10,8 +10,6 @@
 using namespace std::chrono_literals;
 
 constexpr double reduction = 0.75;
-/// Requests that came late within this time have the same cause.
-constexpr base::duration min_time_between_reductions = 250ms;
 /// Rise per second, as a part of the value after the reduction.
 constexpr double rise_per_second = 0.5;
 constexpr base::duration lifetime = 4s;
@@ -20,9 +18,10 @@
 
 } // namespace
 
-void concurrency_limit::record_late(base::time_point now, double running)
+void concurrency_limit::record_late(base::time_point now, base::time_point began_at, double running)
 {
-    if (lowered_at_ && now - *lowered_at_ < min_time_between_reductions)
+    // A request from before the last reduction does not show whether that was enough.
+    if (lowered_at_ && began_at < *lowered_at_)
         return;
     // The number at engines, not an older limit, is what the late request met.
     auto const reached = std::min(running, value(now).value_or(running));
--- a/libraries/savorymount/queueing/concurrency_limit.hpp
+++ b/libraries/savorymount/queueing/concurrency_limit.hpp
@@ -13,8 +13,9 @@
 class concurrency_limit
 {
 public:
-    /// A more urgent request came late while `running` less urgent ones were at engines.
-    void record_late(base::time_point now, double running);
+    /// A more urgent request that began at `began_at` comes late while `running` less urgent ones
+    /// are at engines.
+    void record_late(base::time_point now, base::time_point began_at, double running);
 
     /// The limit; empty if there is none now.
     std::optional<double> value(base::time_point now) const;
--- a/libraries/savorymount/queueing/request_queue.cpp
+++ b/libraries/savorymount/queueing/request_queue.cpp
@@ -39,6 +39,7 @@
         flow.start = std::max(flow.start, level.virtual_time);
         level.schedule.insert({flow.start, request.workspace});
     }
+    flow.weight = request.weight;
     flow.requests.insert({request.deadline, request.id});
     ++level.size;
     by_end_.insert({request.leaves_at, request.id});
@@ -63,12 +64,6 @@
     return &waiting_.at(flow.requests.begin()->second);
 }
 
-waiting_request const* request_queue::front_before(std::int32_t urgency) const
-{
-    auto const* const out = front();
-    return out != nullptr && out->urgency < urgency ? out : nullptr;
-}
-
 std::optional<waiting_request> request_queue::begin(base::time_point now, std::uint64_t id)
 {
     if (!waiting_.contains(id))
@@ -120,6 +115,26 @@
     return out;
 }
 
+std::size_t request_queue::position_of(std::int32_t urgency, std::string const& workspace,
+                                       double weight) const
+{
+    auto const found = levels_.find(urgency);
+    if (found == levels_.end())
+        return count_until(urgency) + 1;
+    auto const& flows = found->second.flows;
+    auto const own = flows.find(workspace);
+    auto const own_count = own == flows.end() ? 0 : own->second.requests.size();
+    // Before its own last request, each other workspace begins its weighted part at most.
+    auto const rounds = static_cast<double>(own_count + 1) / weight;
+    auto ahead = static_cast<double>(count_until(urgency) - found->second.size + own_count);
+    for (auto const& [name, it] : flows)
+    {
+        if (name != workspace)
+            ahead += std::min(static_cast<double>(it.requests.size()), rounds * it.weight);
+    }
+    return static_cast<std::size_t>(ahead) + 1;
+}
+
 std::optional<base::duration> request_queue::begin_interval(base::time_point now) const
 {
     auto const since = std::chrono::duration<double>(now - measured_at_).count();
--- a/libraries/savorymount/queueing/request_queue.hpp
+++ b/libraries/savorymount/queueing/request_queue.hpp
@@ -49,9 +49,6 @@
     /// The request that begins next, or null.
     waiting_request const* front() const;
 
-    /// The same among the requests that are more urgent than `urgency`.
-    waiting_request const* front_before(std::int32_t urgency) const;
-
     /// Removes a waiting request because it begins, and charges its workspace.
     std::optional<waiting_request> begin(base::time_point now, std::uint64_t id);
 
@@ -61,6 +58,11 @@
     /// Requests that wait and are at least as urgent.
     std::size_t count_until(std::int32_t urgency) const;
 
+    /// The place in the order that a new request of a workspace would get, from 1 on, if requests
+    /// are of similar size. It does not grow with the excess of another workspace.
+    std::size_t position_of(std::int32_t urgency, std::string const& workspace,
+                            double weight) const;
+
     /// Mean time between two requests that begin while others wait; empty until it is known.
     std::optional<base::duration> begin_interval(base::time_point now) const;
 
@@ -72,6 +74,7 @@
     struct workspace_queue
     {
         by_deadline requests;
+        double weight = 1;
         /// Virtual start time of the next request.
         double start = 0;
     };
--- a/libraries/savorymount/queueing/service_admission.cpp
+++ b/libraries/savorymount/queueing/service_admission.cpp
@@ -13,6 +13,9 @@
 constexpr int target_divisor = 2;
 /// A caller with little time left keeps the rest of it for the engine.
 constexpr int time_left_divisor = 4;
+/// A request without a response after this part of its target shows that engines are too busy,
+/// while those behind it can still be in time.
+constexpr double late_ratio = 0.7;
 
 base::duration max_wait(room_request const& it)
 {
@@ -39,7 +42,8 @@
     }
     auto const longest_wait = max_wait(request);
     auto const interval = queue_.begin_interval(now);
-    if (interval && *interval * static_cast<std::int64_t>(ahead + 1) > longest_wait)
+    auto const position = queue_.position_of(request.urgency, request.workspace, request.weight);
+    if (interval && *interval * static_cast<std::int64_t>(position) > longest_wait)
         return {request.id, room_verdict::refuse,
                 book_return(now, request.urgency, request.time_left)};
     waiting_request waiting;
@@ -93,7 +97,8 @@
 void service_admission::begin(base::time_point now, std::uint64_t id, std::int32_t urgency,
                               base::duration target_latency)
 {
-    auto const late_at = now + target_latency;
+    auto const late_at = now + base::duration(static_cast<std::int64_t>(
+                                   static_cast<double>(target_latency.count()) * late_ratio));
     meter_.began(urgency);
     ++running_[urgency];
     pending_.insert({late_at, id});
@@ -106,15 +111,15 @@
     {
         auto const id = pending_.begin()->second;
         pending_.erase(pending_.begin());
-        record_late(now, begun_.at(id).urgency);
+        record_late(now, begun_.at(id));
     }
 }
 
-void service_admission::record_late(base::time_point now, std::int32_t urgency)
+void service_admission::record_late(base::time_point now, begun_request const& request)
 {
-    auto const less_urgent = running_after(urgency);
+    auto const less_urgent = running_after(request.urgency);
     if (less_urgent > 0)
-        limits_[urgency].record_late(now, less_urgent);
+        limits_[request.urgency].record_late(now, request.began_at, less_urgent);
 }
 
 double service_admission::running_after(std::int32_t urgency) const
--- a/libraries/savorymount/queueing/service_admission.hpp
+++ b/libraries/savorymount/queueing/service_admission.hpp
@@ -103,7 +103,7 @@
     void begin(base::time_point now, std::uint64_t id, std::int32_t urgency,
                base::duration target_latency);
     void note_late(base::time_point now);
-    void record_late(base::time_point now, std::int32_t urgency);
+    void record_late(base::time_point now, begun_request const& request);
     double running_after(std::int32_t urgency) const;
     std::optional<base::duration> book_return(base::time_point now, std::int32_t urgency,
                                               base::duration time_left);
