Read the pace that an upstream tells beside its load

A load header with a fourth figure was dropped as a whole, so that the counts of running and waiting requests were lost too. An unreadable fourth figure leaves the three counts in force.

--- a/libraries/savorymount/routing/upstream_table.hpp
+++ b/libraries/savorymount/routing/upstream_table.hpp
@@ -19,6 +19,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// Duration of work at the moment in percent of the usual one; empty if the upstream does not
+    /// tell it.
+    std::optional<std::uint32_t> pace_percent;
 
     bool operator==(server_load const&) const = default;
 };
--- a/tests/libraries/routing/engine_placement_test.cpp
+++ b/tests/libraries/routing/engine_placement_test.cpp
@@ -72,10 +72,10 @@
     auto const digests = part_digests(cache_salt("crew", 1, ""), request().prompt.parts);
     for (std::size_t i = 0; i < 2; ++i)
         locations.record_assignment(at(0s), digests[i], "engine-4");
-    table.load_reported(at(0s), "engine-4", {5, 0, 48});
+    table.load_reported(at(0s), "engine-4", {5, 0, 48, std::nullopt});
     EXPECT_EQ(choose(request())->upstream, "engine-4");
     // When that engine is overloaded, another engine fetches the parts from it.
-    table.load_reported(at(0s), "engine-4", {48, 90, 48});
+    table.load_reported(at(0s), "engine-4", {48, 90, 48, std::nullopt});
     auto const other = choose(request());
     EXPECT_NE(other->upstream, "engine-4");
     EXPECT_EQ(other->source_address, "10.0.0.1:8000");
@@ -132,7 +132,7 @@
     desired.add_version("crew", 2, at(10s));
     auto const now = 16400ms;
     for (int i = 0; i < 6; ++i)
-        table.load_reported(at(now), "engine-" + std::to_string(i), {48, 120, 48});
+        table.load_reported(at(now), "engine-" + std::to_string(i), {48, 120, 48, std::nullopt});
     EXPECT_FALSE(choose(request(), now));
     table.apply_listing(at(now), engine("engine-3", "namur", 2));
     EXPECT_EQ(choose(request(), now)->upstream, "engine-3");
--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -108,6 +108,27 @@
     EXPECT_EQ(reason.kind, base::error_kind::invalid_input);
 }
 
+// Guards against losing the counts of an upstream that also tells its pace, and against a pace that
+// is made up from a broken figure.
+TEST(request_codec, reads_a_load_of_three_or_four_figures)
+{
+    auto const load_of = [](std::string const& text)
+    {
+        runtime::http_head head;
+        head.status = 200;
+        head.headers = {{"X-Server-Load", text}};
+        return decode_response_metadata(head).load;
+    };
+    EXPECT_EQ(load_of("3,1,8"), (routing::server_load{3, 1, 8, std::nullopt}));
+    EXPECT_EQ(load_of("3,1,8,250"), (routing::server_load{3, 1, 8, 250}));
+    for (char const* pace : {"", "-5", "fast", "1.5", "99999999999"})
+        EXPECT_EQ(load_of(std::string("3,1,8,") + pace),
+                  (routing::server_load{3, 1, 8, std::nullopt}))
+            << pace;
+    for (char const* text : {"", "3", "3,1", "3,1,8,100,7", "3,x,8,100"})
+        EXPECT_FALSE(load_of(text)) << text;
+}
+
 // Guards against an upstream's rejection that is treated as a successful response, and against a
 // response without a stamp that is trusted.
 TEST(request_codec, decodes_response_metadata)
@@ -118,7 +139,7 @@
     auto const rejected = decode_response_metadata(head);
     EXPECT_TRUE(rejected.not_executed);
     EXPECT_FALSE(rejected.stamped);
-    EXPECT_EQ(rejected.load, (routing::server_load{3, 0, 8}));
+    EXPECT_EQ(rejected.load, (routing::server_load{3, 0, 8, std::nullopt}));
     head.status = 421;
     head.headers = {{"X-Instance-Id", "i-02"}};
     EXPECT_TRUE(decode_response_metadata(head).misdirected);
