--- a/libraries/savorymount/gateway/placement.cpp
+++ b/libraries/savorymount/gateway/placement.cpp
@@ -45,7 +45,8 @@
     bool const isolated_workspace = admitted.workspace != nullptr && admitted.workspace->isolated;
     routing::engine_request const placement_request{
         *request.prompt, isolated_workspace ? admitted.workspace->name : "",
-        constraints.tried_upstreams, constraints.software_version};
+        constraints.tried_upstreams, constraints.software_version,
+        admitted.route->target_event_gap};
     auto const choice = routing::choose_engine(now, pool, placement_request, cluster.upstreams(),
                                                cluster.part_locations(), cluster.desired_weights());
     if (!choice)
--- a/libraries/savorymount/gateway/upstream_attempt.cpp
+++ b/libraries/savorymount/gateway/upstream_attempt.cpp
@@ -185,6 +185,8 @@
         record_first_byte();
     std::vector<streams::raw_event> events;
     event_splitter_.feed(bytes, events);
+    if (!events.empty())
+        record_event_gap();
     // The callback may finish this attempt.
     auto const self = shared_from_this();
     auto const callback = callbacks_.event;
@@ -198,6 +200,15 @@
         check_incomplete_event(!events.empty());
 }
 
+void upstream_attempt::record_event_gap()
+{
+    auto const now = context_.timers.now();
+    if (last_event_at_)
+        context_.cluster.upstreams().event_gap_observed(now, placement_.upstream.id,
+                                                        now - *last_event_at_);
+    last_event_at_ = now;
+}
+
 void upstream_attempt::check_incomplete_event(bool event_completed)
 {
     auto const now = context_.timers.now();
--- a/libraries/savorymount/gateway/upstream_attempt.hpp
+++ b/libraries/savorymount/gateway/upstream_attempt.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -75,6 +76,7 @@
     void record_notices();
     void handle_body(std::string_view bytes);
     void handle_stream_bytes(std::string_view bytes);
+    void record_event_gap();
     void check_incomplete_event(bool event_completed);
     /// Whether the response may occupy `bytes` of memory; ends the call otherwise. `too_large` is
     /// the reason if `bytes` exceeds `limit`.
@@ -98,6 +100,8 @@
     placed_request placement_;
     bool streaming_;
     base::time_point placed_at_{};
+    /// When the latest events of a stream arrived.
+    std::optional<base::time_point> last_event_at_;
     std::string model_;
     attempt_callbacks callbacks_;
     std::unique_ptr<runtime::outbound_connection> connection_;
--- a/libraries/savorymount/routing/engine_placement.cpp
+++ b/libraries/savorymount/routing/engine_placement.cpp
@@ -1,5 +1,6 @@
 #include <savorymount/base/digest.hpp>
 #include <savorymount/routing/engine_placement.hpp>
+#include <savorymount/routing/stream_separation.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -147,7 +148,8 @@
 /// still have the older version: keeping long prompts there avoids overloading the first engines
 /// with the new version.
 std::string preferred_engine_of(base::time_point now, std::vector<upstream_state*> const& engines,
-                                engine_request const& request)
+                                engine_request const& request, stream_separation const& separation,
+                                bool short_prompt)
 {
     auto const& parts = request.prompt.parts;
     auto const last_shared = parts.size() > 1 ? parts.size() - 2 : 0;
@@ -157,7 +159,11 @@
     std::uint64_t best_score = 0;
     for (auto const* it : engines)
     {
-        auto const score = base::chain_digest(placement_digest, it->record.id);
+        auto score = base::chain_digest(placement_digest, it->record.id);
+        if (is_slow(separation.slowness(it->record.id)))
+            score /= 2;
+        if (!separation.suits(it->record.id, short_prompt))
+            score = 0;
         if (now < it->draining_until || (!best.empty() && score <= best_score))
             continue;
         best = it->record.id;
@@ -216,7 +222,11 @@
                   });
     if (engines.empty() || prompt.parts.empty())
         return std::nullopt;
-    auto const preferred_engine = preferred_engine_of(now, engines, request);
+    stream_separation const separation(now, engines, table.short_request_share(),
+                                       request.target_event_gap);
+    bool const short_prompt = is_short_prompt(prompt.prompt_tokens, request.target_event_gap);
+    auto const preferred_engine =
+        preferred_engine_of(now, engines, request, separation, short_prompt);
     std::vector<version_prefix> prefixes;
     std::optional<engine_choice> best;
     double best_cost = 0;
@@ -229,10 +239,11 @@
         auto const plan = plan_prefill(in, prefix, choice.upstream);
         choice.source_address = plan.source_address;
         choice.write_to_store = !pool.store_address.empty() && plan.uncached_shared_tokens > 0;
-        choice.size = {plan.prefill_tokens, prompt.charged_tokens()};
+        choice.size = {plan.prefill_tokens, prompt.charged_tokens(), short_prompt};
+        auto const slowness = separation.slowness(choice.upstream);
         auto const wait =
-            load_cost(in, *engine, prompt.charged_tokens()) +
-            plan.prefill_tokens / prefill_tokens_per_ms +
+            load_cost(in, *engine, prompt.charged_tokens()) * slowness +
+            plan.prefill_tokens / prefill_tokens_per_ms * slowness +
             (plan.fetched_tokens > 0 ? fetch_base_ms + plan.fetched_tokens * fetch_ms_per_token
                                      : 0);
         choice.expected_wait = duration_from_ms(wait);
@@ -241,7 +252,7 @@
                                      staleness + choice.expected_wait > pool.max_version_staleness;
         if (begins_too_late)
             continue;
-        double cost = wait;
+        double cost = wait + separation.cost_ms(choice.upstream, short_prompt);
         if (engine->record.id != preferred_engine)
             cost += plan.uncached_shared_tokens * duplicate_prefill_ms_per_token +
                     plan.fetched_tokens * duplicate_copy_ms_per_token;
--- a/libraries/savorymount/routing/engine_placement.hpp
+++ b/libraries/savorymount/routing/engine_placement.hpp
@@ -39,6 +39,8 @@
     std::set<std::string> tried;
     /// The only software version that may run it; any if empty.
     std::optional<std::string> software_version;
+    /// Longest pause between two events that callers expect; 0 if none is declared.
+    base::duration target_event_gap{};
 
     bool operator==(engine_request const&) const = default;
 };
--- a/libraries/savorymount/routing/upstream_table.cpp
+++ b/libraries/savorymount/routing/upstream_table.cpp
@@ -19,6 +19,8 @@
 // Far longer than a process that leaves goes on to run.
 constexpr base::duration leaving_notice_lifetime = 10min;
 
+constexpr double request_mix_smoothing = 0.05;
+
 } // namespace
 
 double upstream_state::active_requests(base::time_point now) const
@@ -127,6 +129,12 @@
     ++state->local_use.requests;
     state->local_use.tokens += size.memory_tokens;
     state->local_prefill_tokens += size.prefill_tokens;
+    if (size.memory_tokens > 0)
+    {
+        ++prompts_;
+        short_prompts_ += size.short_prompt ? 1 : 0;
+        record_request_mix();
+    }
     if (state->awaiting_response++ == 0)
         state->awaiting_response_since = now;
 }
@@ -152,9 +160,27 @@
         state->last_progress_at = now;
 }
 
+void upstream_table::event_gap_observed(base::time_point now, std::string const& id,
+                                        base::duration gap)
+{
+    if (auto* const state = find(id))
+        state->estimate.record_event_gap(now, gap);
+}
+
+void upstream_table::record_request_mix()
+{
+    auto const share = static_cast<double>(short_prompts_) / prompts_;
+    short_request_share_ += request_mix_smoothing * (share - short_request_share_);
+}
+
 void upstream_table::request_finished(std::string const& id, bool had_response,
                                       request_size const& size)
 {
+    if (size.memory_tokens > 0 && prompts_ > 0)
+    {
+        --prompts_;
+        short_prompts_ -= size.short_prompt && short_prompts_ > 0 ? 1 : 0;
+    }
     auto* const state = find(id);
     if (state == nullptr)
         return;
@@ -234,6 +260,8 @@
         return;
     state->load = load;
     state->load_reported_at = now;
+    if (load.pace_percent)
+        state->estimate.record_pace(now, *load.pace_percent);
 }
 
 void upstream_table::weights_observed(std::string const& id, std::string const& model,
--- a/libraries/savorymount/routing/upstream_table.hpp
+++ b/libraries/savorymount/routing/upstream_table.hpp
@@ -2,6 +2,7 @@
 
 #include <savorymount/base/time.hpp>
 #include <savorymount/membership/upstream_record.hpp>
+#include <savorymount/routing/engine_estimate.hpp>
 
 #include <cstdint>
 #include <map>
@@ -58,6 +59,7 @@
 
     server_load load;
     base::time_point load_reported_at{};
+    engine_estimate estimate;
 
     /// Requests without any response yet.
     std::uint32_t awaiting_response = 0;
@@ -93,6 +95,9 @@
     double prefill_tokens = 0;
     /// Tokens of the whole prompt and the longest possible output.
     double memory_tokens = 0;
+    /// Whether the engine reads the whole prompt within a small part of the pause between events
+    /// that callers expect.
+    bool short_prompt = false;
 
     bool operator==(request_size const&) const = default;
 };
@@ -126,6 +131,8 @@
     void response_started(base::time_point now, std::string const& id, request_size const& size);
     /// Records that another part of a response arrived.
     void response_progressed(base::time_point now, std::string const& id);
+    /// Records the pause between two events of one stream.
+    void event_gap_observed(base::time_point now, std::string const& id, base::duration gap);
     /// Records that a request ended. `had_response` tells whether `response_started` was called for
     /// it.
     void request_finished(std::string const& id, bool had_response, request_size const& size);
@@ -164,6 +171,9 @@
     /// This instance's use of each upstream, for the other instances.
     std::map<std::string, upstream_use> local_use() const;
 
+    /// Recent share of requests with short prompts among the requests of this instance that run.
+    double short_request_share() const { return short_request_share_; }
+
     std::size_t size() const { return states_.size(); }
     std::map<std::string, upstream_state> const& all() const { return states_; }
 
@@ -181,7 +191,12 @@
     process_notice& notice_of(upstream_state const& state, base::time_point keep_until);
     void apply_notice(upstream_state& state) const;
 
+    void record_request_mix();
+
     std::map<std::string, upstream_state> states_;
+    std::uint32_t prompts_ = 0;
+    std::uint32_t short_prompts_ = 0;
+    double short_request_share_ = 0;
     /// By name of the process.
     std::map<std::string, process_notice> notices_;
     /// The upstreams that each peer reported to use.
