--- a/libraries/savorymount/routing/stream_separation.cpp
+++ b/libraries/savorymount/routing/stream_separation.cpp
@@ -42,12 +42,13 @@
     std::map<std::string, double> out;
     if (known.empty())
         return out;
-    auto const middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
-    std::nth_element(known.begin(), middle, known.end(),
+    // The lower quartile: engines count as slow beside the faster ones also if most are slow.
+    auto const reference = known.begin() + static_cast<std::ptrdiff_t>((known.size() - 1) / 4);
+    std::nth_element(known.begin(), reference, known.end(),
                      [](auto const& a, auto const& b) { return a.second < b.second; });
-    auto const median = middle->second;
+    auto const reference_gap = reference->second;
     for (auto const& [id, gap] : known)
-        out[id] = std::clamp(gap / median, min_slowness, max_slowness);
+        out[id] = std::clamp(gap / reference_gap, min_slowness, max_slowness);
     return out;
 }
 
--- a/libraries/savorymount/routing/stream_separation.hpp
+++ b/libraries/savorymount/routing/stream_separation.hpp
@@ -24,8 +24,8 @@
 
     bool in_force() const { return in_force_; }
 
-    /// Typical pause between two events at an engine, relative to the median of all engines; 1 if
-    /// unknown or not in force.
+    /// Typical pause between two events at an engine, relative to the lower quartile of all
+    /// engines; 1 if unknown or not in force.
     double slowness(std::string const& engine) const;
 
     /// Whether the engine is kept for requests of this kind.
