--- a/tests/system/support/process.cpp
+++ b/tests/system/support/process.cpp
@@ -2,7 +2,9 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
@@ -128,6 +130,13 @@
     return info.si_pid == 0;
 }
 
+std::size_t process::open_descriptors() const
+{
+    std::error_code ec;
+    std::filesystem::directory_iterator const entries("/proc/" + std::to_string(pid_) + "/fd", ec);
+    return ec ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 std::size_t process::peak_resident_bytes() const
 {
     std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
--- a/tests/system/support/process.hpp
+++ b/tests/system/support/process.hpp
@@ -34,6 +34,9 @@
     /// Highest resident memory since the start, in bytes; 0 if it is not known.
     std::size_t peak_resident_bytes() const;
 
+    /// Descriptors that it has open; 0 if that is not known.
+    std::size_t open_descriptors() const;
+
 private:
     pid_t pid_ = -1;
     std::string output_path_;
