--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -3,8 +3,10 @@
 #include <savorymount/runtime/log_events.hpp>
 #include <savorymount/runtime/plugin_registry.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <functional>
+#include <sys/resource.h>
 #include <utility>
 
 namespace savorymount::gateway
@@ -33,11 +35,40 @@
     return path == nullptr ? "" : path;
 }
 
-runtime::http_limits internal_http_limits()
+configuration::client_limits status_limits()
 {
-    runtime::http_limits out;
+    configuration::client_limits out;
     out.max_header_bytes = std::size_t{8} * 1024;
     out.max_body_bytes = std::size_t{8} * 1024;
+    out.idle_timeout = 60s;
+    return out;
+}
+
+std::size_t descriptor_limit()
+{
+    rlimit out{};
+    getrlimit(RLIMIT_NOFILE, &out);
+    return out.rlim_cur;
+}
+
+runtime::inbound_bounds caller_bounds(gateway_settings const& settings)
+{
+    // The other descriptors are for upstreams, the store, peers and the status ports.
+    runtime::inbound_bounds out;
+    out.max_connections = descriptor_limit() / 8 * 5;
+    constexpr std::size_t head_divisor = 5;
+    out.max_head_bytes = settings.memory_bytes / head_divisor;
+    return out;
+}
+
+runtime::inbound_bounds status_bounds(gateway_settings const& settings)
+{
+    constexpr std::size_t min_connections = 8;
+    constexpr std::size_t max_connections = 64;
+    runtime::inbound_bounds out;
+    out.max_connections = std::clamp(descriptor_limit() / 32, min_connections, max_connections);
+    constexpr std::size_t head_divisor = 20;
+    out.max_head_bytes = settings.memory_bytes / head_divisor;
     return out;
 }
 
@@ -110,13 +141,19 @@
                }},
       body_admission_(timers_, cluster_, platform_, body_limits(settings),
                       [this](request_outcome const& it) { request_ended(it); }),
-      server_(*loop_, timers_,
-              [this](auto client, runtime::http_request&& request)
-              { handle_request(std::move(client), std::move(request)); }),
-      ready_server_(*loop_, internal_http_limits(),
-                    [this](auto it) { handle_readiness_request(it); }),
-      metrics_server_(*loop_, internal_http_limits(),
-                      [this](auto it) { handle_metrics_request(it); }),
+      server_(
+          *loop_, timers_,
+          [this](auto client, runtime::http_request&& request)
+          { handle_request(std::move(client), std::move(request)); },
+          caller_bounds(settings)),
+      ready_server_(
+          *loop_, timers_,
+          [this](auto const& client, auto const&) { handle_readiness_request(*client); },
+          status_bounds(settings)),
+      metrics_server_(
+          *loop_, timers_,
+          [this](auto const& client, auto const&) { handle_metrics_request(*client); },
+          status_bounds(settings)),
       peer_exchange_(*loop_, timers_, cluster_,
                      {[this](base::time_point now) { return rollout_leader_.loads(now); },
                       [this](base::time_point now) { return rollout_leader_.held_lease(now); },
@@ -143,6 +180,8 @@
           }),
       settings_reload_(std::move(origin)), settings_file_(settings_file_path())
 {
+    ready_server_.set_limits(status_limits());
+    metrics_server_.set_limits(status_limits());
     server_.on_body_announced([this](std::shared_ptr<runtime::inbound_connection> const& client,
                                      runtime::http_head const& head)
                               { body_admission_.handle_head(client, head); });
@@ -435,16 +474,16 @@
            !cluster_.started_on_outdated_configuration(timers_.now());
 }
 
-void gateway::handle_readiness_request(std::shared_ptr<runtime::http_exchange> const& exchange)
+void gateway::handle_readiness_request(runtime::inbound_connection& client)
 {
-    exchange->respond(ready() ? 200 : 503, {{"Content-Type", "text/plain"}},
-                      ready() ? "ready\n" : "not ready\n");
+    client.respond(ready() ? 200 : 503, {{"Content-Type", "text/plain"}},
+                   ready() ? "ready\n" : "not ready\n");
 }
 
-void gateway::handle_metrics_request(std::shared_ptr<runtime::http_exchange> const& exchange)
+void gateway::handle_metrics_request(runtime::inbound_connection& client)
 {
-    exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                      metrics_.render(timers_.now()));
+    client.respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                   metrics_.render(timers_.now()));
 }
 
 void gateway::start_draining()
--- a/libraries/savorymount/gateway/gateway.hpp
+++ b/libraries/savorymount/gateway/gateway.hpp
@@ -13,7 +13,6 @@
 #include <savorymount/gateway/settings_reload.hpp>
 #include <savorymount/gateway/stream_directory.hpp>
 #include <savorymount/runtime/event_loop.hpp>
-#include <savorymount/runtime/http_server.hpp>
 #include <savorymount/runtime/inbound_server.hpp>
 #include <savorymount/runtime/loop_delay_monitor.hpp>
 #include <savorymount/runtime/outbound_pool.hpp>
@@ -55,8 +54,8 @@
     void handle_request(std::shared_ptr<runtime::inbound_connection> client,
                         runtime::http_request&& request);
     void request_ended(request_outcome const& outcome);
-    void handle_readiness_request(std::shared_ptr<runtime::http_exchange> const& exchange);
-    void handle_metrics_request(std::shared_ptr<runtime::http_exchange> const& exchange);
+    void handle_readiness_request(runtime::inbound_connection& client);
+    void handle_metrics_request(runtime::inbound_connection& client);
     void store_responded();
     void store_restored(std::uint64_t era);
     void store_failed(store_failure const& failure);
@@ -77,8 +76,8 @@
     gateway_context context_;
     body_admission body_admission_;
     runtime::inbound_server server_;
-    runtime::http_server ready_server_;
-    runtime::http_server metrics_server_;
+    runtime::inbound_server ready_server_;
+    runtime::inbound_server metrics_server_;
     peer_exchange peer_exchange_;
     rollout_leader rollout_leader_;
     runtime::network_address peer_address_;
--- a/libraries/savorymount/runtime/http_message_reader.cpp
+++ b/libraries/savorymount/runtime/http_message_reader.cpp
@@ -153,6 +153,8 @@
     if (reader.is_interim())
         return response_has_no_body;
     reader.hooks_.head(reader.head_);
+    // The owner keeps the fields; many short ones take far more memory than their bytes.
+    reader.head_.headers = {};
     return reader.expects_head_response_ ? response_has_no_body : parsing_continues;
 }
 
--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -32,8 +32,21 @@
 constexpr base::duration first_output_check = 1s;
 // For a body that is being read; other connections have a small buffer.
 constexpr int body_receive_buffer_bytes = 512 * 1024;
+// The next request is not read while the client leaves more of its answers unread.
+constexpr std::size_t max_unread_output_bytes = std::size_t{64} * 1024;
+// Memory of a head for each of its bytes while its fields are not counted: a field of three bytes
+// takes two strings.
+constexpr std::size_t memory_per_head_byte = 16;
 constexpr char const* continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
+std::size_t memory_of(http_head const& head)
+{
+    std::size_t out = head.target.capacity() + head.headers.capacity() * sizeof(http_header);
+    for (auto const& it : head.headers)
+        out += it.name.capacity() + it.value.capacity();
+    return out;
+}
+
 int status_of(base::error const& reason, bool in_body)
 {
     if (reason.kind != base::error_kind::too_large)
@@ -54,7 +67,8 @@
                {
                    complete_ = true;
                }}),
-      opened_at_(timers.now()), idle_since_(opened_at_), allowed_silence_(client_silence)
+      opened_at_(timers.now()), received_at_(opened_at_), idle_since_(opened_at_),
+      allowed_silence_(client_silence)
 {
     watch_for_silence(socket, client_silence);
     bufferevent_setcb(buffer_, handle_read, handle_write, handle_event, this);
@@ -187,6 +201,15 @@
     return n > 0 || evbuffer_get_length(bufferevent_get_input(buffer_)) > 0;
 }
 
+std::size_t inbound_connection::head_memory() const
+{
+    if (phase_ != phase::receiving)
+        return 0;
+    if (body_state_ == body_state::unannounced)
+        return memory_per_head_byte * head_bytes_;
+    return head_memory_;
+}
+
 void inbound_connection::close()
 {
     if (phase_ == phase::closed)
@@ -211,8 +234,11 @@
 void inbound_connection::handle_read(bufferevent*, void* self)
 {
     auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
+    keep->received_at_ = keep->timers_.now();
     if (!run_guarded("caller input", [&] { keep->read_input(); }))
         run_guarded("caller end", [&] { keep->close(); });
+    if (keep->phase_ != phase::closed && keep->hooks_.input_read)
+        keep->hooks_.input_read(*keep);
 }
 
 void inbound_connection::handle_write(bufferevent*, void* self)
@@ -221,6 +247,11 @@
     if (auto const hook = std::exchange(keep->drained_, nullptr))
         run_guarded("caller output", hook);
     keep->output_drained();
+    // Requests that were sent ahead may wait for the answers before them.
+    if (keep->phase_ == phase::waiting &&
+        evbuffer_get_length(bufferevent_get_input(keep->buffer_)) > 0)
+        bufferevent_trigger(keep->buffer_, EV_READ,
+                            BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
 void inbound_connection::handle_event(bufferevent*, short what, void* self)
@@ -254,7 +285,10 @@
     {
         if (phase_ == phase::waiting)
         {
+            if (buffered_bytes() > max_unread_output_bytes)
+                return;
             phase_ = phase::receiving;
+            head_bytes_ = 0;
             reader_.set_max_header_bytes(limits().max_header_bytes);
             arm(limits().header_timeout);
         }
@@ -268,8 +302,12 @@
             return;
         }
         evbuffer_drain(input, *consumed);
-        if (std::exchange(complete_, false))
-            take_request();
+        head_bytes_ += *consumed;
+        if (!std::exchange(complete_, false))
+            continue;
+        take_request();
+        // The next request has its turn after the other connections.
+        break;
     }
     if (phase_ == phase::receiving && body_state_ == body_state::head_arrived)
         announce_body();
@@ -321,6 +359,7 @@
                                                          " bytes; send a smaller one"};
         return;
     }
+    head_memory_ = memory_of(head);
     arm(limits().idle_timeout);
     body_state_ = body_state::head_arrived;
 }
--- a/libraries/savorymount/runtime/inbound_connection.hpp
+++ b/libraries/savorymount/runtime/inbound_connection.hpp
@@ -26,6 +26,8 @@
     /// The head of a request has arrived and its body has not, at least not whole. Nothing more is
     /// read until `read_body` or `refuse_body` is called. Without this hook, all bodies are read.
     std::function<void(std::shared_ptr<inbound_connection>, http_head const&)> body_announced;
+    /// Bytes have arrived, or a request was handed over.
+    std::function<void(inbound_connection const&)> input_read = nullptr;
     /// The connection is closed; called once.
     std::function<void(inbound_connection const&)> closed;
     std::function<configuration::client_limits()> limits;
@@ -79,6 +81,10 @@
     /// Bytes of responses that the client's side has not accepted yet.
     std::size_t unsent_bytes() const;
     base::time_point opened_at() const { return opened_at_; }
+    /// When bytes last arrived, or the connection was opened.
+    base::time_point received_at() const { return received_at_; }
+    /// Memory of the head of a request that has not arrived whole.
+    std::size_t head_memory() const;
     /// Whether bytes of a request have arrived that were not read yet.
     bool has_unread_input() const;
     void close();
@@ -153,6 +159,10 @@
     bufferevent* buffer_;
     http_message_reader reader_;
     base::time_point opened_at_;
+    base::time_point received_at_;
+    /// Bytes of an incomplete head, and memory of a complete one.
+    std::size_t head_bytes_ = 0;
+    std::size_t head_memory_ = 0;
     phase phase_ = phase::waiting;
     http_request request_;
     body_state body_state_ = body_state::unannounced;
--- a/libraries/savorymount/runtime/inbound_server.cpp
+++ b/libraries/savorymount/runtime/inbound_server.cpp
@@ -17,8 +17,10 @@
 
 } // namespace
 
-inbound_server::inbound_server(event_loop& loop, timer_service& timers, request_hook hook)
-    : loop_(loop), timers_(timers), hook_(std::move(hook))
+inbound_server::inbound_server(event_loop& loop, timer_service& timers, request_hook hook,
+                               inbound_bounds const& bounds)
+    : loop_(loop), timers_(timers), hook_(std::move(hook)), bounds_(bounds),
+      heads_(bounds.max_head_bytes)
 {
 }
 
@@ -120,9 +122,14 @@
     inbound_hooks hooks;
     hooks.request = hook_;
     hooks.body_announced = body_hook_;
+    hooks.input_read = [this](inbound_connection const& it)
+    {
+        heads_.update(timers_.now(), &it, it.head_memory());
+        end_excess();
+    };
     hooks.closed = [this](inbound_connection const& it)
     {
-        connections_.erase(&it);
+        connection_closed(it);
     };
     hooks.limits = [this]
     {
@@ -134,6 +141,47 @@
     };
     auto const it = std::make_shared<inbound_connection>(loop_, timers_, socket, std::move(hooks));
     connections_.emplace(it.get(), it);
+    if (connections_.size() >= bounds_.max_connections)
+        make_room();
+}
+
+void inbound_server::make_room()
+{
+    std::shared_ptr<inbound_connection> out;
+    for (auto const& [key, it] : connections_)
+    {
+        if (!it->busy() && (!out || it->received_at() < out->received_at()))
+            out = it;
+    }
+    if (out)
+    {
+        ++ended_connections_;
+        out->close();
+        return;
+    }
+    if (listener_ != nullptr)
+        evconnlistener_disable(listener_);
+}
+
+void inbound_server::connection_closed(inbound_connection const& it)
+{
+    heads_.remove(&it);
+    connections_.erase(&it);
+    if (listener_ != nullptr)
+        evconnlistener_enable(listener_);
+}
+
+void inbound_server::end_excess()
+{
+    while (auto const it = heads_.excess(timers_.now()))
+    {
+        auto const found = connections_.find(static_cast<inbound_connection const*>(*it));
+        if (found == connections_.end())
+            return;
+        ++ended_connections_;
+        auto const connection = found->second;
+        connection->close();
+    }
 }
 
 } // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/inbound_server.hpp
+++ b/libraries/savorymount/runtime/inbound_server.hpp
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <savorymount/base/error.hpp>
+#include <savorymount/runtime/client_account.hpp>
 #include <savorymount/runtime/inbound_connection.hpp>
 #include <savorymount/runtime/settings_parser.hpp>
 
 #include <event2/listener.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -14,6 +17,14 @@
 namespace savorymount::runtime
 {
 
+/// Bounds on what all clients of a server may hold.
+struct inbound_bounds
+{
+    std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+    /// Memory of heads whose requests have not arrived whole.
+    std::size_t max_head_bytes = std::numeric_limits<std::size_t>::max();
+};
+
 /// Accepts the connections of clients. Framing that two parsers could read differently is refused.
 class inbound_server
 {
@@ -21,7 +32,8 @@
     using request_hook = std::function<void(std::shared_ptr<inbound_connection>, http_request&&)>;
     using body_hook = std::function<void(std::shared_ptr<inbound_connection>, http_head const&)>;
 
-    inbound_server(event_loop& loop, timer_service& timers, request_hook hook);
+    inbound_server(event_loop& loop, timer_service& timers, request_hook hook,
+                   inbound_bounds const& bounds = {});
     ~inbound_server();
     inbound_server(inbound_server const&) = delete;
     inbound_server& operator=(inbound_server const&) = delete;
@@ -45,18 +57,28 @@
     /// Connections whose response is complete and not accepted by the client yet.
     std::size_t unsent_responses() const;
     std::size_t connections() const { return connections_.size(); }
+    /// Connections that were ended because clients held too much.
+    std::size_t ended_connections() const { return ended_connections_; }
 
 private:
     static void handle_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self);
     void accept(evutil_socket_t socket);
     /// Accepts the connections that wait in the kernel.
     void accept_pending();
+    /// Makes room for one more connection: ends the one from which nothing has come for longest,
+    /// or leaves new ones in the backlog if all have requests.
+    void make_room();
+    void connection_closed(inbound_connection const& it);
+    void end_excess();
 
     event_loop& loop_;
     timer_service& timers_;
     request_hook hook_;
     body_hook body_hook_;
     configuration::client_limits limits_;
+    inbound_bounds bounds_;
+    client_account heads_;
+    std::size_t ended_connections_ = 0;
     bool draining_ = false;
     evconnlistener* listener_ = nullptr;
     std::unordered_map<inbound_connection const*, std::shared_ptr<inbound_connection>> connections_;
