--- a/tests/platform/upstream_in_trouble_test.cpp
+++ b/tests/platform/upstream_in_trouble_test.cpp
@@ -108,7 +108,8 @@
         flooding_server endless(system.loop, it.beginning, it.piece);
         scripted_server sound(system.loop, {whole_answer("r", "found")}, afterwards::keep);
         system.add_upstream("endless", "desk", endless.address());
-        system.cluster.upstreams().load_reported(system.timers.now(), "endless", {0, 0, 100, std::nullopt});
+        system.cluster.upstreams().load_reported(system.timers.now(), "endless",
+                                                 {0, 0, 100, std::nullopt});
         auto const caller = system.send("/safe/find", "r");
         system.run_until([&] { return endless.requests() == 1; });
         system.add_upstream("sound", "desk", sound.address());
