--- a/tests/libraries/rollouts/rollout_progress_test.cpp
+++ b/tests/libraries/rollouts/rollout_progress_test.cpp
@@ -255,7 +255,7 @@
     for (int n = 0; n < histories; ++n)
     {
         tests::history_options options;
-        options.seed = static_cast<std::uint64_t>(n * 7 + 1);
+        options.seed = static_cast<std::uint64_t>(n) * 7 + 1;
         options.instances = static_cast<std::size_t>(2 + n % 9);
         options.requests_per_second = 150 + n;
         options.target_engines = static_cast<std::size_t>(2 + n % 8);
