--- a/libraries/savorymount/runtime/http_message_reader.cpp
+++ b/libraries/savorymount/runtime/http_message_reader.cpp
@@ -64,6 +64,7 @@
     auto const failure = HTTP_PARSER_ERRNO(&parser_);
     if (failure == HPE_OK || failure == HPE_PAUSED)
         return consumed;
+    head_.headers = {};
     if (too_large_ || failure == HPE_HEADER_OVERFLOW)
         reason = {base::error_kind::too_large, "the header is larger than " +
                                                    std::to_string(max_header_bytes_) +
--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -398,6 +398,9 @@
     phase_ = phase::responding;
     keep_alive_ = false;
     respond(status_of(reason, in_body), {{"Content-Type", "text/plain"}}, reason.message + "\n");
+    // What was read ahead is not needed, and the connection may linger.
+    if (phase_ == phase::lingering)
+        discard_input();
 }
 
 void inbound_connection::end_response()
