--- a/libraries/savorymount/gateway/gateway_metrics.cpp
+++ b/libraries/savorymount/gateway/gateway_metrics.cpp
@@ -65,6 +65,10 @@
         .histogram("savorymount_request_seconds", "Time from arrival to the end of the answer.",
                    labels)
         .record(to_seconds(it.total_time));
+    metrics_
+        .histogram("savorymount_admission_wait_seconds",
+                   "Time for which requests waited at the gateway for room.", labels)
+        .record(to_seconds(it.admission_wait));
     if (it.end != request_end::answered)
         return;
     metrics_
--- a/libraries/savorymount/gateway/request_admission.cpp
+++ b/libraries/savorymount/gateway/request_admission.cpp
@@ -248,12 +248,4 @@
     return admission_of(it->second.service).retry_after(timers_.now(), ticket, time_left);
 }
 
-std::map<std::string, std::size_t> request_admission::waiting() const
-{
-    std::map<std::string, std::size_t> out;
-    for (auto const& [service, admission] : services_)
-        out[service] = admission.waiting();
-    return out;
-}
-
 } // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/request_admission.hpp
+++ b/libraries/savorymount/gateway/request_admission.hpp
@@ -46,9 +46,6 @@
     /// known.
     std::optional<base::duration> retry_after(std::uint64_t ticket, base::duration time_left);
 
-    /// Requests that wait, by service.
-    std::map<std::string, std::size_t> waiting() const;
-
 private:
     struct ticket_state
     {
