--- a/libraries/savorymount/gateway/gateway_settings.cpp
+++ b/libraries/savorymount/gateway/gateway_settings.cpp
@@ -117,6 +117,10 @@
         .add("loading-at-once", "0",
              "engines that may load weights at the same time; 0 derives it from the number of "
              "engines")
+        .add(
+            "order-by-urgency", "false",
+            "whether requests wait or are refused in the order of their priority while the engines "
+            "of a service can't begin all of them")
         .add("response-body-kib", "4096", "largest body of a response that is no stream, KiB")
         .add("response-event-kib", "256", "largest event of a stream, KiB")
         .add("response-memory-kib", "24576",
@@ -162,6 +166,7 @@
     out.quota_overshoot_tokens = reader.decimal("quota-overshoot-tokens", 0, 1e12);
     out.max_concurrent_loads =
         static_cast<std::size_t>(reader.number("loading-at-once", 0, 10'000));
+    out.order_by_urgency = reader.boolean("order-by-urgency");
     out.responses = {reader.kibibytes("response-body-kib"), reader.kibibytes("response-event-kib"),
                      reader.kibibytes("response-memory-kib")};
     out.max_response_overhead_bytes = reader.kibibytes("response-overhead-kib");
--- a/libraries/savorymount/gateway/gateway_settings.hpp
+++ b/libraries/savorymount/gateway/gateway_settings.hpp
@@ -44,6 +44,9 @@
     double quota_overshoot_tokens = 0;
     /// Engines that may load weights at the same time; 0 derives it from the number of engines.
     std::size_t max_concurrent_loads = 0;
+    /// Whether requests wait, or are refused, in the order of their urgency while the engines of a
+    /// service can't begin all of them.
+    bool order_by_urgency = false;
     response_limits responses;
     /// Memory that the process may use.
     std::size_t memory_bytes = 0;
--- a/libraries/savorymount/gateway/request_admission.cpp
+++ b/libraries/savorymount/gateway/request_admission.cpp
@@ -133,6 +133,8 @@
 
 bool request_admission::in_force(admitted_request const& admitted, std::string const& service) const
 {
+    if (!cluster_.settings().order_by_urgency)
+        return false;
     auto const priorities = priorities_of(admitted.deployment->data(), service);
     if (priorities.first >= priorities.last)
         return false;
--- a/libraries/savorymount/gateway/request_admission.hpp
+++ b/libraries/savorymount/gateway/request_admission.hpp
@@ -18,9 +18,9 @@
 namespace savorymount::gateway
 {
 
-/// Decides for each request of this instance whether it begins, waits or is refused. It is in force
-/// for services whose upstreams tell their load and whose requests differ in urgency; there is no
-/// timer unless a request waits.
+/// Decides for each request of this instance whether it begins, waits or is refused. If the
+/// settings ask for it, it is in force for services whose upstreams tell their load and whose
+/// requests differ in urgency; there is no timer unless a request waits.
 class request_admission
 {
 public:
--- a/tests/libraries/queueing/retry_schedule_test.cpp
+++ b/tests/libraries/queueing/retry_schedule_test.cpp
@@ -39,6 +39,7 @@
 {
     retry_schedule schedule;
     std::vector<base::duration> spread;
+    spread.reserve(100);
     for (int n = 0; n < 100; ++n)
         spread.push_back(*schedule.book(at({}), caller(2, 0), 0));
     std::vector<base::duration> const with_one_delay(100, 120ms);
