--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -144,17 +144,23 @@
 
 void gateway_request::dispatch_with_room()
 {
-    auto const asked_at = context_.timers.now();
-    context_.admission.ask(
-        *admitted_, caller_request_, service_, admitted_->timeout - elapsed(), admission_ticket_,
-        [self = shared_from_this(), asked_at](std::optional<refusal> const& refused)
-        {
-            self->outcome_.admission_wait = self->context_.timers.now() - asked_at;
-            if (refused)
-                self->refuse(*refused);
-            else
-                self->dispatch();
-        });
+    admission_asked_at_ = context_.timers.now();
+    context_.admission.ask(*admitted_, caller_request_, service_, admitted_->timeout - elapsed(),
+                           admission_ticket_,
+                           [self = shared_from_this()](std::optional<refusal> const& refused)
+                           {
+                               self->end_admission_wait();
+                               if (refused)
+                                   self->refuse(*refused);
+                               else
+                                   self->dispatch();
+                           });
+}
+
+void gateway_request::end_admission_wait()
+{
+    if (auto const asked_at = std::exchange(admission_asked_at_, std::nullopt))
+        outcome_.admission_wait = context_.timers.now() - *asked_at;
 }
 
 void gateway_request::dispatch()
@@ -547,6 +553,7 @@
     timeout_timer_ = {};
     stall_timer_ = {};
     client_->on_gone(nullptr);
+    end_admission_wait();
     context_.admission.leave(admission_ticket_);
     finish_attempt(result == request_end::answered);
     release_body();
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -38,6 +38,8 @@
     void record_stream_origin();
     /// Dispatches the request when an engine can begin it.
     void dispatch_with_room();
+    /// Notes how long the request waited for the decision whether it begins.
+    void end_admission_wait();
     void dispatch();
     void start_attempt(placed_request placed);
     /// Records the weight version of an attempt for the log.
@@ -97,6 +99,8 @@
     upstream_constraints constraints_;
     /// Of the admission; 0 if it is not in force for the service.
     std::uint64_t admission_ticket_ = 0;
+    /// Set while the decision whether the request begins is awaited.
+    std::optional<base::time_point> admission_asked_at_;
     std::uint32_t attempts_sent_ = 0;
     std::uint32_t attempts_not_sent_ = 0;
     bool may_have_run_ = false;
--- a/libraries/savorymount/gateway/request_admission.cpp
+++ b/libraries/savorymount/gateway/request_admission.cpp
@@ -1,5 +1,6 @@
 #include <savorymount/gateway/placement.hpp>
 #include <savorymount/gateway/request_admission.hpp>
+#include <savorymount/runtime/callback_guard.hpp>
 #include <savorymount/runtime/log_events.hpp>
 
 #include <algorithm>
@@ -124,7 +125,7 @@
     }
     if (decision.verdict == queueing::room_verdict::refuse)
     {
-        ++period.refused;
+        period.refused += period.waited > 0 ? 1 : 0;
         decided(no_room_refusal(decision.retry_after));
     }
     else
@@ -177,14 +178,13 @@
 {
     if (std::exchange(updating_, true))
         return;
-    std::size_t waiting = 0;
     for (auto& [service, admission] : services_)
-    {
         update_service(service, admission);
-        waiting += admission.waiting();
-    }
     updating_ = false;
-    if (waiting > 0)
+    // A decision for one service may have let a request of another one wait.
+    bool const waits = std::any_of(services_.begin(), services_.end(),
+                                   [](auto const& it) { return it.second.waiting() > 0; });
+    if (waits)
         return;
     update_timer_ = {};
     timer_runs_ = false;
@@ -193,8 +193,6 @@
 void request_admission::update_service(std::string const& service,
                                        queueing::service_admission& admission)
 {
-    if (admission.waiting() == 0)
-        return;
     for (auto const& it : admission.update(timers_.now()))
     {
         // A callback may end other requests.
@@ -204,9 +202,12 @@
         auto const decided = std::exchange(found->second.decided, nullptr);
         bool const refused = it.verdict == queueing::room_verdict::refuse;
         periods_[service].refused += refused ? 1 : 0;
-        decided(refused ? std::optional(no_room_refusal(it.retry_after)) : std::nullopt);
+        // One request that fails must not keep the others waiting.
+        runtime::run_guarded(
+            "admission decision", [&]
+            { decided(refused ? std::optional(no_room_refusal(it.retry_after)) : std::nullopt); });
     }
-    if (admission.waiting() == 0)
+    if (admission.waiting() == 0 && periods_[service].waited > 0)
         log_period(service, admission);
 }
 
--- a/libraries/savorymount/queueing/service_admission.hpp
+++ b/libraries/savorymount/queueing/service_admission.hpp
@@ -29,7 +29,7 @@
     std::uint64_t id = 0;
     /// 0 is the most urgent.
     std::int32_t urgency = 0;
-    /// No other route of the service is more urgent.
+    /// No route of the service and no workspace has a more urgent priority.
     bool most_urgent = false;
     std::string workspace;
     double weight = 1;
@@ -79,8 +79,8 @@
     /// The request ended, or its caller left.
     void leave(base::time_point now, std::uint64_t id);
 
-    /// When the caller of a request that an engine rejected should return. Empty without a value if
-    /// no interval is known.
+    /// When the caller of a request that an engine rejected should return; empty if the rate at
+    /// which requests begin is unknown, or if that would be too late.
     std::optional<base::duration> retry_after(base::time_point now, std::uint64_t id,
                                               base::duration time_left);
 
--- a/libraries/savorymount/routing/upstream_table.cpp
+++ b/libraries/savorymount/routing/upstream_table.cpp
@@ -180,6 +180,8 @@
     {
         --prompts_;
         short_prompts_ -= size.short_prompt && short_prompts_ > 0 ? 1 : 0;
+        // A prompt that was sent to an unknown upstream was not counted.
+        short_prompts_ = std::min(short_prompts_, prompts_);
     }
     auto* const state = find(id);
     if (state == nullptr)
--- a/libraries/savorymount/runtime/inbound_server.cpp
+++ b/libraries/savorymount/runtime/inbound_server.cpp
@@ -142,20 +142,27 @@
     auto const it = std::make_shared<inbound_connection>(loop_, timers_, socket, std::move(hooks));
     connections_.emplace(it.get(), it);
     if (connections_.size() >= bounds_.max_connections)
-        make_room();
+        make_room(*it);
 }
 
-void inbound_server::make_room()
+void inbound_server::make_room(inbound_connection const& newest)
 {
+    auto const ends_before = [](inbound_connection const& it, inbound_connection const& other)
+    {
+        if (it.idle() != other.idle())
+            return it.idle();
+        return it.received_at() < other.received_at();
+    };
     std::shared_ptr<inbound_connection> out;
     for (auto const& [key, it] : connections_)
     {
-        if (!it->busy() && (!out || it->received_at() < out->received_at()))
+        // A request that runs, or an answer that is still being sent, is not cut off.
+        bool const may_end = it.get() != &newest && !it->busy() && it->unsent_bytes() == 0;
+        if (may_end && (!out || ends_before(*it, *out)))
             out = it;
     }
     if (out)
     {
-        ++ended_connections_;
         out->close();
         return;
     }
@@ -178,7 +185,6 @@
         auto const found = connections_.find(static_cast<inbound_connection const*>(*it));
         if (found == connections_.end())
             return;
-        ++ended_connections_;
         auto const connection = found->second;
         connection->close();
     }
--- a/libraries/savorymount/runtime/inbound_server.hpp
+++ b/libraries/savorymount/runtime/inbound_server.hpp
@@ -57,17 +57,15 @@
     /// Connections whose response is complete and not accepted by the client yet.
     std::size_t unsent_responses() const;
     std::size_t connections() const { return connections_.size(); }
-    /// Connections that were ended because clients held too much.
-    std::size_t ended_connections() const { return ended_connections_; }
 
 private:
     static void handle_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self);
     void accept(evutil_socket_t socket);
     /// Accepts the connections that wait in the kernel.
     void accept_pending();
-    /// Makes room for one more connection: ends the one from which nothing has come for longest,
-    /// or leaves new ones in the backlog if all have requests.
-    void make_room();
+    /// Makes room for one more connection than `newest`: ends an idle one, the one from which
+    /// nothing has come for longest, or leaves new ones in the backlog if all others are in use.
+    void make_room(inbound_connection const& newest);
     void connection_closed(inbound_connection const& it);
     void end_excess();
 
@@ -78,7 +76,6 @@
     configuration::client_limits limits_;
     inbound_bounds bounds_;
     client_account heads_;
-    std::size_t ended_connections_ = 0;
     bool draining_ = false;
     evconnlistener* listener_ = nullptr;
     std::unordered_map<inbound_connection const*, std::shared_ptr<inbound_connection>> connections_;
