Free the listener once; read a request behind two unread answers

The listener is forgotten when it is freed, and up to two unread answers of any size let the next request be read.

--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -32,8 +32,10 @@
 constexpr base::duration first_output_check = 1s;
 // For a body that is being read; other connections have a small buffer.
 constexpr int body_receive_buffer_bytes = 512 * 1024;
-// The next request is not read while the client leaves more of its answers unread.
+// The next request is not read while the client leaves more answers, and more bytes of them,
+// unread.
 constexpr std::size_t max_unread_output_bytes = std::size_t{64} * 1024;
+constexpr std::size_t max_unread_answers = 2;
 // Memory of a head for each of its bytes while its fields are not counted: a field of three bytes
 // takes two strings.
 constexpr std::size_t memory_per_head_byte = 16;
@@ -244,6 +246,8 @@
 void inbound_connection::handle_write(bufferevent*, void* self)
 {
     auto const keep = static_cast<inbound_connection*>(self)->shared_from_this();
+    if (keep->buffered_bytes() == 0)
+        keep->unread_answers_ = 0;
     if (auto const hook = std::exchange(keep->drained_, nullptr))
         run_guarded("caller output", hook);
     keep->output_drained();
@@ -285,7 +289,7 @@
     {
         if (phase_ == phase::waiting)
         {
-            if (buffered_bytes() > max_unread_output_bytes)
+            if (unread_answers_ > max_unread_answers && buffered_bytes() > max_unread_output_bytes)
                 return;
             phase_ = phase::receiving;
             head_bytes_ = 0;
@@ -405,6 +409,7 @@
 
 void inbound_connection::end_response()
 {
+    ++unread_answers_;
     gone_ = nullptr;
     if (!keep_alive_ || hooks_.draining())
     {
--- a/libraries/savorymount/runtime/inbound_connection.hpp
+++ b/libraries/savorymount/runtime/inbound_connection.hpp
@@ -160,6 +160,8 @@
     http_message_reader reader_;
     base::time_point opened_at_;
     base::time_point received_at_;
+    /// Complete answers since the client last accepted all output.
+    std::size_t unread_answers_ = 0;
     /// Bytes of an incomplete head, and memory of a complete one.
     std::size_t head_bytes_ = 0;
     std::size_t head_memory_ = 0;
--- a/libraries/savorymount/runtime/inbound_server.cpp
+++ b/libraries/savorymount/runtime/inbound_server.cpp
@@ -27,7 +27,7 @@
 inbound_server::~inbound_server()
 {
     if (listener_ != nullptr)
-        evconnlistener_free(listener_);
+        evconnlistener_free(std::exchange(listener_, nullptr));
     auto const open = std::exchange(connections_, {});
     for (auto const& it : open)
         it.second->close();
