Show what made the event loop late, and where a request waited before it was sent

It now tells the processor time of the process meanwhile (a process that was not run used none) and the task that took longest; every callback of the loop is measured, the configuration, the route history, placements, reports and requests by themselves. A histogram keeps the delays. placed_ms of a request's line tells how long it waited inside, accepting_paused that connections waited in the backlog.

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -1,4 +1,5 @@
 #include <savorymount/gateway/cluster_state.hpp>
+#include <savorymount/runtime/task_timer.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -441,6 +442,7 @@
 
 void cluster_state::observe_routes(base::time_point now)
 {
+    runtime::task_timer const timer("route history");
     route_history_.expire(now);
     if (!deployment_)
         return;
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -98,6 +98,15 @@
                  {{"part_digests", digests}, {"upstreams", cause.upstreams}});
 }
 
+void log_loop_delay(runtime::loop_delay const& it)
+{
+    runtime::log(events::event_loop_late,
+                 {{"late_ms", base::to_milliseconds(it.delay)},
+                  {"processor_ms", base::to_milliseconds(it.processor_time)},
+                  {"task", it.longest_task.task},
+                  {"task_ms", base::to_milliseconds(it.longest_task.time)}});
+}
+
 void log_upstream_limit(std::string const& upstream, std::optional<double> limit)
 {
     if (limit)
@@ -174,11 +183,12 @@
                        {
                            metrics_.leadership_changed(is_leader);
                        }}),
-      loop_delay_monitor_(
-          timers_,
-          [](base::duration delay) {
-              runtime::log(events::event_loop_late, {{"late_ms", base::to_milliseconds(delay)}});
-          }),
+      loop_delay_monitor_(timers_,
+                          [this](runtime::loop_delay const& it)
+                          {
+                              metrics_.event_loop_late(it.delay);
+                              log_loop_delay(it);
+                          }),
       settings_reload_(std::move(origin)), settings_file_(settings_file_path())
 {
     ready_server_.set_limits(status_limits());
@@ -404,6 +414,7 @@
 
 void gateway::apply_deployment(configuration::deployment data)
 {
+    runtime::task_timer const timer("configuration");
     auto const limits = data.limits;
     auto const version = data.version;
     auto const now = timers_.now();
@@ -453,6 +464,7 @@
 void gateway::handle_request(std::shared_ptr<runtime::inbound_connection> client,
                              runtime::http_request&& request)
 {
+    runtime::task_timer const timer("request");
     refusal refused;
     bool const has_memory = body_admission_.handle_body(request, refused);
     auto const it =
--- a/libraries/savorymount/gateway/gateway_metrics.cpp
+++ b/libraries/savorymount/gateway/gateway_metrics.cpp
@@ -140,6 +140,14 @@
         .add();
 }
 
+void gateway_metrics::event_loop_late(base::duration delay)
+{
+    metrics_
+        .histogram("savorymount_event_loop_late_seconds",
+                   "Delays of the event loop of a quarter of a second or more, one a second.")
+        .record(to_seconds(delay));
+}
+
 std::string gateway_metrics::render(base::time_point now)
 {
     update_cluster_gauges(now);
--- a/libraries/savorymount/gateway/gateway_metrics.hpp
+++ b/libraries/savorymount/gateway/gateway_metrics.hpp
@@ -22,6 +22,7 @@
     void desired_version_changed(std::string const& model, std::uint64_t version);
     void leadership_changed(bool is_leader);
     void settings_rejected();
+    void event_loop_late(base::duration delay);
 
     /// The metrics in text exposition format, with gauges as of `now`.
     std::string render(base::time_point now);
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -1,6 +1,7 @@
 #include <savorymount/gateway/gateway_request.hpp>
 #include <savorymount/gateway/refusal_response.hpp>
 #include <savorymount/gateway/upstream_refusal.hpp>
+#include <savorymount/runtime/task_timer.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -167,6 +168,7 @@
 {
     if (give_up_after_crashes())
         return;
+    runtime::task_timer const timer("placement");
     auto const now = context_.timers.now();
     auto placed = place_request(now, context_.cluster, context_.random, *admitted_, caller_request_,
                                 service_, constraints_);
@@ -192,6 +194,7 @@
     if (placed.request.engine)
         record_weights(placed.request.engine->expected_weight_version);
     ++outcome_.attempts;
+    outcome_.time_to_last_attempt = elapsed();
     bool const streaming = admitted_->route->kind == configuration::repeat_rule::streaming;
     attempt_ = std::make_shared<upstream_attempt>(context_, std::move(placed), streaming,
                                                   admitted_->route->target_event_gap);
--- a/libraries/savorymount/gateway/peer_exchange.cpp
+++ b/libraries/savorymount/gateway/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include <savorymount/gateway/peer_exchange.hpp>
 #include <savorymount/gateway/peer_report_codec.hpp>
 #include <savorymount/runtime/log_events.hpp>
+#include <savorymount/runtime/task_timer.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -170,6 +171,7 @@
 
 void peer_exchange::receive(std::string_view bytes)
 {
+    runtime::task_timer const timer("peer report");
     auto const report = decode_peer_report(bytes);
     if (!report)
     {
--- a/libraries/savorymount/gateway/request_log.cpp
+++ b/libraries/savorymount/gateway/request_log.cpp
@@ -90,6 +90,7 @@
                     {"tokens", static_cast<std::int64_t>(it.requested_tokens)},
                     {"bucket_level", static_cast<std::int64_t>(it.bucket_level)},
                     {"waited_ms", base::to_milliseconds(it.admission_wait)},
+                    {"placed_ms", base::to_milliseconds(it.time_to_last_attempt)},
                     {"first_byte_ms", base::to_milliseconds(it.time_to_first_byte)},
                     {"total_ms", base::to_milliseconds(it.total_time)}}});
     return out;
--- a/libraries/savorymount/gateway/request_outcome.hpp
+++ b/libraries/savorymount/gateway/request_outcome.hpp
@@ -86,6 +86,8 @@
     base::duration store_age{};
     /// Time for which the request waited at the gateway for room.
     base::duration admission_wait{};
+    /// Time from the arrival to the choice of the last upstream.
+    base::duration time_to_last_attempt{};
     base::duration time_to_first_byte{};
     base::duration total_time{};
     /// Expected wait at the upstream when it was chosen.
--- a/libraries/savorymount/runtime/callback_guard.hpp
+++ b/libraries/savorymount/runtime/callback_guard.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <savorymount/runtime/task_timer.hpp>
+
 #include <cstdint>
 #include <exception>
 #include <utility>
@@ -15,10 +17,11 @@
 
 /// Runs a callback of the event loop. An exception must not pass through libevent, which would end
 /// the process and all its requests: it is reported, and the caller drops what the callback worked
-/// on. Returns whether the callback ended normally.
+/// on. The callback is measured as a task. Returns whether the callback ended normally.
 template <typename Callback>
 bool run_guarded(char const* source, Callback&& callback)
 {
+    task_timer const timer(source);
     try
     {
         std::forward<Callback>(callback)();
--- a/libraries/savorymount/runtime/inbound_server.cpp
+++ b/libraries/savorymount/runtime/inbound_server.cpp
@@ -1,5 +1,6 @@
 #include <savorymount/runtime/connection_socket.hpp>
 #include <savorymount/runtime/inbound_server.hpp>
+#include <savorymount/runtime/log_events.hpp>
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -13,7 +14,10 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
 constexpr int accept_backlog = 512;
+constexpr base::duration min_pause_report_interval = 1s;
 
 } // namespace
 
@@ -166,8 +170,19 @@
         out->close();
         return;
     }
-    if (listener_ != nullptr)
-        evconnlistener_disable(listener_);
+    pause_accepting();
+}
+
+void inbound_server::pause_accepting()
+{
+    if (listener_ == nullptr)
+        return;
+    evconnlistener_disable(listener_);
+    auto const now = timers_.now();
+    if (now < next_pause_report_at_)
+        return;
+    next_pause_report_at_ = now + min_pause_report_interval;
+    log(log_events::accepting_paused, {{"connections", connections_.size()}});
 }
 
 void inbound_server::connection_closed(inbound_connection const& it)
--- a/libraries/savorymount/runtime/inbound_server.hpp
+++ b/libraries/savorymount/runtime/inbound_server.hpp
@@ -66,6 +66,7 @@
     /// Makes room for one more connection than `newest`: ends an idle one, the one from which
     /// nothing has come for longest, or leaves new ones in the backlog if all others are in use.
     void make_room(inbound_connection const& newest);
+    void pause_accepting();
     void connection_closed(inbound_connection const& it);
     void end_excess();
 
@@ -78,6 +79,7 @@
     client_account heads_;
     bool draining_ = false;
     evconnlistener* listener_ = nullptr;
+    base::time_point next_pause_report_at_{};
     std::unordered_map<inbound_connection const*, std::shared_ptr<inbound_connection>> connections_;
 };
 
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -37,6 +37,9 @@
 inline constexpr log_event answers_cut{
     111, log_level::warning, "answers_cut",
     "The process ended while clients were still receiving complete answers."};
+inline constexpr log_event accepting_paused{
+    112, log_level::warning, "accepting_paused",
+    "New connections wait: all places are taken by requests that run or answers that are sent."};
 inline constexpr log_event configuration_adopted{200, log_level::info, "configuration_adopted",
                                                  "A newer configuration version is in force here."};
 inline constexpr log_event configuration_rejected{
@@ -169,6 +172,7 @@
                                 event_loop_late,
                                 client_stalled,
                                 answers_cut,
+                                accepting_paused,
                                 configuration_adopted,
                                 configuration_rejected,
                                 snapshot_appended,
