--- a/tests/libraries/gateway/route_history_test.cpp
+++ b/tests/libraries/gateway/route_history_test.cpp
@@ -1,7 +1,9 @@
 #include <savorymount/gateway/route_history.hpp>
+#include <savorymount/runtime/task_timer.hpp>
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <set>
 #include <string>
@@ -40,6 +42,28 @@
     return std::make_shared<configuration::deployment_index>(std::move(data));
 }
 
+/// Processor time of one look at the shared services, after so many configurations.
+base::duration look_time(int configurations)
+{
+    constexpr int routes = 300;
+    route_history it;
+    for (int i = 0; i < configurations; ++i)
+    {
+        std::vector<configuration::service_route> added;
+        for (int j = 0; j < routes; ++j)
+            added.push_back(route("/r" + std::to_string(j) + "/", {"one"}));
+        it.adopt(at(1s * i), make_index(std::move(added)), 100s);
+    }
+    auto shortest = base::duration::max();
+    for (int i = 0; i < 5; ++i)
+    {
+        auto const began_at = runtime::process_time();
+        it.shared_services(at(1s * configurations));
+        shortest = std::min(shortest, runtime::process_time() - began_at);
+    }
+    return shortest;
+}
+
 // Guards against streams that are recorded outside although no route can lead them elsewhere.
 TEST(route_history, shares_no_service_while_each_path_has_one)
 {
@@ -99,5 +123,13 @@
     EXPECT_EQ(it.lifetime(at(30s)), base::duration(1s));
 }
 
+// Guards against event loops that are late by seconds after some changes of a large configuration.
+TEST(route_history, a_look_does_not_take_longer_with_each_configuration)
+{
+    constexpr int few = 2;
+    constexpr int many = 24;
+    EXPECT_LT(look_time(many), many / few * look_time(few));
+}
+
 } // namespace
 } // namespace savorymount::gateway
