--- a/tests/libraries/gateway/route_history_test.cpp
+++ b/tests/libraries/gateway/route_history_test.cpp
@@ -2,6 +2,7 @@
 #include <savorymount/runtime/task_timer.hpp>
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <algorithm>
 #include <memory>
@@ -42,10 +43,11 @@
     return std::make_shared<configuration::deployment_index>(std::move(data));
 }
 
-/// Processor time of one look at the shared services, after so many configurations.
+/// Processor time of some looks at the shared services, after so many configurations.
 base::duration look_time(int configurations)
 {
     constexpr int routes = 300;
+    constexpr int looks = 10;
     route_history it;
     for (int i = 0; i < configurations; ++i)
     {
@@ -58,12 +60,108 @@
     for (int i = 0; i < 5; ++i)
     {
         auto const began_at = runtime::process_time();
-        it.shared_services(at(1s * configurations));
+        for (int look = 0; look < looks; ++look)
+            it.shared_services(at(1s * configurations));
         shortest = std::min(shortest, runtime::process_time() - began_at);
     }
     return shortest;
 }
 
+/// What the history has to tell, by a look at each configuration.
+class configuration_list
+{
+public:
+    void adopt(base::time_point now, route_history::index const& current, base::duration time)
+    {
+        if (!entries_.empty())
+            entries_.back().ends_at = now + entries_.back().lifetime + 2s;
+        entries_.push_back({current, time, base::time_point::max()});
+    }
+
+    names services(base::time_point now, std::string const& path) const
+    {
+        names out;
+        for (auto const& it : entries_)
+        {
+            auto const* const found = it.configuration->find_route("h.example", path);
+            bool const streams =
+                found != nullptr && found->kind == configuration::repeat_rule::streaming;
+            if (now > it.ends_at || !streams)
+                continue;
+            for (auto const& share : found->shares)
+                out.insert(share.service);
+        }
+        return out;
+    }
+
+    names shared_services(base::time_point now) const
+    {
+        names out;
+        for (auto const& it : entries_)
+        {
+            for (auto const& added : it.configuration->data().routes)
+            {
+                auto shared = services(now, added.path_prefix);
+                if (now <= it.ends_at && shared.size() > 1)
+                    out.merge(shared);
+            }
+        }
+        return out;
+    }
+
+private:
+    struct entry
+    {
+        route_history::index configuration;
+        base::duration lifetime{};
+        base::time_point ends_at;
+    };
+
+    std::vector<entry> entries_;
+};
+
+route_history::index generate_index(std::vector<std::string> const& prefixes)
+{
+    std::vector<configuration::service_route> routes;
+    for (auto const& it : prefixes)
+    {
+        if (!*rc::gen::arbitrary<bool>())
+            continue;
+        std::vector<std::string> services{*rc::gen::element<std::string>("one", "two", "three")};
+        if (*rc::gen::inRange(0, 6) == 0)
+            services.emplace_back("four");
+        routes.push_back(route(it, services));
+        if (*rc::gen::inRange(0, 6) == 0)
+            routes.back().kind = configuration::repeat_rule::safe;
+    }
+    return make_index(std::move(routes));
+}
+
+// Guards against a stream that goes on elsewhere, or is refused, after any series of changes.
+RC_GTEST_PROP(route_history_properties, agrees_with_a_look_at_each_configuration, ())
+{
+    std::vector<std::string> const prefixes{"/", "/a/", "/a/b/", "/a/b/c/", "/a/d/", "/e/"};
+    route_history it;
+    configuration_list list;
+    auto now = at(0s);
+    auto const changes = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < changes; ++i)
+    {
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 4000));
+        auto const current = generate_index(prefixes);
+        auto const time = std::chrono::seconds(*rc::gen::inRange(0, 8));
+        it.adopt(now, current, time);
+        list.adopt(now, current, time);
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 4000));
+        if (*rc::gen::arbitrary<bool>())
+            it.expire(now);
+        for (auto const& prefix : prefixes)
+            RC_ASSERT(it.services(now, "h.example", prefix + "x") ==
+                      list.services(now, prefix + "x"));
+        RC_ASSERT(it.shared_services(now) == list.shared_services(now));
+    }
+}
+
 // Guards against streams that are recorded outside although no route can lead them elsewhere.
 TEST(route_history, shares_no_service_while_each_path_has_one)
 {
