--- a/libraries/savorymount/configuration/deployment.cpp
+++ b/libraries/savorymount/configuration/deployment.cpp
@@ -1,6 +1,5 @@
 #include <savorymount/configuration/deployment.hpp>
 
-#include <algorithm>
 #include <utility>
 
 namespace savorymount::configuration
@@ -9,15 +8,7 @@
 deployment_index::deployment_index(deployment data) : data_(std::move(data))
 {
     for (std::size_t i = 0; i < data_.routes.size(); ++i)
-        by_host_[data_.routes[i].host].push_back(i);
-    for (auto& it : by_host_)
-    {
-        std::stable_sort(it.second.begin(), it.second.end(),
-                         [this](std::size_t left, std::size_t right) {
-                             return data_.routes[left].path_prefix.size() >
-                                    data_.routes[right].path_prefix.size();
-                         });
-    }
+        by_prefix_.try_emplace(data_.routes[i].host, data_.routes[i].path_prefix, i);
     for (std::size_t i = 0; i < data_.workspaces.size(); ++i)
     {
         for (auto const& key : data_.workspaces[i].keys)
@@ -28,16 +19,8 @@
 service_route const* deployment_index::find_route(std::string_view host,
                                                   std::string_view path) const
 {
-    auto const it = by_host_.find(std::string(host));
-    if (it == by_host_.end())
-        return nullptr;
-    path = path.substr(0, path.find('?'));
-    for (auto const index : it->second)
-    {
-        if (path.starts_with(data_.routes[index].path_prefix))
-            return &data_.routes[index];
-    }
-    return nullptr;
+    auto const* const found = by_prefix_.find(host, path.substr(0, path.find('?')));
+    return found == nullptr ? nullptr : &data_.routes[*found];
 }
 
 workspace_account const* deployment_index::find_workspace(std::string const& key) const
--- a/libraries/savorymount/configuration/deployment.hpp
+++ b/libraries/savorymount/configuration/deployment.hpp
@@ -2,6 +2,7 @@
 
 #include <savorymount/base/time.hpp>
 #include <savorymount/configuration/client_limits.hpp>
+#include <savorymount/configuration/prefix_map.hpp>
 
 #include <cstdint>
 #include <map>
@@ -141,8 +142,8 @@
 
 private:
     deployment data_;
-    /// Indices of routes by host, longest prefix first.
-    std::unordered_map<std::string, std::vector<std::size_t>> by_host_;
+    /// Indices of routes.
+    prefix_map<std::size_t> by_prefix_;
     std::unordered_map<std::string, std::size_t> by_key_;
 };
 
