Put the timeout of a request off once at most

A process that is late by more than a second put the timeout of its requests off by 0.1 s, so that a response that is ready is still delivered, and did so each time: one that is late again and again never answered its callers.

--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -495,9 +495,11 @@
 
 void gateway_request::handle_timeout()
 {
-    // A response that is ready is delivered, also late.
+    // A response that is ready is delivered, also late. A process that is late again and again
+    // would never answer the caller, so this is done once.
     constexpr auto catch_up = cluster_state::time_to_catch_up;
-    if (resumed_since(context_.timers.now() - catch_up))
+    bool const caught_up = std::exchange(timeout_put_off_, true);
+    if (!caught_up && resumed_since(context_.timers.now() - catch_up))
     {
         timeout_timer_ = context_.timers.after(catch_up, [self = shared_from_this()]
                                                { self->handle_timeout(); });
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -112,6 +112,8 @@
     std::string failure_response_body_;
     response_memory::share failure_response_memory_;
     bool finished_ = false;
+    /// The time limit has passed, and a response that was ready had time to arrive.
+    bool timeout_put_off_ = false;
     /// The upstream that began a stream which broke off.
     std::string first_upstream_;
     request_outcome outcome_;
