Refuse what would be cut at the end of a stop, and answer what is cut

Once the load balancer has removed the instance, a request is passed on only if its time limit ends before the process does; otherwise it is refused as not run, with Retry-After 0, and its caller goes to another instance. Streams that have begun are cut as before.

Both tests failed without the mechanism: no answer, and "late" had run.

--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -504,29 +504,48 @@
     if (draining_since_)
         return;
     draining_since_ = timers_.now();
+    context_.drain = make_drain_schedule();
     runtime::log(events::stopping, {{"busy_connections", server_.busy_connections()}});
     server_.drain();
     rollout_leader_.stop_competing();
     drain_timer_ = timers_.every(drain_check_interval, [this] { check_drained(); });
 }
 
+drain_schedule gateway::make_drain_schedule() const
+{
+    auto const grace_period = cluster_.settings().shutdown_grace_period;
+    return {*draining_since_ + load_balancer_removal_delay,
+            *draining_since_ + grace_period - shutdown_margin};
+}
+
 void gateway::check_drained()
 {
-    auto const drain_duration = timers_.now() - *draining_since_;
-    if (drain_duration < load_balancer_removal_delay)
+    auto const now = timers_.now();
+    // The grace period is a setting that may change meanwhile.
+    context_.drain = make_drain_schedule();
+    if (now < context_.drain->removed_at)
         return;
     server_.close_idle(new_connection_time);
-    bool const grace_period_over =
-        drain_duration > cluster_.settings().shutdown_grace_period - shutdown_margin;
     bool const done = server_.connections() == 0 && rollout_leader_.idle();
-    if (!done && !grace_period_over)
-        return;
+    if (done || now > context_.drain->ends_at)
+        end_process();
+}
+
+void gateway::end_process()
+{
     if (auto const cut = server_.unsent_responses(); cut > 0)
         runtime::log(events::answers_cut, {{"connections", cut}});
     context_.process_exiting = true;
+    bool const interrupted = server_.interrupt_busy() > 0;
     peer_exchange_.send_shutdown_report();
     drain_timer_ = timers_.after(release_timeout, [this] { loop_->stop(); });
-    rollout_leader_.release([this] { loop_->stop(); });
+    rollout_leader_.release(
+        [this, interrupted]
+        {
+            // The answers to interrupted requests are sent until the timer fires.
+            if (!interrupted)
+                loop_->stop();
+        });
 }
 
 } // namespace savorymount::gateway
--- a/libraries/savorymount/gateway/gateway.hpp
+++ b/libraries/savorymount/gateway/gateway.hpp
@@ -62,7 +62,9 @@
     void store_failed(store_failure const& failure);
     bool ready() const;
     void start_draining();
+    drain_schedule make_drain_schedule() const;
     void check_drained();
+    void end_process();
 
     std::unique_ptr<runtime::event_loop> loop_;
     runtime::timer_service timers_;
--- a/libraries/savorymount/gateway/gateway_context.hpp
+++ b/libraries/savorymount/gateway/gateway_context.hpp
@@ -2,6 +2,7 @@
 
 #include <savorymount/base/random_source.hpp>
 #include <savorymount/gateway/cluster_state.hpp>
+#include <savorymount/gateway/drain_schedule.hpp>
 #include <savorymount/gateway/platform_adapter.hpp>
 #include <savorymount/gateway/request_admission.hpp>
 #include <savorymount/gateway/request_outcome.hpp>
@@ -11,6 +12,7 @@
 #include <savorymount/runtime/timer_service.hpp>
 
 #include <functional>
+#include <optional>
 
 namespace savorymount::gateway
 {
@@ -28,6 +30,8 @@
     request_admission& admission;
     /// Called once at the end of each request.
     std::function<void(request_outcome const&)> request_ended;
+    /// Set while the process drains.
+    std::optional<drain_schedule> drain = std::nullopt;
     /// The process exits now and cuts off the requests that still run.
     bool process_exiting = false;
 };
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -45,6 +45,7 @@
 void gateway_request::start()
 {
     client_->on_gone([self = shared_from_this()] { self->handle_client_disconnect(); });
+    client_->on_interrupted([self = shared_from_this()] { self->handle_process_end(); });
     base::error reason;
     auto decoded = context_.platform.decode_request(http_request_->head, reason);
     if (!decoded)
@@ -143,6 +144,21 @@
     return true;
 }
 
+bool gateway_request::give_up_before_process_ends()
+{
+    auto const now = context_.timers.now();
+    auto const time_left = admitted_->timeout - elapsed();
+    // A stream that has begun goes on as long as it can.
+    if (streaming_ || !context_.drain || context_.drain->leaves_time_for(now, time_left))
+        return false;
+    auto const reason = "this instance stops; send the request again, on a new connection";
+    if (may_have_run_)
+        give_up(reason);
+    else
+        refuse({{base::error_kind::unavailable, reason}, base::duration::zero(), 0, 0});
+    return true;
+}
+
 void gateway_request::dispatch_with_room()
 {
     admission_asked_at_ = context_.timers.now();
@@ -166,7 +182,7 @@
 
 void gateway_request::dispatch()
 {
-    if (give_up_after_crashes())
+    if (give_up_before_process_ends() || give_up_after_crashes())
         return;
     runtime::task_timer const timer("placement");
     auto const now = context_.timers.now();
@@ -523,6 +539,17 @@
         finish(request_end::abandoned, 0, "the caller closed the connection");
 }
 
+void gateway_request::handle_process_end()
+{
+    auto const reason = "the process ended before the answer was complete";
+    if (streaming_)
+        abort_stream(reason);
+    else if (may_have_run_ || attempt_)
+        fail(status_bad_gateway, reason);
+    else
+        refuse({{base::error_kind::unavailable, reason}, base::duration::zero(), 0, 0});
+}
+
 void gateway_request::refuse(refusal const& it)
 {
     auto const status = http_status(it);
@@ -558,6 +585,7 @@
     timeout_timer_ = {};
     stall_timer_ = {};
     client_->on_gone(nullptr);
+    client_->on_interrupted(nullptr);
     end_admission_wait();
     context_.admission.leave(admission_ticket_);
     finish_attempt(result == request_end::answered);
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -49,6 +49,8 @@
     void record_lost_upstream();
     /// The attempt delivered a whole response, so its prompt parts crash no upstream.
     void record_completed_response();
+    /// Gives up if the process drains and would cut the request off.
+    bool give_up_before_process_ends();
     /// Gives up if the prompt has parts that crash upstreams.
     bool give_up_after_crashes();
     void handle_stream_end();
@@ -76,6 +78,8 @@
     void apply_backpressure();
     void handle_timeout();
     void handle_client_disconnect();
+    /// The process ends before the response is complete.
+    void handle_process_end();
     std::shared_ptr<std::string const> body() const;
     /// Returns the memory of the body, which no retry needs.
     void release_body();
--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -179,6 +179,12 @@
     close();
 }
 
+void inbound_connection::interrupt()
+{
+    if (auto const hook = std::exchange(interrupted_, nullptr))
+        hook();
+}
+
 std::size_t inbound_connection::buffered_bytes() const
 {
     return buffer_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(buffer_));
@@ -222,6 +228,7 @@
     timeout_ = {};
     bufferevent_free(std::exchange(buffer_, nullptr));
     drained_ = nullptr;
+    interrupted_ = nullptr;
     if (auto const hook = std::exchange(gone_, nullptr))
         hook();
     hooks_.closed(*this);
--- a/libraries/savorymount/runtime/inbound_connection.hpp
+++ b/libraries/savorymount/runtime/inbound_connection.hpp
@@ -69,6 +69,11 @@
     /// Called once if the client leaves before its response is complete.
     void on_gone(std::function<void()> hook) { gone_ = std::move(hook); }
 
+    /// Called once if the server ends before the response is complete.
+    void on_interrupted(std::function<void()> hook) { interrupted_ = std::move(hook); }
+    /// The server ends; the request that awaits its response is answered or cut off.
+    void interrupt();
+
     /// Bytes of the response that the local socket has not accepted yet.
     std::size_t buffered_bytes() const;
     /// Calls `hook` once when all bytes have been handed to the socket.
@@ -184,6 +189,7 @@
     base::duration allowed_silence_;
     bool client_ended_ = false;
     std::function<void()> gone_;
+    std::function<void()> interrupted_;
     std::function<void()> drained_;
     timer_service::subscription timeout_;
 };
--- a/libraries/savorymount/runtime/inbound_server.cpp
+++ b/libraries/savorymount/runtime/inbound_server.cpp
@@ -88,6 +88,19 @@
         it->close();
 }
 
+std::size_t inbound_server::interrupt_busy()
+{
+    std::vector<std::shared_ptr<inbound_connection>> busy;
+    for (auto const& it : connections_)
+    {
+        if (it.second->busy())
+            busy.push_back(it.second);
+    }
+    for (auto const& it : busy)
+        it->interrupt();
+    return busy.size();
+}
+
 void inbound_server::accept_pending()
 {
     // Closing the listener resets the connections that the kernel has accepted already.
--- a/libraries/savorymount/runtime/inbound_server.hpp
+++ b/libraries/savorymount/runtime/inbound_server.hpp
@@ -53,6 +53,9 @@
     /// `min_age`; the first request of a new connection may be on its way. Call it repeatedly.
     void close_idle(base::duration min_age);
 
+    /// Interrupts the requests that await their responses. Returns how many there were.
+    std::size_t interrupt_busy();
+
     std::size_t busy_connections() const;
     /// Connections whose response is complete and not accepted by the client yet.
     std::size_t unsent_responses() const;
--- a/tests/system/stopping_test.cpp
+++ b/tests/system/stopping_test.cpp
@@ -167,6 +167,41 @@
         << gateway().output();
 }
 
+// Guards against a request that is passed on although the process ends before its time limit, and
+// is cut then.
+TEST_F(stopping_test, refuses_a_request_whose_time_limit_is_after_the_end)
+{
+    slow_client client(system.http(0));
+    auto const request = booking("late", "", 1000);
+    client.send(request.substr(0, request.size() - 1));
+    gateway().send_signal(SIGTERM);
+    client.read_for(4, 100'000);
+    // The upstream takes the request and does not answer.
+    system.platform().send_signal(SIGSTOP);
+    client.send(request.substr(request.size() - 1));
+    EXPECT_FALSE(client.read_for(9, 100'000));
+    EXPECT_TRUE(client.received().starts_with("HTTP/1.1 503 ")) << client.received();
+    EXPECT_NE(client.received().find("this instance stops"), std::string::npos);
+    EXPECT_EQ(gateway().wait(), 0);
+    system.platform().send_signal(SIGCONT);
+    EXPECT_FALSE(ran("late"));
+}
+
+// Guards against a caller whose request is cut without an answer at the end of the process.
+TEST_F(stopping_test, answers_a_request_that_still_runs_at_the_end)
+{
+    slow_client client(system.http(0));
+    system.platform().send_signal(SIGSTOP);
+    client.send(booking("running", "", 10));
+    client.read_for(0.5, 100'000);
+    gateway().send_signal(SIGTERM);
+    EXPECT_FALSE(client.read_for(13, 100'000));
+    EXPECT_TRUE(client.received().starts_with("HTTP/1.1 502 "))
+        << client.received() << gateway().output();
+    EXPECT_EQ(gateway().wait(), 0);
+    system.platform().send_signal(SIGCONT);
+}
+
 // Guards against an answer that is cut because its client reads nothing for some seconds, and
 // against an idle connection that is kept after its answer was accepted.
 TEST_F(stopping_test, serves_a_client_that_pauses_and_closes_its_connection_after_the_answer)
