--- a/tests/libraries/gateway/route_history_test.cpp
+++ b/tests/libraries/gateway/route_history_test.cpp
@@ -52,6 +52,7 @@
     for (int i = 0; i < configurations; ++i)
     {
         std::vector<configuration::service_route> added;
+        added.reserve(routes);
         for (int j = 0; j < routes; ++j)
             added.push_back(route("/r" + std::to_string(j) + "/", {"one"}));
         it.adopt(at(1s * i), make_index(std::move(added)), 100s);
--- a/utilities/slopes/main.cpp
+++ b/utilities/slopes/main.cpp
@@ -1,6 +1,7 @@
 #include <savorymount/base/digest.hpp>
 #include <savorymount/base/random_source.hpp>
 #include <savorymount/configuration/configuration_log.hpp>
+#include <savorymount/gateway/route_history.hpp>
 #include <savorymount/limits/agent_list.hpp>
 #include <savorymount/limits/grant_pool.hpp>
 #include <savorymount/limits/workspace_bucket.hpp>
@@ -15,6 +16,7 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -160,8 +162,8 @@
 BENCHMARK(route)->Arg(120)->Arg(1200)->Arg(12000)->Complexity(benchmark::oLogN);
 
 /// The choice of an engine for a prompt that begins with a part that all engines have, by the
-/// number of engines.
-void choose_engine(benchmark::State& state)
+/// number of engines. With `tells_pace`, the engines tell how long work takes on their machines.
+void choose_engine(benchmark::State& state, bool tells_pace)
 {
     routing::upstream_table table;
     routing::part_locations locations;
@@ -179,18 +181,79 @@
         record.slots = 24;
         record.weights["model"] = 1;
         locations.record_assignment(at(1), digests[0], record.id);
+        auto const id = record.id;
         table.apply_listing(at(1), std::move(record));
+        routing::server_load load;
+        load.slots = 24;
+        if (tells_pace)
+            load.pace_percent = 120;
+        table.load_reported(at(1), id, load);
     }
     routing::engine_pool_config pool;
     pool.service = "engines";
+
     routing::engine_request request;
+    request.target_event_gap = std::chrono::milliseconds(200);
     request.prompt = prompt;
     for (auto _ : state)
         benchmark::DoNotOptimize(
             routing::choose_engine(at(2), pool, request, table, locations, desired));
     state.SetComplexityN(state.range(0));
 }
-BENCHMARK(choose_engine)->Arg(18)->Arg(180)->Arg(720)->Complexity(benchmark::oN);
+BENCHMARK_CAPTURE(choose_engine, without_pace, false)
+    ->Arg(18)
+    ->Arg(180)
+    ->Arg(720)
+    ->Complexity(benchmark::oN);
+BENCHMARK_CAPTURE(choose_engine, with_pace, true)
+    ->Arg(18)
+    ->Arg(180)
+    ->Arg(720)
+    ->Complexity(benchmark::oN);
+
+configuration::deployment make_deployment(std::int64_t routes)
+{
+    configuration::deployment out;
+    for (std::int64_t i = 0; i < routes; ++i)
+    {
+        configuration::service_route added;
+        added.host = "chat.example";
+        added.path_prefix = "/club" + std::to_string(i) + "/";
+        added.kind = configuration::repeat_rule::streaming;
+        added.shares = {{"engines", 1}};
+        out.routes.push_back(std::move(added));
+    }
+    return out;
+}
+
+/// Adopting a configuration after eleven others within half a minute, by the number of routes.
+void adopt_configuration(benchmark::State& state)
+{
+    constexpr int former_changes = 11;
+    constexpr auto lifetime = std::chrono::seconds(30);
+    auto const index =
+        std::make_shared<configuration::deployment_index const>(make_deployment(state.range(0)));
+    gateway::route_history history;
+    for (int i = 0; i < former_changes; ++i)
+        history.adopt(at(i), index, lifetime);
+    for (auto _ : state)
+    {
+        history.adopt(at(former_changes), index, lifetime);
+        benchmark::DoNotOptimize(history.shared_services(at(former_changes)));
+    }
+    state.SetComplexityN(state.range(0));
+}
+BENCHMARK(adopt_configuration)->Arg(100)->Arg(1000)->Arg(10000)->Complexity(benchmark::oNLogN);
+
+/// Finding the route of a path, by the number of routes on its host.
+void find_route(benchmark::State& state)
+{
+    configuration::deployment_index const index(make_deployment(state.range(0)));
+    for (auto _ : state)
+        benchmark::DoNotOptimize(index.find_route("chat.example", "/club50/ask"));
+    state.SetComplexityN(state.range(0));
+}
+BENCHMARK(find_route)->Arg(100)->Arg(1000)->Arg(10000)->Complexity(benchmark::oLogN);
 
 /// Queueing and taking one request, by the number of waiting requests.
 void queue_request(benchmark::State& state)
