Retry at the end of a stop what may have run

Only what has not run can be refused as not run; the rest goes on to the end of the process, and gets its 502 there. Guarded by gateway.says_that_it_ended_before_an_answer_was_complete, which failed.

--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -144,18 +144,19 @@
     return true;
 }
 
-bool gateway_request::give_up_before_process_ends()
+bool gateway_request::refuse_before_process_ends()
 {
     auto const now = context_.timers.now();
     auto const time_left = admitted_->timeout - elapsed();
-    // A stream that has begun goes on as long as it can.
-    if (streaming_ || !context_.drain || context_.drain->leaves_time_for(now, time_left))
+    // What may have run goes on as long as it can: it can't be refused as not run.
+    if (streaming_ || may_have_run_ || !context_.drain ||
+        context_.drain->leaves_time_for(now, time_left))
         return false;
-    auto const reason = "this instance stops; send the request again, on a new connection";
-    if (may_have_run_)
-        give_up(reason);
-    else
-        refuse({{base::error_kind::unavailable, reason}, base::duration::zero(), 0, 0});
+    refuse({{base::error_kind::unavailable,
+             "this instance stops; send the request again, on a new connection"},
+            base::duration::zero(),
+            0,
+            0});
     return true;
 }
 
@@ -182,7 +183,7 @@
 
 void gateway_request::dispatch()
 {
-    if (give_up_before_process_ends() || give_up_after_crashes())
+    if (refuse_before_process_ends() || give_up_after_crashes())
         return;
     runtime::task_timer const timer("placement");
     auto const now = context_.timers.now();
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -49,8 +49,8 @@
     void record_lost_upstream();
     /// The attempt delivered a whole response, so its prompt parts crash no upstream.
     void record_completed_response();
-    /// Gives up if the process drains and would cut the request off.
-    bool give_up_before_process_ends();
+    /// Refuses a request that has not run if the process drains and would cut it off.
+    bool refuse_before_process_ends();
     /// Gives up if the prompt has parts that crash upstreams.
     bool give_up_after_crashes();
     void handle_stream_end();
