Believe neither an odd entry nor a single engine about the newest weight version

Callers got 503 for every prompt, for good: an entry of another writer, without coldLeftMs, sequence and born, named weight version 37 where operators had named 1.

The decoder asked for six of the nine fields that every upstream writes. Any entry or answer raised the version that is wanted of all engines. An entry no longer does. An answer of an engine does when a second process has the version too (orders::version_claims); the operators' record, the system's own record and loads that another instance ordered count as before. 3. Versions that one engine had loaded were believed so that they are not forgotten if all processes end before the record is written. The leader now sends no order for a version before the record holds it, so that this witness is not needed.

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -99,8 +99,6 @@
     deployment_ = std::make_shared<configuration::deployment_index>(std::move(data));
     route_history_.adopt(now, deployment_, lifetime);
     observe_routes(now);
-    for (auto const& [id, state] : upstreams_.all())
-        note_engine_versions(state.record);
     return true;
 }
 
@@ -119,7 +117,6 @@
     auto const process = membership::process_name(record);
     note_version_of(now, id);
     stream_origins_.version_seen(now, record.service, record.software_version);
-    note_engine_versions(record);
     if (upstreams_.apply_listing(now, std::move(record)))
         part_locations_.invalidate_engine(id);
     apply_limit(process);
@@ -172,21 +169,32 @@
         version_found(model, version, not_before);
 }
 
-void cluster_state::note_engine_versions(membership::upstream_record const& record)
+bool cluster_state::is_in_use(std::string const& upstream) const
 {
     // An entry of a service that is not in use may be of another writer.
-    if (!deployment_ || deployment_->find_service(record.service) == nullptr)
-        return;
-    for (auto const& [model, version] : record.weights)
-        version_found(model, version, configuration_complete_until_);
+    auto const* const state = upstreams_.find(upstream);
+    return state != nullptr && deployment_ &&
+           deployment_->find_service(state->record.service) != nullptr;
 }
 
 void cluster_state::weights_observed(std::string const& upstream, std::string const& model,
                                      std::uint64_t version)
 {
     upstreams_.weights_observed(upstream, model, version);
-    if (auto const* const state = upstreams_.find(upstream))
-        note_engine_versions(state->record);
+    if (!is_in_use(upstream))
+        return;
+    auto const process = membership::process_name(upstreams_.find(upstream)->record);
+    auto const newest = desired_weights_.newest_version(model);
+    if (auto const confirmed = version_claims_.add(model, process, version, newest))
+        version_found(model, *confirmed, configuration_complete_until_);
+}
+
+void cluster_state::load_ordered(std::string const& upstream, std::string const& model,
+                                 std::uint64_t version)
+{
+    upstreams_.weights_observed(upstream, model, version);
+    if (is_in_use(upstream))
+        version_found(model, version, configuration_complete_until_);
 }
 
 retries::retry_quota& cluster_state::retry_quota(std::string const& service)
@@ -348,7 +356,7 @@
             upstreams_.set_draining(it.upstream, now + it.remaining);
             continue;
         }
-        weights_observed(it.upstream, it.model, it.version);
+        load_ordered(it.upstream, it.model, it.version);
         upstreams_.set_loading(it.upstream, now + it.remaining);
     }
     apply_notices(now, report);
@@ -458,7 +466,6 @@
     for (auto const& [id, state] : upstreams_.all())
     {
         stream_origins_.version_seen(now, state.record.service, state.record.software_version);
-        note_engine_versions(state.record);
     }
     observe_routes(now);
     stream_origins_.expire(now);
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -9,6 +9,7 @@
 #include <savorymount/membership/peer_report.hpp>
 #include <savorymount/membership/peer_table.hpp>
 #include <savorymount/orders/desired_weights.hpp>
+#include <savorymount/orders/version_claims.hpp>
 #include <savorymount/retries/crash_attribution.hpp>
 #include <savorymount/retries/crash_quarantine.hpp>
 #include <savorymount/retries/retry_quota.hpp>
@@ -62,7 +63,8 @@
                              std::optional<base::time_point> not_before);
     /// The system's own records show these weight versions; operators published them at some time.
     void stored_versions_read(std::map<std::string, std::uint64_t> const& versions);
-    /// An upstream has this version of a model. Engines load no version that was not published.
+    /// An upstream answered with this version of a model. It counts as published when a second
+    /// upstream has it: a single answer may be wrong.
     void weights_observed(std::string const& upstream, std::string const& model,
                           std::uint64_t version);
     /// Sets a callback for a newer weight version that became known from elsewhere than the
@@ -173,7 +175,10 @@
     /// A version was published at an unknown time before now.
     void version_found(std::string const& model, std::uint64_t version,
                        std::optional<base::time_point> not_before);
-    void note_engine_versions(membership::upstream_record const& record);
+    /// Whether the upstream is listed for a service that is in use.
+    bool is_in_use(std::string const& upstream) const;
+    /// Another instance has ordered an upstream to load this version.
+    void load_ordered(std::string const& upstream, std::string const& model, std::uint64_t version);
     base::time_point publication_bound(std::optional<base::time_point> not_before) const;
     /// Notes at which services the streams that may still run can have begun, and until when.
     void observe_routes(base::time_point now);
@@ -191,6 +196,7 @@
     routing::upstream_table upstreams_;
     routing::part_locations part_locations_;
     orders::desired_weights desired_weights_;
+    orders::version_claims version_claims_;
     membership::peer_table peer_table_;
     retries::crash_quarantine quarantine_;
     retries::crash_attribution crash_attribution_;
--- a/libraries/savorymount/gateway/rollout_leader.cpp
+++ b/libraries/savorymount/gateway/rollout_leader.cpp
@@ -60,6 +60,10 @@
               .renewal_interval = cluster.settings().leader_lease / 3}),
       rollout_({})
 {
+    // An engine with a version that no record keeps would be ordered back after a restart of all
+    // instances.
+    rollout_.set_order_condition([this](std::string const& model, std::uint64_t version)
+                                 { return stored_versions_.is_recorded(model, version); });
 }
 
 void rollout_leader::start()
@@ -150,6 +154,7 @@
             stored_versions_.on_append_accepted(record);
             lease_.on_other_append_accepted(log_end, end_offset);
             store_versions(end_offset);
+            advance();
         });
 }
 
@@ -206,7 +211,7 @@
     idle_ = true;
     if (!fencing_token || releasing_)
         return;
-    // A newer version stands in the store before all engines have it, also if all instances end.
+    // A newer version stands in the store before any engine is ordered to load it.
     auto newest = cluster_.desired_weights().newest_versions();
     if (std::exchange(versions_to_store_, newest) != newest)
         read_membership_now();
--- a/libraries/savorymount/orders/stored_versions.cpp
+++ b/libraries/savorymount/orders/stored_versions.cpp
@@ -22,9 +22,7 @@
     std::optional<version_record> out;
     for (auto const& [model, version] : desired.newest_versions())
     {
-        auto const stored = stored_.find(model);
-        bool const is_stored = stored != stored_.end() && stored->second >= version;
-        if (version <= first_version || is_stored)
+        if (is_recorded(model, version))
         {
             missing_since_.erase(model);
             continue;
@@ -42,4 +40,11 @@
     stored = std::max(stored, record.version);
 }
 
+bool stored_versions::is_recorded(std::string const& model, std::uint64_t version) const
+{
+    auto const stored = stored_.find(model);
+    bool const is_stored = stored != stored_.end() && stored->second >= version;
+    return version <= first_version || is_stored;
+}
+
 } // namespace savorymount::orders
--- a/libraries/savorymount/orders/stored_versions.hpp
+++ b/libraries/savorymount/orders/stored_versions.hpp
@@ -33,6 +33,9 @@
                                               bool is_leader);
     void on_append_accepted(version_record const& record);
 
+    /// Whether the version outlasts all processes, so that engines may load it.
+    bool is_recorded(std::string const& model, std::uint64_t version) const;
+
 private:
     std::map<std::string, std::uint64_t> stored_;
     /// Since when the newest version of a model is known and not among the records.
--- a/libraries/savorymount/orders/weight_rollout.hpp
+++ b/libraries/savorymount/orders/weight_rollout.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -114,6 +115,12 @@
 
     void set_max_concurrent_loads(std::size_t n) { options_.max_concurrent_loads = n; }
 
+    /// Holds an order back while the hook returns false for its model and version.
+    void set_order_condition(std::function<bool(std::string const&, std::uint64_t)> may_order)
+    {
+        may_order_ = std::move(may_order);
+    }
+
     /// The next actions of the leader that holds `fencing_token`.
     rollout_step next_step(base::time_point now, std::uint64_t fencing_token,
                            desired_weights const& desired,
@@ -167,6 +174,7 @@
                                                   std::vector<rollout_engine> const& engines);
 
     weight_rollout_options options_;
+    std::function<bool(std::string const&, std::uint64_t)> may_order_;
     std::map<std::string, engine_state> engines_;
 };
 
--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -428,27 +428,63 @@
     EXPECT_EQ(newest_crew(cluster), 5U);
 }
 
-// Guards against an engine with newer weights than the store names that is ordered back.
-TEST(cluster_state, a_version_that_an_engine_has_counts_as_published)
+configuration::deployment deployment_of_bench()
+{
+    configuration::deployment out;
+    out.version = 1;
+    out.services["bench"].name = "bench";
+    return out;
+}
+
+// Guards against engines with newer weights than the store names that are ordered back.
+TEST(cluster_state, a_version_that_two_engines_answer_with_counts_as_published)
 {
-    configuration::deployment data;
-    data.version = 1;
-    data.services["bench"].name = "bench";
     cluster_state cluster({}, at(0s));
-    auto listed = engine(1);
-    listed.weights["crew"] = 3;
-    cluster.upstream_listed(at(0s), listed);
+    for (char const* const it : {"engine-1", "engine-2", "engine-3"})
+    {
+        auto listed = engine(1);
+        listed.id = it;
+        cluster.upstream_listed(at(0s), listed);
+    }
+    cluster.weights_observed("engine-1", "crew", 3);
+    cluster.weights_observed("engine-2", "crew", 3);
     EXPECT_EQ(newest_crew(cluster), 0U);
-    cluster.apply_deployment(at(0s), data);
+    cluster.apply_deployment(at(0s), deployment_of_bench());
+    cluster.weights_observed("engine-1", "crew", 3);
+    cluster.weights_observed("engine-2", "crew", 4);
     EXPECT_EQ(newest_crew(cluster), 3U);
-    cluster.weights_observed("engine-1", "crew", 4);
+    cluster.weights_observed("engine-3", "crew", 5);
     EXPECT_EQ(newest_crew(cluster), 4U);
+}
+
+// Guards against one entry or engine whose version makes all other engines count as outdated for
+// good.
+TEST(cluster_state, a_version_that_one_upstream_claims_is_not_wanted_of_the_others)
+{
+    cluster_state cluster({}, at(0s));
+    cluster.apply_deployment(at(0s), deployment_of_bench());
+    cluster.set_desired_version("crew", 1, at(0s));
+    auto claiming = engine(1);
+    claiming.weights["crew"] = 37;
+    auto other = engine(1);
+    other.id = "engine-2";
+    other.weights["crew"] = 38;
+    for (int n = 1; n < 20; ++n)
+    {
+        auto const now = at(std::chrono::seconds(n));
+        cluster.upstream_listed(now, claiming);
+        cluster.upstream_listed(now, other);
+        cluster.tick(now);
+        for (int i = 0; i < 3; ++i)
+            cluster.weights_observed("engine-1", "crew", 37);
+        EXPECT_EQ(newest_crew(cluster), 1U);
+    }
     // An entry of another writer.
-    listed.id = "engine-2";
-    listed.service = "unknown";
-    listed.weights["crew"] = 900;
-    cluster.upstream_listed(at(1s), listed);
-    EXPECT_EQ(newest_crew(cluster), 4U);
+    claiming.id = "engine-3";
+    claiming.service = "unknown";
+    cluster.upstream_listed(at(20s), claiming);
+    cluster.weights_observed("engine-3", "crew", 37);
+    EXPECT_EQ(newest_crew(cluster), 1U);
 }
 
 // Guards against an instance that hears of a load and still takes the older version for the newest.
--- a/tests/libraries/gateway/weight_version_history_test.cpp
+++ b/tests/libraries/gateway/weight_version_history_test.cpp
@@ -29,6 +29,8 @@
     instance_process(base::time_point now, configuration::deployment data) : cluster({}, now)
     {
         cluster.apply_deployment(now, std::move(data));
+        rollout.set_order_condition([this](std::string const& model, std::uint64_t version)
+                                    { return records.is_recorded(model, version); });
     }
 
     cluster_state cluster;
@@ -46,7 +48,8 @@
 };
 
 /// Operators name versions, their writes and those of the system are executed late, engines and
-/// processes end, and the store comes back from older copies.
+/// processes end, the store comes back from older copies, and an entry of another writer and one
+/// faulty engine claim a version that nobody named.
 class generated_history
 {
 public:
@@ -57,7 +60,8 @@
         start_processes();
     }
 
-    /// Returns whether the newest version that was recorded or loaded was never forgotten.
+    /// Returns whether the newest version that was recorded or loaded was never forgotten, and none
+    /// was taken for published that nobody named.
     bool run()
     {
         for (std::size_t i = 0; i < steps && holds_; ++i)
@@ -70,6 +74,7 @@
             execute_late_writes();
             for (auto& it : processes_)
                 read_store(*it);
+            claim_unnamed_version();
             lead();
         }
         return holds_;
@@ -150,6 +155,22 @@
         holds_ = holds_ && it.cluster.desired_weights().newest_version("crew") >= safe_;
     }
 
+    void claim_unnamed_version()
+    {
+        auto const claimed = newest_named_ + 1 + random_.uniform_below(100);
+        auto odd = engine_record(engine_count);
+        odd.weights["crew"] = claimed;
+        for (auto& it : processes_)
+        {
+            if (happens(10))
+                it->cluster.upstream_listed(now_, odd);
+            if (happens(10))
+                it->cluster.weights_observed("engine-0", "crew", claimed);
+            holds_ =
+                holds_ && it->cluster.desired_weights().newest_version("crew") <= newest_named_;
+        }
+    }
+
     void lead()
     {
         auto& leader = *processes_[random_.uniform_below(processes_.size())];
--- a/tests/platform/decoder_fuzz_test.cpp
+++ b/tests/platform/decoder_fuzz_test.cpp
@@ -115,7 +115,7 @@
 {
     fuzz(
         {R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"ready",)"
-         R"("born":12345,"models":[{"name":"m","version":3}],"sequence":7})"},
+         R"("coldLeftMs":0,"born":12345,"models":[{"name":"m","version":3}],"sequence":7})"},
         [](std::string const& text)
         {
             base::error reason;
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -5,6 +5,7 @@
 #include "platform/upstream_decoder.hpp"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace savorymount::platform
 {
@@ -124,6 +125,43 @@
     }
 }
 
+// Guards against an entry of another writer, without a field that every upstream writes or with one
+// of another type, that names an upstream to use.
+TEST(upstream_decoder, an_entry_with_a_field_missing_or_of_another_type_names_no_upstream)
+{
+    using nlohmann::json;
+    auto const sound = json::parse(upstream_text);
+    for (char const* const field : {"service", "address", "zone", "version", "slots", "state",
+                                    "coldLeftMs", "sequence", "born"})
+    {
+        base::error reason;
+        auto odd = sound;
+        odd.erase(field);
+        EXPECT_FALSE(decode_upstream("i-1", odd.dump(), reason)) << field;
+        std::vector<json> values{nullptr, true, json::array(), json::object(), -1, 1.5, 1e300};
+        values.push_back(sound.at(field).is_string() ? json(7) : json("7"));
+        values.push_back(json::array({sound.at(field)}));
+        for (auto const& it : values)
+        {
+            odd[field] = it;
+            // The time that an upstream stays slow may have a fraction.
+            bool const is_sound =
+                std::string_view(field) == "coldLeftMs" && it.is_number() && it >= 0;
+            EXPECT_EQ(decode_upstream("i-1", odd.dump(), reason).has_value(), is_sound)
+                << odd.dump();
+        }
+    }
+    for (char const* const models :
+         {R"({"name":"daka"})", R"([{"name":"daka"}])", R"([{"version":3}])",
+          R"([{"name":7,"version":3}])", R"([{"name":"daka","version":1.5}])", R"(7)", R"("daka")"})
+    {
+        base::error reason;
+        auto odd = sound;
+        odd["models"] = json::parse(models);
+        EXPECT_FALSE(decode_upstream("i-1", odd.dump(), reason)) << odd.dump();
+    }
+}
+
 // Guards against a stream whose origin is lost on the way through the store, and against an
 // instance that overwrites the records of its former process.
 TEST(stream_record, origins_and_versions_are_read_as_written)
--- a/tests/platform/odd_entries.hpp
+++ b/tests/platform/odd_entries.hpp
@@ -44,8 +44,19 @@
     return out;
 }
 
+/// The value without the one at the path.
+inline nlohmann::json without(nlohmann::json value, nlohmann::json::json_pointer const& path)
+{
+    auto& parent = value.at(path.parent_pointer());
+    if (parent.is_array())
+        parent.erase(std::stoul(path.back()));
+    else
+        parent.erase(path.back());
+    return value;
+}
+
 /// Entries that another writer may leave in place of a sound one: each value of the sound entry
-/// replaced by each odd value, and whole texts of another kind.
+/// left out or replaced by each odd value, and whole texts of another kind.
 inline std::vector<std::string> odd_entries(std::string const& sound)
 {
     using nlohmann::json;
@@ -59,6 +70,8 @@
     std::string const marker = "\"value that is replaced\"";
     for (auto const& [path, value] : flat.items())
     {
+        for (auto at = json::json_pointer(path); !at.empty(); at = at.parent_pointer())
+            out.push_back(without(json::parse(sound), at).dump());
         auto changed = json::parse(sound);
         for (auto at = json::json_pointer(path); !at.empty(); at = at.parent_pointer())
         {
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -32,7 +32,7 @@
 
 constexpr char const* sound_upstream =
     R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"ready",)"
-    R"("born":12345,"models":[{"name":"m","version":3}]})";
+    R"("coldLeftMs":0,"sequence":7,"born":12345,"models":[{"name":"m","version":3}]})";
 
 std::string shortened(std::string const& text)
 {
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -154,6 +154,7 @@
                      {"zone", "liege"},
                      {"version", software_of(it)},
                      {"slots", 8},
+                     {"coldLeftMs", 0},
                      {"state", state},
                      {"models", models},
                      {"sequence", 1},
--- a/tests/stand_ins/users_platform/main.cpp
+++ b/tests/stand_ins/users_platform/main.cpp
@@ -140,6 +140,7 @@
                          {"zone", "liege"},
                          {"version", it.software().empty() ? "v1" : it.software()},
                          {"slots", 8},
+                         {"coldLeftMs", 0},
                          {"state", upstream_state},
                          {"models", models},
                          {"sequence", 1},
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -224,7 +224,7 @@
     platform_deployment system(2);
     auto const entries = odd_entries(
         R"({"service":"other","address":"127.0.0.1:9","zone":"liege","version":"v1","slots":8,)"
-        R"("state":"ready","born":1,"models":[{"name":"crew","version":1}],"sequence":1})");
+        R"("state":"ready","coldLeftMs":0,"born":1,"models":[{"name":"crew","version":1}],"sequence":1})");
     for (std::size_t i = 0; i < entries.size(); ++i)
     {
         // The stand-in is told in JSON, which holds only UTF-8.
