Count the time to be listed again from the outage, not from the removal's arrival

The first complete read after an outage may come 1.5 s after the store's return, if the reads before it were lost or late. A removal from after the return then looks like a lapse, and got 2 s from when it was read. It gets 2.9 s now from when the last failed read was sent: after that moment the outage lasted for at most the 0.9 s of a read's timeout, and an upstream that runs writes its entry again within 2 s. Related path: accepts_requests held for an upstream that had been removed, so a request that waited for a connection went to it for up to 0.5 s. It is placed anew now, also when the time to be listed again is over.

upstream_removal plays lost and late reads too, and demands that nothing that went is used from 3 s after an outage on. Tests that named a flag for a lapse now name the time; they demand the same.

--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -123,10 +123,10 @@
 }
 
 void cluster_state::upstream_unlisted(base::time_point now, std::string const& id,
-                                      bool may_have_lapsed)
+                                      std::optional<base::time_point> unreadable_at)
 {
     note_version_of(now, id);
-    upstreams_.remove_listing(now, id, may_have_lapsed);
+    upstreams_.remove_listing(now, id, unreadable_at);
     if (upstreams_.find(id) == nullptr)
         part_locations_.invalidate_engine(id);
 }
--- a/libraries/savorymount/gateway/cluster_state.hpp
+++ b/libraries/savorymount/gateway/cluster_state.hpp
@@ -50,10 +50,10 @@
 
     /// The platform's list of upstreams gained, updated or lost an entry.
     void upstream_listed(base::time_point now, membership::upstream_record record);
-    /// `may_have_lapsed` tells that the entry went while the list could not be read, so that the
-    /// upstream may still run.
+    /// `unreadable_at` is set if the entry went in an outage, so that the upstream may still run
+    /// and be listed again; it is the last time at which the list was found to be unreadable.
     void upstream_unlisted(base::time_point now, std::string const& id,
-                           bool may_have_lapsed = false);
+                           std::optional<base::time_point> unreadable_at = std::nullopt);
     routing::upstream_table& upstreams() { return upstreams_; }
     routing::upstream_table const& upstreams() const { return upstreams_; }
     routing::part_locations& part_locations() { return part_locations_; }
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -326,11 +326,15 @@
         upstreams_known_ = true;
         cluster_.upstream_listed(timers_.now(), std::move(it));
     };
-    callbacks.upstream_unlisted = [this](std::string const& id, bool may_have_lapsed)
+    callbacks.upstream_unlisted =
+        [this](std::string const& id, std::optional<base::time_point> unreadable_at)
     {
-        cluster_.upstream_unlisted(timers_.now(), id, may_have_lapsed);
+        auto const now = timers_.now();
+        cluster_.upstream_unlisted(now, id, unreadable_at);
         pool_.forget(id);
-        runtime::log(events::upstream_unlisted, {{"upstream", id}});
+        auto const outage_age = unreadable_at ? base::to_milliseconds(now - *unreadable_at) : -1;
+        runtime::log(events::upstream_unlisted,
+                     {{"upstream", id}, {"unreadable_ms_ago", outage_age}});
     };
     callbacks.entry_invalid = [](std::string const& key, base::error const& reason)
     {
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -44,8 +44,10 @@
                        std::optional<base::time_point> not_before)>
         desired_version_changed;
     std::function<void(membership::upstream_record)> upstream_listed;
-    /// `may_have_lapsed` tells that the entry went while the list could not be read.
-    std::function<void(std::string const& upstream, bool may_have_lapsed)> upstream_unlisted;
+    /// `unreadable_at` is set if the entry went in an outage, and is the last time at which the
+    /// list was found to be unreadable.
+    std::function<void(std::string const& upstream, std::optional<base::time_point> unreadable_at)>
+        upstream_unlisted;
     /// An entry could not be parsed and is ignored.
     std::function<void(std::string const& key, base::error const& reason)> entry_invalid;
     /// Every change of the configuration before `complete_until` was reported.
--- a/libraries/savorymount/membership/topic_horizon.hpp
+++ b/libraries/savorymount/membership/topic_horizon.hpp
@@ -39,8 +39,12 @@
         raise(arrived_at - age);
     }
 
-    /// A read failed, or was given up, at this time.
-    void read_failed(base::time_point at) { failed_at_ = at; }
+    /// A read that was sent at `sent_at` failed, or was given up, at `at`.
+    void read_failed(base::time_point sent_at, base::time_point at)
+    {
+        failed_read_sent_at_ = sent_at;
+        failed_at_ = at;
+    }
 
     /// Whether reads have failed and none has been complete since. What a record shows now may have
     /// happened while nothing could be read.
@@ -49,6 +53,13 @@
         return failed_at_ && complete_until_.value_or(base::time_point::min()) < *failed_at_;
     }
 
+    /// The last time at which the topic was found to be unreadable: when the last of the failed
+    /// reads was sent. Empty if `reads_outage` does not hold.
+    std::optional<base::time_point> unreadable_at() const
+    {
+        return reads_outage() ? failed_read_sent_at_ : std::nullopt;
+    }
+
     /// Empty until something was read.
     std::optional<base::time_point> complete_until() const { return complete_until_; }
 
@@ -57,6 +68,7 @@
 
     std::optional<base::time_point> complete_until_;
     std::optional<base::time_point> failed_at_;
+    std::optional<base::time_point> failed_read_sent_at_;
 };
 
 } // namespace savorymount::membership
--- a/libraries/savorymount/routing/upstream_table.cpp
+++ b/libraries/savorymount/routing/upstream_table.cpp
@@ -21,6 +21,12 @@
 
 constexpr double request_mix_smoothing = 0.05;
 
+/// Whether the upstream's entry went and was not written again in time.
+bool has_lapsed(base::time_point now, upstream_state const& state)
+{
+    return state.unlisted_until && now >= *state.unlisted_until;
+}
+
 } // namespace
 
 double upstream_state::active_requests(base::time_point now) const
@@ -63,7 +69,7 @@
         }
         record.draining = record.draining || state.record.draining;
     }
-    state.unlisted_at.reset();
+    state.unlisted_until.reset();
     state.record = std::move(record);
     state.listed_weights = listed_weights;
     apply_notice(state);
@@ -71,13 +77,16 @@
 }
 
 void upstream_table::remove_listing(base::time_point now, std::string const& id,
-                                    bool may_have_lapsed)
+                                    std::optional<base::time_point> unreadable_at)
 {
     auto* const state = find(id);
     if (state == nullptr)
         return;
-    if (may_have_lapsed && !state->record.draining)
-        state->unlisted_at = now;
+    // The time does not count from this record, which may be read long after the end of the outage:
+    // an upstream that left after the outage would be used for longer than it runs.
+    bool const may_run = unreadable_at && now < *unreadable_at + relisting_time;
+    if (may_run && !state->record.draining)
+        state->unlisted_until = *unreadable_at + relisting_time;
     else
         states_.erase(id);
 }
@@ -85,10 +94,7 @@
 void upstream_table::expire(base::time_point now)
 {
     std::erase_if(notices_, [now](auto const& it) { return now >= it.second.forgotten_at; });
-    std::erase_if(states_,
-                  [now](auto const& it) {
-                      return it.second.unlisted_at && now - *it.second.unlisted_at > unlisted_grace;
-                  });
+    std::erase_if(states_, [now](auto const& it) { return has_lapsed(now, it.second); });
 }
 
 upstream_state* upstream_table::find(std::string const& id)
@@ -110,7 +116,8 @@
     std::vector<upstream_state*> unhealthy;
     for (auto& [id, state] : states_)
     {
-        bool const is_held_back = now < state.limited_until || now < state.unavailable_until;
+        bool const is_held_back =
+            has_lapsed(now, state) || now < state.limited_until || now < state.unavailable_until;
         if (state.record.service != service || state.record.draining || is_held_back)
             continue;
         bool const is_unhealthy = now < state.backoff_until || is_stalled(now, state);
@@ -251,7 +258,8 @@
 bool upstream_table::accepts_requests(base::time_point now, std::string const& id) const
 {
     auto const* const state = find(id);
-    return state == nullptr || (!state->record.draining && now >= state->unavailable_until);
+    return state != nullptr && !state->record.draining && now >= state->unavailable_until &&
+           !has_lapsed(now, *state);
 }
 
 void upstream_table::load_reported(base::time_point now, std::string const& id,
--- a/libraries/savorymount/routing/upstream_table.hpp
+++ b/libraries/savorymount/routing/upstream_table.hpp
@@ -45,8 +45,8 @@
     membership::upstream_record record;
     /// Weight versions in the latest record of the platform's list.
     std::map<std::string, std::uint64_t> listed_weights;
-    /// When its record disappeared from the list without a shutdown; empty while it is listed.
-    std::optional<base::time_point> unlisted_at;
+    /// Until when it is used although its entry has lapsed; empty while it is listed.
+    std::optional<base::time_point> unlisted_until;
 
     /// Requests of this instance without a complete response.
     upstream_use local_use;
@@ -106,19 +106,21 @@
 class upstream_table
 {
 public:
-    /// An upstream whose entry lapsed during an outage of the list is kept for this long, since it
-    /// may still be running.
-    static constexpr base::duration unlisted_grace = std::chrono::milliseconds(2000);
+    /// An upstream whose entry lapsed in an outage of the list writes it again within two seconds
+    /// after the outage, if it runs. The outage may have lasted for up to 0.9 s, the timeout of a
+    /// read, after the last failed read was sent.
+    static constexpr base::duration relisting_time = std::chrono::milliseconds(2900);
 
     /// Applies an upstream's record from the list. Returns true if the upstream restarted under the
     /// same id.
     bool apply_listing(base::time_point now, membership::upstream_record record);
 
-    /// Handles the removal of an upstream from the list. `may_have_lapsed` is true if the entry
-    /// went while the list could not be read.
-    void remove_listing(base::time_point now, std::string const& id, bool may_have_lapsed);
+    /// Handles the removal of an upstream from the list. `unreadable_at` is set if the entry went
+    /// in an outage, and is the last time at which the list was found to be unreadable.
+    void remove_listing(base::time_point now, std::string const& id,
+                        std::optional<base::time_point> unreadable_at);
 
-    /// Removes unlisted upstreams after `unlisted_grace`.
+    /// Removes the upstreams that were not listed again in time.
     void expire(base::time_point now);
 
     upstream_state* find(std::string const& id);
--- a/tests/libraries/gateway/cluster_state_test.cpp
+++ b/tests/libraries/gateway/cluster_state_test.cpp
@@ -54,7 +54,7 @@
     cluster_state cluster({}, at(0s));
     cluster.upstream_listed(at(0s), engine(1));
     cluster.record_sent_parts(at(1s), parts, "engine-1");
-    cluster.upstream_unlisted(at(2s), "engine-1", true);
+    cluster.upstream_unlisted(at(2s), "engine-1", at(2s));
     EXPECT_EQ(cluster.part_locations().cached_prefix_length(at(2500ms), parts, "engine-1"), 2U);
 }
 
@@ -191,7 +191,7 @@
     cluster.upstream_listed(at(0s), engine(1));
     cluster.store_restored(at(10s));
     // A follower reads the copy as after an outage; see `topic_follower_test`.
-    cluster.upstream_unlisted(at(10s), "engine-1", true);
+    cluster.upstream_unlisted(at(10s), "engine-1", at(10s));
     EXPECT_TRUE(takes_request(cluster, at(11s)));
     cluster.upstream_listed(at(11s), engine(1));
     cluster.tick(at(20s));
--- a/tests/libraries/gateway/upstream_removal_test.cpp
+++ b/tests/libraries/gateway/upstream_removal_test.cpp
@@ -19,11 +19,16 @@
 
 constexpr base::duration read_interval = 700ms;
 constexpr base::duration retry_delay = 200ms;
+constexpr base::duration lost_read_timeout = 900ms;
+constexpr base::duration rejected_read_time = 4ms;
+constexpr base::duration relisting_time = 2s;
+constexpr base::duration bound_again_after = 3s;
 constexpr base::duration history_length = 60s;
 constexpr std::size_t records_per_page = 3;
 
 /// A list of upstreams whose entries are removed one after the other, and an instance that is
-/// turned away by the list's store now and then.
+/// turned away by the list's store now and then. A read of the list that is sent meanwhile may fail
+/// long after the store serves other calls again.
 class generated_history
 {
 public:
@@ -45,12 +50,13 @@
         horizon_.snapshot_read(at(0s));
         while (now_ < at(history_length))
         {
-            if (now_ >= served_until_ && now_ < away_until_)
+            if (is_turned_away())
                 fail_read();
             else
                 read_page();
             if (now_ >= away_until_)
             {
+                last_outage_ended_at_ = away_until_;
                 served_until_ = now_ + delay(6000);
                 away_until_ = served_until_ + delay(5000);
             }
@@ -66,9 +72,25 @@
         return std::chrono::milliseconds(1 + random_.uniform_below(max_ms));
     }
 
+    bool is_turned_away() const { return now_ >= served_until_ && now_ < away_until_; }
+
+    /// Lets time pass, then expects that no entry which went is used for too long: a machine that
+    /// was turned away is bound by removals again three seconds after the outage.
+    void pass(base::duration time)
+    {
+        now_ += time;
+        if (is_away_ || now_ < last_outage_ended_at_ + bound_again_after)
+            return;
+        auto const usable = cluster_.upstreams().candidates(now_, "bench");
+        holds_ = holds_ && usable.size() == removals_.size() - next_;
+    }
+
     void fail_read()
     {
-        horizon_.read_failed(now_);
+        unreadable_at_ = now_;
+        bool const is_lost = random_.uniform_below(3) == 0;
+        now_ += is_lost ? lost_read_timeout : rejected_read_time;
+        horizon_.read_failed(unreadable_at_, now_);
         if (!is_away_)
             failed_after_ = complete_read_sent_at_;
         is_away_ = true;
@@ -78,7 +100,10 @@
     void read_page()
     {
         auto const sent_at = now_;
-        now_ += delay(20);
+        if (now_ >= away_until_)
+            last_outage_ended_at_ = away_until_;
+        // The store may be slow, above all after an outage.
+        now_ += delay(random_.uniform_below(3) == 0 ? 900 : 20);
         std::size_t records = 0;
         while (next_ < removals_.size() && removals_[next_] <= sent_at &&
                records++ < records_per_page)
@@ -89,19 +114,21 @@
         {
             is_away_ = false;
             complete_read_sent_at_ = sent_at;
-            now_ += read_interval;
+            pass(read_interval);
         }
     }
 
     void remove(std::size_t n)
     {
-        cluster_.upstream_unlisted(now_, id_of(n), horizon_.reads_outage());
+        cluster_.upstream_unlisted(now_, id_of(n), horizon_.unreadable_at());
         // The entry was there when the store answered again if it went after a complete read.
         bool const went_unseen = is_away_ && removals_[n] > failed_after_;
         auto const usable = cluster_.upstreams().candidates(now_, "bench");
         bool const is_used = std::any_of(usable.begin(), usable.end(),
                                          [&](auto const* it) { return it->record.id == id_of(n); });
-        holds_ = holds_ && is_used == went_unseen;
+        bool const may_be_listed_again =
+            went_unseen && now_ < unreadable_at_ + lost_read_timeout + relisting_time;
+        holds_ = holds_ && is_used == may_be_listed_again;
         cluster_.upstreams().expire(now_);
     }
 
@@ -116,6 +143,8 @@
     bool is_away_ = false;
     base::time_point complete_read_sent_at_ = at(0s);
     base::time_point failed_after_ = at(0s);
+    base::time_point unreadable_at_{};
+    base::time_point last_outage_ended_at_{};
     bool holds_ = true;
 };
 
--- a/tests/libraries/routing/upstream_table_test.cpp
+++ b/tests/libraries/routing/upstream_table_test.cpp
@@ -43,14 +43,41 @@
     upstream_table table;
     table.apply_listing(at(0s), upstream("a"));
     table.apply_listing(at(0s), upstream("b"));
-    table.remove_listing(at(1s), "a", true);
-    table.remove_listing(at(1s), "b", false);
+    table.remove_listing(at(1s), "a", at(100ms));
+    table.remove_listing(at(1s), "b", std::nullopt);
     table.expire(at(2900ms));
     EXPECT_EQ(table.candidates(at(2900ms), "taalpool").size(), 1U);
     table.expire(at(3100ms));
     EXPECT_TRUE(table.candidates(at(3100ms), "taalpool").empty());
 }
 
+// Guards against an upstream that is used for two seconds after its removal was read, which may be
+// long after the end of the outage.
+TEST(upstream_table, the_time_to_be_listed_again_counts_from_the_end_of_the_outage)
+{
+    upstream_table table;
+    table.apply_listing(at(0s), upstream("a"));
+    table.apply_listing(at(0s), upstream("b"));
+    table.remove_listing(at(2500ms), "a", at(100ms));
+    EXPECT_EQ(table.candidates(at(2900ms), "taalpool").size(), 2U);
+    EXPECT_EQ(table.candidates(at(3100ms), "taalpool").size(), 1U);
+    EXPECT_TRUE(table.accepts_requests(at(2900ms), "a"));
+    EXPECT_FALSE(table.accepts_requests(at(3100ms), "a"));
+    table.remove_listing(at(3500ms), "b", at(100ms));
+    EXPECT_TRUE(table.candidates(at(3500ms), "taalpool").empty());
+}
+
+// Guards against a request that waits for its connection and is sent to an upstream that has left
+// meanwhile.
+TEST(upstream_table, an_upstream_that_was_removed_accepts_no_request)
+{
+    upstream_table table;
+    table.apply_listing(at(0s), upstream("a"));
+    EXPECT_TRUE(table.accepts_requests(at(1s), "a"));
+    table.remove_listing(at(1s), "a", std::nullopt);
+    EXPECT_FALSE(table.accepts_requests(at(1s), "a"));
+}
+
 // Guards against an outdated record in the list that resets a newer weight version.
 TEST(upstream_table, weight_versions_never_decrease_within_one_incarnation)
 {
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -285,7 +285,7 @@
         {
             listed[it.id] = it;
         };
-        callbacks.upstream_unlisted = [this](std::string const& it, bool)
+        callbacks.upstream_unlisted = [this](std::string const& it, std::optional<base::time_point>)
         {
             listed.erase(it);
         };
--- a/tests/platform/topic_follower_test.cpp
+++ b/tests/platform/topic_follower_test.cpp
@@ -533,6 +533,27 @@
     EXPECT_EQ(read_after_outage, (std::set<std::string>{"lapsed", "same", "page"}));
 }
 
+// Guards against an upstream that leaves long after the store answers again, and is taken for one
+// whose entry lapsed, since a call of another topic failed late.
+TEST_F(topic_follower_test, a_call_of_another_topic_that_fails_is_no_outage)
+{
+    reads_store = true;
+    // The first call of the other topic fails, the second one succeeds while a read of the topic is
+    // in flight. That read is given up.
+    follow({snapshot(10), page(10), store_is_unavailable, no_answer, page(10),
+            page(11, serialize_record("left", "")), page(11)});
+    run_until_reads(1);
+    for (int i = 0; i < 2; ++i)
+    {
+        store->read("keyed.other", 10, 0s,
+                    [](std::optional<record_page> const&, base::error const&) {});
+        run_for(50ms);
+    }
+    run_until_reads(2);
+    EXPECT_EQ(records.at("left"), "deleted");
+    EXPECT_TRUE(read_after_outage.empty());
+}
+
 // Guards against an upstream that a copy lacks and that is dropped at once.
 TEST_F(topic_follower_test, a_restored_copy_is_read_as_after_an_outage)
 {
--- a/utilities/savorymountctl/users_platform_status.cpp
+++ b/utilities/savorymountctl/users_platform_status.cpp
@@ -69,7 +69,7 @@
             status_.upstreams[id] = std::move(it);
             noted();
         };
-        out.upstream_unlisted = [this](std::string const& id, bool)
+        out.upstream_unlisted = [this](std::string const& id, std::optional<base::time_point>)
         {
             status_.upstreams.erase(id);
             noted();
