Give parts that a workspace shared before it became isolated to nobody else

The salt of all that share named model and weight version only, so what the tenant had left under it stayed in use.

The shared salt now also names the set of isolated workspaces (configuration::deployment_index::cache_scope), by a digest that does not depend on their order. Under it, none of them has ever made a part, whatever changed before. It follows from the configuration alone, so instances that start or lag agree; with nobody isolated the salt is the old one. A request takes the scope of the newest configuration when it is placed, not that of its admission; a workspace that was isolated at its admission stays so for it.

Cost: when the set of isolated workspaces changes, shared parts are read again once for each model and weight version; any other change of the configuration costs nothing. With engines that tell parts only by salt, what others made cannot be kept apart from what the isolated one made.

--- a/libraries/savorymount/configuration/deployment.cpp
+++ b/libraries/savorymount/configuration/deployment.cpp
@@ -1,9 +1,27 @@
+#include <savorymount/base/digest.hpp>
 #include <savorymount/configuration/deployment.hpp>
 
 #include <utility>
 
 namespace savorymount::configuration
 {
+namespace
+{
+
+// Workspaces that become isolated leave parts behind under the scope that they shared. So the scope
+// of the others names all isolated workspaces: under it, none of these has ever made a part. It
+// follows from the configuration alone and is the same at every instance.
+std::string scope_without(std::set<std::string> const& isolated_workspaces)
+{
+    if (isolated_workspaces.empty())
+        return "";
+    std::uint64_t digest = 0;
+    for (auto const& it : isolated_workspaces)
+        digest = base::chain_digest(digest, it);
+    return "-" + base::to_hex(digest);
+}
+
+} // namespace
 
 deployment_index::deployment_index(deployment data) : data_(std::move(data))
 {
@@ -13,7 +31,21 @@
     {
         for (auto const& key : data_.workspaces[i].keys)
             by_key_[key] = i;
+        if (data_.workspaces[i].isolated)
+            isolated_workspaces_.insert(data_.workspaces[i].name);
     }
+    shared_cache_scope_ = scope_without(isolated_workspaces_);
+}
+
+std::string isolated_cache_scope(std::string const& workspace)
+{
+    return "." + workspace;
+}
+
+std::string deployment_index::cache_scope(std::string const& workspace) const
+{
+    return isolated_workspaces_.contains(workspace) ? isolated_cache_scope(workspace)
+                                                    : shared_cache_scope_;
 }
 
 service_route const* deployment_index::find_route(std::string_view host,
--- a/libraries/savorymount/configuration/deployment.hpp
+++ b/libraries/savorymount/configuration/deployment.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -119,6 +120,9 @@
     bool operator==(deployment const&) const = default;
 };
 
+/// The cache scope of a workspace that shares no cached part with others.
+std::string isolated_cache_scope(std::string const& workspace);
+
 /// Answers the questions that each request asks of a deployment.
 class deployment_index
 {
@@ -138,6 +142,10 @@
     /// The store that keeps KV cache, if there is one.
     cache_store const* find_cache_store() const;
 
+    /// Names the requests that may share cached parts with those of `workspace`; empty if all may.
+    /// `workspace` is empty for a request without a key.
+    std::string cache_scope(std::string const& workspace) const;
+
     bool needs_keys() const { return !data_.workspaces.empty(); }
 
 private:
@@ -145,6 +153,9 @@
     /// Indices of routes.
     prefix_map<std::size_t> by_prefix_;
     std::unordered_map<std::string, std::size_t> by_key_;
+    std::set<std::string> isolated_workspaces_;
+    /// The scope of the workspaces that are not isolated.
+    std::string shared_cache_scope_;
 };
 
 } // namespace savorymount::configuration
--- a/libraries/savorymount/gateway/placement.cpp
+++ b/libraries/savorymount/gateway/placement.cpp
@@ -23,6 +23,19 @@
     return out;
 }
 
+/// The scope by the newest configuration: a request that waited may have been admitted under an
+/// older one, and a part that it makes or uses now belongs to the newest. A workspace that was
+/// isolated when the request was admitted stays so for it.
+std::string cache_scope_of(cluster_state const& cluster, admitted_request const& admitted)
+{
+    auto const& newest = cluster.deployment() ? *cluster.deployment() : *admitted.deployment;
+    if (admitted.workspace == nullptr)
+        return newest.cache_scope("");
+    bool const was_isolated = admitted.workspace->isolated;
+    return was_isolated ? configuration::isolated_cache_scope(admitted.workspace->name)
+                        : newest.cache_scope(admitted.workspace->name);
+}
+
 std::optional<placed_request> place_prompt(base::time_point now, cluster_state& cluster,
                                            admitted_request const& admitted,
                                            caller_request const& request,
@@ -34,11 +47,9 @@
     routing::engine_pool_config const pool{
         service.name, cluster.settings().data_centre, static_cast<double>(service.cache_tokens),
         use_store ? store->address : "", cluster.settings().max_old_version_time};
-    bool const isolated_workspace = admitted.workspace != nullptr && admitted.workspace->isolated;
     routing::engine_request const placement_request{
-        *request.prompt, isolated_workspace ? admitted.workspace->name : "",
-        constraints.tried_upstreams, constraints.software_version,
-        admitted.route->target_event_gap};
+        *request.prompt, cache_scope_of(cluster, admitted), constraints.tried_upstreams,
+        constraints.software_version, admitted.route->target_event_gap};
     auto const choice = routing::choose_engine(now, pool, placement_request, cluster.upstreams(),
                                                cluster.part_locations(), cluster.desired_weights());
     if (!choice)
--- a/libraries/savorymount/routing/engine_placement.cpp
+++ b/libraries/savorymount/routing/engine_placement.cpp
@@ -97,7 +97,7 @@
 {
     version_prefix out;
     out.version = version;
-    out.salt = cache_salt(in.request.prompt.model, version, in.request.isolated_workspace);
+    out.salt = cache_salt(in.request.prompt.model, version, in.request.cache_scope);
     out.digests = part_digests(out.salt, in.request.prompt.parts);
     out.holders = in.locations.find_prefix_holders(in.now, out.digests);
     out.stored_parts = in.pool.store_address.empty() ? 0 : stored_prefix_length(in, out.salt);
@@ -153,8 +153,8 @@
 {
     auto const& parts = request.prompt.parts;
     auto const last_shared = parts.size() > 1 ? parts.size() - 2 : 0;
-    auto const placement_digest = base::chain_digest(
-        base::chain_digest(0, request.isolated_workspace), parts[last_shared].id);
+    auto const placement_digest =
+        base::chain_digest(base::chain_digest(0, request.cache_scope), parts[last_shared].id);
     std::string best;
     std::uint64_t best_score = 0;
     for (auto const* it : engines)
@@ -190,11 +190,9 @@
 
 } // namespace
 
-std::string cache_salt(std::string const& model, std::uint64_t version,
-                       std::string const& isolated_workspace)
+std::string cache_salt(std::string const& model, std::uint64_t version, std::string const& scope)
 {
-    return model + "." + std::to_string(version) +
-           (isolated_workspace.empty() ? "" : "." + isolated_workspace);
+    return model + "." + std::to_string(version) + scope;
 }
 
 std::optional<engine_choice> choose_engine(base::time_point now, engine_pool_config const& pool,
--- a/libraries/savorymount/routing/engine_placement.hpp
+++ b/libraries/savorymount/routing/engine_placement.hpp
@@ -33,8 +33,8 @@
 struct engine_request
 {
     prompt_description prompt;
-    /// Name of the workspace if it shares no cached parts with others; otherwise empty.
-    std::string isolated_workspace;
+    /// Requests share cached parts within one scope; see `deployment_index::cache_scope`.
+    std::string cache_scope;
     /// Upstreams that already got an attempt of this request.
     std::set<std::string> tried;
     /// The only software version that may run it; any if empty.
@@ -64,10 +64,9 @@
     bool operator==(engine_choice const&) const = default;
 };
 
-/// Cache key salt from everything that cached parts depend on: model, weight version and, if
-/// isolated, workspace.
-std::string cache_salt(std::string const& model, std::uint64_t version,
-                       std::string const& isolated_workspace);
+/// Cache key salt from everything that cached parts depend on: model, weight version and the scope
+/// within which they are shared.
+std::string cache_salt(std::string const& model, std::uint64_t version, std::string const& scope);
 
 /// Chooses the engine with the lowest cost: its expected time to first token, plus penalties for
 /// duplicate prefills and copies, for traffic between data centres, for superseded weights and for
--- a/tests/libraries/routing/engine_placement_test.cpp
+++ b/tests/libraries/routing/engine_placement_test.cpp
@@ -106,12 +106,12 @@
 TEST_F(engine_placement, separates_versions_and_isolated_workspaces_by_salt)
 {
     std::set<std::string> const salts{cache_salt("crew", 1, ""), cache_salt("crew", 2, ""),
-                                      cache_salt("crew", 1, "club"), cache_salt("crew", 1, "other"),
-                                      cache_salt("rules", 1, "")};
+                                      cache_salt("crew", 1, ".club"),
+                                      cache_salt("crew", 1, ".other"), cache_salt("rules", 1, "")};
     EXPECT_EQ(salts.size(), 5U);
     auto isolated = request();
-    isolated.isolated_workspace = "club";
-    EXPECT_EQ(choose(isolated)->salt, cache_salt("crew", 1, "club"));
+    isolated.cache_scope = ".club";
+    EXPECT_EQ(choose(isolated)->salt, cache_salt("crew", 1, ".club"));
 }
 
 // Guards against requests that start on weights superseded for too long, and against refusing
