Take nothing for a response that is none

Cause: whatever the parser let pass was taken for a response. It reads any digits as a status, counts "0200" as 200, joins folded lines, takes other bytes for the empty line at the end of a head and for the line ends around chunks, and takes the orderly close for the end of an answer although the request was still being sent.

One place says now what a response may be (response_rules): HTTP/1.0 or 1.1, three digits from 200 to 599 or 100, 102, 103, names that are tokens, values without control bytes, no other transfer coding than chunked. response_head_check and chunked_body_check hold the bytes against it before the parser gets them, in the reader that all of the gateway's calls use; http_call, of entries and agents, checks what evhttp has parsed. A response that ends with its connection is whole only when the peer has acknowledged the whole request; a reset before that ends the call as lost. A folded line is refused: RFC 9112 lets a gateway do so, and it can't be told from a name that begins with a blank. 101 is refused, since nothing asks for an upgrade.

Open: http_call can't see a status of four digits or a folded line, which evhttp hides; and an upstream that has acknowledged the whole request, unread, and resets only later is still taken for one that ended its answer.

--- a/libraries/savorymount/runtime/connection_socket.cpp
+++ b/libraries/savorymount/runtime/connection_socket.cpp
@@ -1,7 +1,9 @@
 #include <savorymount/runtime/connection_socket.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace savorymount::runtime
@@ -31,6 +33,21 @@
     set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(silence_ms));
 }
 
+std::size_t unacknowledged_bytes(evutil_socket_t socket)
+{
+    int out = 0;
+    if (ioctl(socket, SIOCOUTQ, &out) != 0 || out < 0)
+        return 0;
+    return static_cast<std::size_t>(out);
+}
+
+bool has_failed(evutil_socket_t socket)
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    return getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0;
+}
+
 void set_receive_buffer(evutil_socket_t socket, int bytes)
 {
     set_option(socket, SOL_SOCKET, SO_RCVBUF, bytes);
--- a/libraries/savorymount/runtime/connection_socket.hpp
+++ b/libraries/savorymount/runtime/connection_socket.hpp
@@ -4,6 +4,8 @@
 
 #include <event2/util.h>
 
+#include <cstddef>
+
 namespace savorymount::runtime
 {
 
@@ -11,6 +13,12 @@
 /// `silence` bounds how long sent bytes may stay unacknowledged.
 void watch_for_silence(evutil_socket_t socket, base::duration silence);
 
+/// Sent bytes that the peer's kernel has not acknowledged; 0 if that is unknown.
+std::size_t unacknowledged_bytes(evutil_socket_t socket);
+
+/// Whether the connection has failed since the last operation that reported it.
+bool has_failed(evutil_socket_t socket);
+
 /// Receive buffer of a connection whose peer may send more than is wanted now.
 inline constexpr int waiting_receive_buffer_bytes = 64 * 1024;
 
--- a/libraries/savorymount/runtime/http_call.cpp
+++ b/libraries/savorymount/runtime/http_call.cpp
@@ -1,4 +1,5 @@
 #include <savorymount/runtime/http_call.hpp>
+#include <savorymount/runtime/response_rules.hpp>
 #include <savorymount/runtime/timer_service.hpp>
 
 #include <event2/buffer.h>
@@ -23,8 +24,6 @@
 // evhttp's own timeouts cover connecting, reading and writing alike; the call measures its own.
 constexpr timeval no_timeout{31'536'000, 0};
 
-constexpr int first_final_status = 200;
-
 std::optional<evhttp_cmd_type> parse_method(std::string_view name)
 {
     struct entry
@@ -214,13 +213,21 @@
         auto const self = static_cast<transfer*>(argument)->shared_from_this();
         self->last_received_ = self->loop_.now();
         int const status = evhttp_request_get_response_code(request);
-        if (self->ended_ || status < first_final_status)
+        if (self->ended_ || is_interim_status(status))
             return 0;
-        self->head_received_ = true;
         http_headers headers;
         for (evkeyval* it = evhttp_request_get_input_headers(request)->tqh_first; it != nullptr;
              it = it->next.tqe_next)
             headers.push_back({it->key, it->value});
+        if (auto const fault = response_fault(status, headers); !fault.empty())
+        {
+            ++self->callbacks_;
+            self->fail({base::error_kind::unavailable,
+                        to_string(self->request_.address) + " sent no response: " + fault});
+            --self->callbacks_;
+            return -1;
+        }
+        self->head_received_ = true;
         // evhttp takes a body without a length for an empty one if a connection option other than
         // "close" is present. The connection is used once, so its options do not matter here.
         while (evhttp_remove_header(evhttp_request_get_input_headers(request), "Connection") == 0)
--- a/libraries/savorymount/runtime/http_message_reader.cpp
+++ b/libraries/savorymount/runtime/http_message_reader.cpp
@@ -1,4 +1,5 @@
 #include <savorymount/runtime/http_message_reader.hpp>
+#include <savorymount/runtime/response_rules.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -20,24 +21,18 @@
     return value && equal_header_names(*value, "100-continue");
 }
 
-/// Whether the name is a token. The parser lets spaces pass, which others read as a name's end.
-bool is_token(std::string_view name)
-{
-    constexpr std::string_view separators = " \t\"(),/:;<=>?@[\\]{}";
-    return !name.empty() && name.find_first_of(separators) == std::string_view::npos;
-}
-
 bool are_names_tokens(http_headers const& headers)
 {
     return std::all_of(headers.begin(), headers.end(),
-                       [](auto const& it) { return is_token(it.name); });
+                       [](auto const& it) { return is_field_name(it.name); });
 }
 
 } // namespace
 
 http_message_reader::http_message_reader(http_message_kind kind, std::size_t max_header_bytes,
                                          http_message_hooks hooks)
-    : hooks_(std::move(hooks)), max_header_bytes_(max_header_bytes), settings_(make_settings())
+    : kind_(kind), hooks_(std::move(hooks)), max_header_bytes_(max_header_bytes),
+      settings_(make_settings())
 {
     http_parser_init(&parser_, kind == http_message_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
     parser_.data = this;
@@ -58,6 +53,34 @@
 }
 
 std::optional<std::size_t> http_message_reader::feed(std::string_view bytes, base::error& reason)
+{
+    if (kind_ == http_message_kind::request)
+        return execute(bytes, reason);
+    auto const head_bytes = head_check_.feed(bytes, fault_);
+    std::optional<std::size_t> consumed = 0;
+    // NOTE: The parser takes no bytes at all for the end of the connection.
+    if (head_bytes > 0)
+        consumed = execute_sound(bytes.substr(0, head_bytes), reason);
+    bool const is_body_next = consumed == head_bytes && head_bytes < bytes.size() && inside_;
+    if (!is_body_next)
+        return consumed;
+    auto const rest = bytes.substr(head_bytes);
+    if (chunk_check_)
+        fault_ = chunk_check_->feed(rest);
+    consumed = execute_sound(rest, reason);
+    return consumed ? std::optional(head_bytes + *consumed) : std::nullopt;
+}
+
+std::optional<std::size_t> http_message_reader::execute_sound(std::string_view bytes,
+                                                              base::error& reason)
+{
+    auto const consumed = fault_.empty() ? execute(bytes, reason) : std::nullopt;
+    if (!consumed && !fault_.empty())
+        reason = {base::error_kind::invalid_input, "the message is no response: " + fault_};
+    return consumed;
+}
+
+std::optional<std::size_t> http_message_reader::execute(std::string_view bytes, base::error& reason)
 {
     http_parser_pause(&parser_, 0);
     auto const consumed = http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
@@ -112,6 +135,9 @@
 {
     auto& reader = self(parser);
     // NOTE: Fields after the head are trailers of a chunked body. They are counted and dropped.
+    // A name that arrives in pieces may end with an empty one.
+    if (reader.head_complete_ && length > 0 && !is_field_name({at, length}))
+        return parsing_fails;
     if (!reader.head_complete_)
     {
         if (reader.last_was_value_)
@@ -131,13 +157,17 @@
         reader.last_was_value_ = true;
         reader.head_.headers.back().value.append(at, length);
     }
+    else if (!is_field_value({at, length}))
+        return parsing_fails;
     return reader.count_header_bytes(length) ? parsing_continues : parsing_fails;
 }
 
 int http_message_reader::on_headers_complete(::http_parser* parser)
 {
     auto& reader = self(parser);
-    if (!are_names_tokens(reader.head_.headers))
+    bool const is_sound = parser->type == HTTP_REQUEST ? are_names_tokens(reader.head_.headers)
+                                                       : reader.check_response_head();
+    if (!is_sound)
         return parsing_fails;
     reader.head_complete_ = true;
     reader.head_.keep_alive = http_should_keep_alive(parser) != 0;
@@ -153,6 +183,13 @@
     reader.head_.expects_continue = asks_for_continue(reader.head_.headers);
     if (reader.is_interim())
         return response_has_no_body;
+    reader.ends_with_connection_ =
+        parser->type == HTTP_RESPONSE && !has_length && (parser->flags & F_CHUNKED) == 0 &&
+        !has_no_body(reader.head_.status) && !reader.expects_head_response_;
+    bool const has_chunks = (parser->flags & F_CHUNKED) != 0 && !has_no_body(reader.head_.status) &&
+                            !reader.expects_head_response_;
+    if (parser->type == HTTP_RESPONSE && has_chunks)
+        reader.chunk_check_.emplace();
     reader.hooks_.head(reader.head_);
     // The owner keeps the fields; many short ones take far more memory than their bytes.
     reader.head_.headers = {};
@@ -171,11 +208,26 @@
     if (reader.is_interim())
         return parsing_continues;
     reader.inside_ = false;
+    reader.head_check_.reset();
+    reader.chunk_check_.reset();
     http_parser_pause(parser, 1);
     reader.hooks_.end();
     return parsing_continues;
 }
 
+bool http_message_reader::check_response_head()
+{
+    fault_ = response_fault(static_cast<int>(parser_.status_code), head_.headers);
+    bool const knows_chunks = parser_.http_major > 1 || parser_.http_minor > 0;
+    if (fault_.empty() && !knows_chunks && find_header(head_.headers, "Transfer-Encoding"))
+        fault_ = "a response of HTTP/1.0 has a transfer coding";
+    // The parser takes other bytes for the end of a line.
+    if (fault_.empty() && !is_interim_status(static_cast<int>(parser_.status_code)) &&
+        !head_check_.finished())
+        fault_ = "its head does not end with an empty line";
+    return fault_.empty();
+}
+
 bool http_message_reader::count_header_bytes(std::size_t n)
 {
     header_bytes_ += n;
@@ -185,9 +237,7 @@
 
 bool http_message_reader::is_interim() const
 {
-    constexpr int first_interim = 100;
-    constexpr int first_final = 200;
-    return head_.status >= first_interim && head_.status < first_final;
+    return is_interim_status(head_.status);
 }
 
 } // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/http_message_reader.hpp
+++ b/libraries/savorymount/runtime/http_message_reader.hpp
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <savorymount/base/error.hpp>
+#include <savorymount/runtime/chunked_body_check.hpp>
 #include <savorymount/runtime/http_message.hpp>
+#include <savorymount/runtime/response_head_check.hpp>
 
 #include <cstddef>
 #include <functional>
 #include <http_parser.h>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace savorymount::runtime
@@ -27,6 +30,7 @@
 };
 
 /// Reads the HTTP/1.1 messages of one connection, one at a time. Interim responses are skipped.
+/// What `response_rules` do not allow is no response.
 class http_message_reader
 {
 public:
@@ -47,6 +51,10 @@
     /// Tells that the peer closed its side in good order. True if that ends a whole message.
     bool finish();
 
+    /// Whether the response that is being read has neither a length nor chunks, so that it ends
+    /// with its connection.
+    bool ends_with_connection() const { return inside_ && ends_with_connection_; }
+
     /// Whether a message has begun and not ended.
     bool inside_message() const { return inside_; }
 
@@ -61,9 +69,15 @@
     static int on_complete(::http_parser* parser);
     static ::http_parser_settings make_settings();
 
+    std::optional<std::size_t> execute(std::string_view bytes, base::error& reason);
+    /// The same for a part of a response, unless a fault was found in it.
+    std::optional<std::size_t> execute_sound(std::string_view bytes, base::error& reason);
+    /// Notes whether the head of a response is one; see `response_rules`.
+    bool check_response_head();
     bool count_header_bytes(std::size_t n);
     bool is_interim() const;
 
+    http_message_kind kind_;
     http_message_hooks hooks_;
     std::size_t max_header_bytes_;
     std::size_t header_bytes_ = 0;
@@ -75,6 +89,12 @@
     bool last_was_value_ = true;
     bool too_large_ = false;
     bool expects_head_response_ = false;
+    bool ends_with_connection_ = false;
+    response_head_check head_check_;
+    /// Set while a body in chunks is read.
+    std::optional<chunked_body_check> chunk_check_;
+    /// Why the message is refused although the parser takes it; empty if it is not.
+    std::string fault_;
 };
 
 } // namespace savorymount::runtime
--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -6,8 +6,6 @@
 #include <event2/buffer.h>
 
 #include <algorithm>
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -194,10 +192,7 @@
 {
     if (buffer_ == nullptr)
         return 0;
-    int unacknowledged = 0;
-    if (ioctl(bufferevent_getfd(buffer_), SIOCOUTQ, &unacknowledged) != 0)
-        unacknowledged = 0;
-    return buffered_bytes() + static_cast<std::size_t>(unacknowledged);
+    return buffered_bytes() + unacknowledged_bytes(bufferevent_getfd(buffer_));
 }
 
 bool inbound_connection::has_unread_input() const
--- a/libraries/savorymount/runtime/outbound_connection.cpp
+++ b/libraries/savorymount/runtime/outbound_connection.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t max_copied_body_bytes = std::size_t{16} * 1024;
 // A chunk of one byte takes six bytes; this leaves room for a short chunk extension.
 constexpr std::size_t max_overhead_per_body_byte = 16;
+constexpr base::duration request_end_check_interval = std::chrono::milliseconds(5);
 constexpr std::int64_t max_idle_seconds = 86'400;
 
 std::optional<base::duration> parse_idle_time(http_headers const& headers)
@@ -269,6 +270,7 @@
 {
     broken_ = true;
     in_call_ = false;
+    request_end_timer_ = {};
     bufferevent_disable(buffer_, EV_READ | EV_WRITE);
     auto const hooks = std::exchange(hooks_, {});
     hooks.failed(kind, reason);
@@ -283,14 +285,47 @@
         end_idle();
         return;
     }
+    if (!in_good_order || skipping_ || !reader_.ends_with_connection())
+        fail(connected_ ? call_failure::lost : call_failure::not_sent, reason);
+    else if (request_is_under_way())
+        await_request_end();
+    else
+        end_response_with_connection();
+}
+
+bool outbound_connection::request_is_under_way() const
+{
+    return evbuffer_get_length(bufferevent_get_output(buffer_)) > 0 ||
+           unacknowledged_bytes(bufferevent_getfd(buffer_)) > 0;
+}
+
+void outbound_connection::await_request_end()
+{
+    // A peer that closes its side in the middle of the request may reset the connection when it
+    // sees the rest. The reset would have told that its response is not whole.
+    request_end_timer_ = timers_.every(request_end_check_interval,
+                                       [this] { run_or_fail([this] { check_request_end(); }); });
+}
+
+void outbound_connection::check_request_end()
+{
+    if (has_failed(bufferevent_getfd(buffer_)))
+        fail(call_failure::lost, "the upstream reset the connection while the request was sent");
+    else if (!request_is_under_way())
+        end_response_with_connection();
+}
+
+void outbound_connection::end_response_with_connection()
+{
+    request_end_timer_ = {};
     auto const alive = alive_;
-    bool const whole = in_good_order && !skipping_ && reader_.finish();
+    bool const whole = reader_.finish();
     if (!*alive)
         return;
     if (whole)
         take_end();
     else
-        fail(connected_ ? call_failure::lost : call_failure::not_sent, reason);
+        fail(call_failure::lost, "the response did not end with its connection");
 }
 
 void outbound_connection::end_idle()
--- a/libraries/savorymount/runtime/outbound_connection.hpp
+++ b/libraries/savorymount/runtime/outbound_connection.hpp
@@ -108,6 +108,12 @@
     void fail(call_failure kind, std::string const& reason);
     void handle_connected();
     void peer_closed(bool in_good_order, std::string const& reason);
+    /// Whether the peer has not received the whole request yet, as far as the kernel knows.
+    bool request_is_under_way() const;
+    /// Waits until the peer has received the request, and then ends the response.
+    void await_request_end();
+    void check_request_end();
+    void end_response_with_connection();
     void end_idle();
 
     timer_service& timers_;
@@ -131,6 +137,7 @@
     std::optional<base::duration> announced_idle_time_;
     std::function<void()> idle_end_;
     timer_service::subscription connect_timer_;
+    timer_service::subscription request_end_timer_;
     /// Tells a method on the stack that a hook destroyed the object.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/libraries/runtime/http_test.cpp
+++ b/tests/libraries/runtime/http_test.cpp
@@ -397,6 +397,26 @@
     }
 }
 
+// Guards against bytes that evhttp takes for a response and that are none.
+TEST_F(http_test, heads_that_are_none_are_failures)
+{
+    std::string const fields = "\r\nContent-Length: 2\r\n";
+    for (std::string const& head :
+         {"HTTP/1.1 000 OK" + fields, "HTTP/1.1 001 OK" + fields, "HTTP/1.1 099 OK" + fields,
+          "HTTP/1.1 101 OK" + fields, "HTTP/1.1 600 OK" + fields, "HTTP/1.1 999 OK" + fields,
+          "HTTP/1.1 20 OK" + fields, "HTTP/1.1 200 OK" + fields + "X Field: a\r\n",
+          "HTTP/1.1 200 OK" + fields + "X-Field : a\r\n",
+          "HTTP/1.1 200 OK" + fields + "X\x01Field: a\r\n",
+          "HTTP/1.1 200 OK" + fields + "X-Field: a\x01\r\n"})
+    {
+        raw_server const peer(head + "\r\nok");
+        port = peer.port();
+        auto const out = run(request("POST", "/", "run me"));
+        EXPECT_TRUE(out.failure) << head;
+        EXPECT_EQ(out.status, 0) << head;
+    }
+}
+
 // Guards against interim responses that reach the caller as the final head.
 TEST_F(http_test, interim_response_is_skipped)
 {
