--- a/tests/libraries/runtime/response_rules_test.cpp
+++ b/tests/libraries/runtime/response_rules_test.cpp
@@ -167,8 +167,9 @@
                               }
                               auto const piece_bytes = 1 + random.uniform_below(text.size());
                               auto const out = read_response(text, piece_bytes);
-                              RC_LOG() << testing::PrintToString(text) << " in pieces of " << piece_bytes;
-            RC_ASSERT(!out.head || is_head(text));
+                              RC_LOG() << testing::PrintToString(text) << " in pieces of "
+                                       << piece_bytes;
+                              RC_ASSERT(!out.head || is_head(text));
                               RC_ASSERT(text != sound || out.ended);
                           });
 }
