--- a/libraries/savorymount/base/error.hpp
+++ b/libraries/savorymount/base/error.hpp
@@ -36,4 +36,10 @@
     bool operator==(error const&) const = default;
 };
 
+/// Whether the other side sent what can't be read, or too much of it.
+inline bool is_invalid_input(error const& it)
+{
+    return it.kind == error_kind::invalid_input || it.kind == error_kind::too_large;
+}
+
 } // namespace savorymount::base
--- a/libraries/savorymount/gateway/platform_adapter.hpp
+++ b/libraries/savorymount/gateway/platform_adapter.hpp
@@ -148,12 +148,15 @@
                        std::function<void(append_outcome)>)>
         write_stream_versions;
 
-    /// `may_send` tells at the moment of sending whether this instance is still the leader.
+    /// `may_send` tells at the moment of sending whether this instance is still the leader. The
+    /// reason says why there is no answer.
     std::function<void(orders::weight_order const&, std::string const& leader,
-                       std::function<bool()> may_send, std::function<void(orders::order_outcome)>)>
+                       std::function<bool()> may_send,
+                       std::function<void(orders::order_outcome, base::error const& reason)>)>
         send_order;
-    std::function<void(std::string const& address,
-                       std::function<void(std::optional<orders::order_report>)>)>
+    std::function<void(
+        std::string const& address,
+        std::function<void(std::optional<orders::order_report>, base::error const& reason)>)>
         read_engine_report;
     /// Follows the cache store at an address instead of the previous one.
     std::function<void(std::string const& address, cache_store_events)> follow_cache_store;
--- a/libraries/savorymount/gateway/response_memory.cpp
+++ b/libraries/savorymount/gateway/response_memory.cpp
@@ -13,17 +13,6 @@
 
 } // namespace
 
-bool response_memory::share::resize(std::size_t bytes)
-{
-    auto const others = owner_.used_bytes_ - bytes_;
-    bool const grows = bytes > bytes_;
-    if (grows && others + bytes > owner_.limits_.max_total_bytes)
-        return false;
-    owner_.used_bytes_ = others + bytes;
-    bytes_ = bytes;
-    return true;
-}
-
 std::string body_too_large(response_limits const& limits)
 {
     return exceeded("the body of the upstream's response", limits.max_body_bytes,
--- a/libraries/savorymount/gateway/response_memory.hpp
+++ b/libraries/savorymount/gateway/response_memory.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <savorymount/base/byte_account.hpp>
+
 #include <cstddef>
 #include <string>
 
@@ -24,32 +26,24 @@
 class response_memory
 {
 public:
-    explicit response_memory(response_limits limits) : limits_(limits) {}
+    explicit response_memory(response_limits limits)
+        : limits_(limits), account_(limits.max_total_bytes)
+    {
+    }
 
     response_limits const& limits() const { return limits_; }
-    std::size_t used_bytes() const { return used_bytes_; }
+    std::size_t used_bytes() const { return account_.used_bytes(); }
 
     /// The part of the memory that one response occupies. It is returned on destruction.
-    class share
+    class share : public base::byte_account::share
     {
     public:
-        explicit share(response_memory& owner) : owner_(owner) {}
-        ~share() { owner_.used_bytes_ -= bytes_; }
-        share(share const&) = delete;
-        share& operator=(share const&) = delete;
-
-        /// Changes the share to `bytes`. Returns false, and leaves it as it is, if all responses
-        /// together would exceed their limit.
-        bool resize(std::size_t bytes);
-
-    private:
-        response_memory& owner_;
-        std::size_t bytes_ = 0;
+        explicit share(response_memory& owner) : base::byte_account::share(owner.account_) {}
     };
 
 private:
     response_limits limits_;
-    std::size_t used_bytes_ = 0;
+    base::byte_account account_;
 };
 
 /// Error texts that name the limit and the setting that raises it.
--- a/libraries/savorymount/gateway/rollout_leader.cpp
+++ b/libraries/savorymount/gateway/rollout_leader.cpp
@@ -41,12 +41,20 @@
         return "fenced";
     case orders::order_outcome::impossible:
         return "impossible";
+    case orders::order_outcome::invalid_answer:
+        return "invalid_answer";
     case orders::order_outcome::unanswered:
         break;
     }
     return "unanswered";
 }
 
+void log_invalid_answer(std::string const& upstream, base::error const& reason)
+{
+    runtime::log(events::engine_answer_invalid,
+                 {{"upstream", upstream}, {"reason", reason.message}});
+}
+
 } // namespace
 
 rollout_leader::rollout_leader(runtime::timer_service& timers, cluster_state& cluster,
@@ -246,8 +254,12 @@
         return lease_.fencing_token(timers_.now()) == fencing_token;
     };
     platform_.send_order(order, cluster_.settings().instance, still_leader,
-                         [this, order](orders::order_outcome outcome)
-                         { handle_order_outcome(order, outcome); });
+                         [this, order](orders::order_outcome outcome, base::error const& reason)
+                         {
+                             if (base::is_invalid_input(reason))
+                                 log_invalid_answer(order.upstream, reason);
+                             handle_order_outcome(order, outcome);
+                         });
 }
 
 void rollout_leader::handle_order_outcome(orders::weight_order const& order,
@@ -283,22 +295,31 @@
     auto const* const state = cluster_.upstreams().find(upstream);
     if (state == nullptr)
     {
-        rollout_.on_report_failed(timers_.now(), upstream);
+        rollout_.on_report_failed(timers_.now(), upstream, false);
         return;
     }
-    platform_.read_engine_report(state->record.address,
-                                 [this, upstream](std::optional<orders::order_report> report)
-                                 {
-                                     if (report)
-                                     {
-                                         rollout_.on_report(timers_.now(), upstream, *report);
-                                         for (auto const& [model, version] : report->weights)
-                                             cluster_.weights_observed(upstream, model, version);
-                                     }
-                                     else
-                                         rollout_.on_report_failed(timers_.now(), upstream);
-                                     advance();
-                                 });
+    platform_.read_engine_report(
+        state->record.address,
+        [this, upstream](std::optional<orders::order_report> report, base::error const& reason)
+        {
+            if (report)
+            {
+                rollout_.on_report(timers_.now(), upstream, *report);
+                for (auto const& [model, version] : report->weights)
+                    cluster_.weights_observed(upstream, model, version);
+            }
+            else
+                handle_missing_report(upstream, reason);
+            advance();
+        });
+}
+
+void rollout_leader::handle_missing_report(std::string const& upstream, base::error const& reason)
+{
+    bool const is_invalid = base::is_invalid_input(reason);
+    if (is_invalid)
+        log_invalid_answer(upstream, reason);
+    rollout_.on_report_failed(timers_.now(), upstream, is_invalid);
 }
 
 void rollout_leader::release(std::function<void()> done)
--- a/libraries/savorymount/gateway/rollout_leader.hpp
+++ b/libraries/savorymount/gateway/rollout_leader.hpp
@@ -71,6 +71,7 @@
     void update_draining_engines(base::time_point now, std::vector<std::string> const& upstreams);
     void send_order(orders::weight_order const& order);
     void request_engine_report(std::string const& upstream);
+    void handle_missing_report(std::string const& upstream, base::error const& reason);
     void handle_order_outcome(orders::weight_order const& order, orders::order_outcome outcome);
     void update_leadership(base::time_point now);
     std::vector<orders::rollout_engine> engines(base::time_point now) const;
--- a/libraries/savorymount/orders/weight_rollout.cpp
+++ b/libraries/savorymount/orders/weight_rollout.cpp
@@ -155,11 +155,12 @@
     state.reported_weights = report.weights;
 }
 
-void weight_rollout::on_report_failed(base::time_point now, std::string const& upstream)
+void weight_rollout::on_report_failed(base::time_point now, std::string const& upstream,
+                                      bool is_invalid)
 {
     auto& state = engines_[upstream];
     state.report_requested = false;
-    state.retry_at = now + options_.retry_delay;
+    state.retry_at = now + (is_invalid ? options_.invalid_answer_delay : options_.retry_delay);
 }
 
 void weight_rollout::on_order_response(base::time_point now, weight_order const& order,
@@ -183,6 +184,10 @@
         state.accepted_orders.reset();
         state.retry_at = now + options_.retry_delay;
         return;
+    case order_outcome::invalid_answer:
+        state.accepted_orders.reset();
+        state.retry_at = now + options_.invalid_answer_delay;
+        return;
     case order_outcome::fenced:
     case order_outcome::impossible:
         state.accepted_orders.reset();
--- a/libraries/savorymount/orders/weight_rollout.hpp
+++ b/libraries/savorymount/orders/weight_rollout.hpp
@@ -45,6 +45,8 @@
     fenced,
     /// Another engine uses the address, or the order is invalid.
     impossible,
+    /// What the engine sent is no answer: the order may have been accepted.
+    invalid_answer,
     /// No response: the order may still be executed later.
     unanswered
 };
@@ -90,6 +92,8 @@
     /// Duration of one load.
     base::duration load_duration = std::chrono::milliseconds(575);
     base::duration retry_delay = std::chrono::milliseconds(250);
+    /// The same after an engine sent what is no answer.
+    base::duration invalid_answer_delay = std::chrono::milliseconds(2000);
     /// Number of batches of `max_concurrent_loads` engines that load or drain at the same time.
     std::size_t drain_batches = 2;
     /// Longest time that an engine gets to finish its requests before it loads.
@@ -127,7 +131,8 @@
                            std::vector<rollout_engine> const& engines);
 
     void on_report(base::time_point now, std::string const& upstream, order_report const& report);
-    void on_report_failed(base::time_point now, std::string const& upstream);
+    /// `is_invalid` tells that the engine sent what is no report; it is not asked again at once.
+    void on_report_failed(base::time_point now, std::string const& upstream, bool is_invalid);
     void on_order_response(base::time_point now, weight_order const& order, order_outcome outcome);
 
     /// Discards the state of all engines, after another instance became the leader.
--- a/libraries/savorymount/runtime/log_events.hpp
+++ b/libraries/savorymount/runtime/log_events.hpp
@@ -124,6 +124,9 @@
 inline constexpr log_event weights_found{
     515, log_level::info, "weights_found",
     "An engine or the system's own records show a newer weight version than the store names."};
+inline constexpr log_event engine_answer_invalid{
+    516, log_level::warning, "engine_answer_invalid",
+    "An engine sent no answer to a report request or an order, or a longer one than any."};
 inline constexpr log_event lease_acquired{600, log_level::info, "lease_acquired",
                                           "This agent owns a workspace's token bucket."};
 inline constexpr log_event lease_lost{601, log_level::warning, "lease_lost",
@@ -206,6 +209,7 @@
                                 upstream_limit_ended,
                                 older_weights_named,
                                 weights_found,
+                                engine_answer_invalid,
                                 lease_acquired,
                                 lease_lost,
                                 duty_acquired,
--- a/tests/libraries/runtime/odd_responses.hpp
+++ b/tests/libraries/runtime/odd_responses.hpp
@@ -18,15 +18,14 @@
 {
     std::string const framing = "Content-Length: 2\r\n";
     std::string const body = "\r\nok";
+    std::string const rest = " OK\r\n" + fields + framing + body;
     std::vector<odd_response_text> out;
     for (char const* const it : {"000", "001", "099", "101", "104", "199", "20", "2", "0200",
                                  "2000", "600", "999", "-20", "+20", "2x0", "", "20\x01"})
-        out.push_back({std::string("status ") + it,
-                       std::string("HTTP/1.1 ") + it + " OK\r\n" + fields + framing + body});
+        out.push_back({std::string("status ") + it, std::string("HTTP/1.1 ") + it + rest});
     for (char const* const it :
          {"HTTP/0.9", "HTTP/1.2", "HTTP/2.0", "HTTP/01.1", "http/1.1", "ICY"})
-        out.push_back({std::string("version ") + it,
-                       std::string(it) + " 200 OK\r\n" + fields + framing + body});
+        out.push_back({std::string("version ") + it, std::string(it) + " 200" + rest});
     auto const add_field = [&](std::string const& name, std::string const& line)
     {
         out.push_back({name, "HTTP/1.1 200 OK\r\n" + fields + line + "\r\n" + framing + body});
--- a/tests/libraries/runtime/response_rules_test.cpp
+++ b/tests/libraries/runtime/response_rules_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 #include <tests/libraries/runtime/odd_responses.hpp>
 #include <tests/libraries/seeded_property.hpp>
 
@@ -142,36 +143,36 @@
 TEST(response_rules, no_generated_bytes_are_taken_for_a_head_that_is_none)
 {
     std::string const sound = "HTTP/1.1 200 OK\r\nX-Field: a, b\r\nContent-Length: 2\r\n\r\nok";
-    std::string const bytes_of_heads = std::string("\0\1\t\n\r\x7f\xe9 :0259-\"HT/.", 21);
-    tests::check_property(3000,
-                          [&](std::uint32_t seed)
-                          {
-                              base::random_source random(seed);
-                              auto text = sound;
-                              for (auto n = random.uniform_below(4); n > 0; --n)
-                              {
-                                  auto const at = random.uniform_below(text.size());
-                                  char const it =
-                                      bytes_of_heads[random.uniform_below(bytes_of_heads.size())];
-                                  switch (random.uniform_below(3))
-                                  {
-                                  case 0:
-                                      text[at] = it;
-                                      break;
-                                  case 1:
-                                      text.insert(at, 1, it);
-                                      break;
-                                  default:
-                                      text.erase(at, 1);
-                                  }
-                              }
-                              auto const piece_bytes = 1 + random.uniform_below(text.size());
-                              auto const out = read_response(text, piece_bytes);
-                              RC_LOG() << testing::PrintToString(text) << " in pieces of "
-                                       << piece_bytes;
-                              RC_ASSERT(!out.head || is_head(text));
-                              RC_ASSERT(text != sound || out.ended);
-                          });
+    // The array ends with a NUL, which is one of the bytes.
+    constexpr char bytes_of_heads[] = "\1\t\n\r\x7f\xe9 :0259-\"HT/.";
+    tests::check_property(
+        3000,
+        [&](std::uint32_t seed)
+        {
+            base::random_source random(seed);
+            auto text = sound;
+            for (auto n = random.uniform_below(4); n > 0; --n)
+            {
+                auto const at = random.uniform_below(text.size());
+                char const it = bytes_of_heads[random.uniform_below(std::size(bytes_of_heads))];
+                switch (random.uniform_below(3))
+                {
+                case 0:
+                    text[at] = it;
+                    break;
+                case 1:
+                    text.insert(at, 1, it);
+                    break;
+                default:
+                    text.erase(at, 1);
+                }
+            }
+            auto const piece_bytes = 1 + random.uniform_below(text.size());
+            auto const out = read_response(text, piece_bytes);
+            RC_LOG() << testing::PrintToString(text) << " in pieces of " << piece_bytes;
+            RC_ASSERT(!out.head || is_head(text));
+            RC_ASSERT(text != sound || out.ended);
+        });
 }
 
 } // namespace
--- a/tests/platform/no_response_test.cpp
+++ b/tests/platform/no_response_test.cpp
@@ -76,8 +76,8 @@
             order.address = to_string(server.address());
             engines.send_order(
                 order, "leader", [] { return true; },
-                [done](orders::order_outcome it)
-                { done(it != orders::order_outcome::unanswered); });
+                [done](orders::order_outcome it, base::error const&)
+                { done(it != orders::order_outcome::invalid_answer); });
         });
 }
 
@@ -89,7 +89,7 @@
         [&](scripted_server& server, auto const& done)
         {
             engines.read_report(to_string(server.address()),
-                                [done](auto const& it) { done(it.has_value()); });
+                                [done](auto const& it, auto const&) { done(it.has_value()); });
         });
     std::unique_ptr<platform::store_client> store;
     expect_refused(
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -244,7 +244,7 @@
     {
         bool done = false;
         engines.read_report(to_string(server.address()),
-                            [&](std::optional<orders::order_report> it)
+                            [&](std::optional<orders::order_report> it, base::error const&)
                             {
                                 report = std::move(it);
                                 done = true;
