Free what a refused request occupied when its reservation ends

Cause: `request_ = {}` keeps the buffers of the strings that it assigns to, while the reservation of the body ends at once, so the next body was let in and the buffer of the refused one stayed with its connection, which lingers. drop_request moves the request out, in the three places where one is given up. The same cause in the reader of messages, whose fields were to be freed after a head and after a malformed one, and in response_head_check.

--- a/libraries/savorymount/runtime/http_message_reader.cpp
+++ b/libraries/savorymount/runtime/http_message_reader.cpp
@@ -87,7 +87,7 @@
     auto const failure = HTTP_PARSER_ERRNO(&parser_);
     if (failure == HPE_OK || failure == HPE_PAUSED)
         return consumed;
-    head_.headers = {};
+    std::exchange(head_.headers, {});
     if (too_large_ || failure == HPE_HEADER_OVERFLOW)
         reason = {base::error_kind::too_large, "the header is larger than " +
                                                    std::to_string(max_header_bytes_) +
@@ -192,7 +192,7 @@
         reader.chunk_check_.emplace();
     reader.hooks_.head(reader.head_);
     // The owner keeps the fields; many short ones take far more memory than their bytes.
-    reader.head_.headers = {};
+    std::exchange(reader.head_.headers, {});
     return reader.expects_head_response_ ? response_has_no_body : parsing_continues;
 }
 
--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -109,7 +109,7 @@
         return;
     auto const size = request_.head.content_length.value_or(limits().max_body_bytes);
     discardable_bytes_ = static_cast<std::size_t>(size) - request_.body.size();
-    request_ = {};
+    drop_request();
     keep_alive_ = false;
     phase_ = phase::responding;
     bufferevent_enable(buffer_, EV_READ);
@@ -395,10 +395,17 @@
     hooks_.request(shared_from_this(), std::exchange(request_, {}));
 }
 
+void inbound_connection::drop_request()
+{
+    // An assignment would keep the buffers, whose reservation ends now. The connection may go on
+    // for seconds.
+    std::exchange(request_, {});
+}
+
 void inbound_connection::reject(base::error const& reason)
 {
     bool const in_body = refusal_.has_value();
-    request_ = {};
+    drop_request();
     if (in_body)
         discardable_bytes_ = limits().max_body_bytes;
     phase_ = phase::responding;
@@ -498,7 +505,7 @@
     auto const keep = shared_from_this();
     if (phase_ == phase::receiving)
     {
-        request_ = {};
+        drop_request();
         phase_ = phase::responding;
         keep_alive_ = false;
         respond(408, {}, "");
--- a/libraries/savorymount/runtime/inbound_connection.hpp
+++ b/libraries/savorymount/runtime/inbound_connection.hpp
@@ -137,6 +137,8 @@
     void announce_body();
     void discard_input();
     void take_request();
+    /// Forgets the request that is being received and frees its memory.
+    void drop_request();
     void reject(base::error const& reason);
     void end_response();
     void linger();
--- a/libraries/savorymount/runtime/response_head_check.cpp
+++ b/libraries/savorymount/runtime/response_head_check.cpp
@@ -2,6 +2,7 @@
 #include <savorymount/runtime/response_rules.hpp>
 
 #include <charconv>
+#include <utility>
 
 namespace savorymount::runtime
 {
@@ -40,7 +41,7 @@
 
 void response_head_check::reset()
 {
-    line_ = {};
+    std::exchange(line_, {});
     in_status_line_ = true;
     interim_ = false;
     finished_ = false;
