Look at each option of Connection once

Cause: end_to_end_headers compared each field with each option that Connection names. The options are put into a set first.

--- a/libraries/savorymount/runtime/http_message.cpp
+++ b/libraries/savorymount/runtime/http_message.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <http_parser.h>
+#include <unordered_set>
 
 namespace savorymount::runtime
 {
@@ -21,6 +22,14 @@
     return std::string(text.substr(first, text.find_last_not_of(" \t") - first + 1));
 }
 
+std::string lower_case(std::string_view text)
+{
+    std::string out(text);
+    for (auto& it : out)
+        it = it >= 'A' && it <= 'Z' ? static_cast<char>(it - 'A' + 'a') : it;
+    return out;
+}
+
 void append_headers(std::string& out, http_headers const& headers)
 {
     for (auto const& it : headers)
@@ -69,13 +78,14 @@
 
 http_headers end_to_end_headers(http_headers const& headers)
 {
-    auto const named = connection_options(headers);
+    // A client chooses both the number of options and that of fields, so they are not multiplied.
+    std::unordered_set<std::string> named;
+    for (auto const& it : connection_options(headers))
+        named.insert(lower_case(it));
     http_headers out;
     for (auto const& header : headers)
     {
-        bool const listed =
-            std::any_of(named.begin(), named.end(),
-                        [&header](auto const& it) { return equal_header_names(it, header.name); });
+        bool const listed = !named.empty() && named.contains(lower_case(header.name));
         if (!listed && !is_hop_by_hop(header.name))
             out.push_back(header);
     }
