Keep the fields of running requests as text, within one account

Cause: a request that runs kept each field twice, each as two strings, some 0.4 MB for 16 KB, and no account saw it: the account of heads counts what arrives. The fields that go to the upstream are kept once and serialised, and the head is dropped when it is decoded. By reading, the parts of a prompt are the same class: 4,000 of them fit into 16 KB and take 0.2 MB. What a request keeps of its head, parts included, is counted now; all together may take a tenth of memory-mb, beyond which requests that keep more than 4 KB are refused with 503 as not run. Requests of fields and parts of usual size never meet this.

--- a/libraries/savorymount/gateway/caller_request.hpp
+++ b/libraries/savorymount/gateway/caller_request.hpp
@@ -30,12 +30,16 @@
     std::optional<std::uint64_t> last_event_id;
     /// Id of the request that brought the first event of the stream that this one resumes.
     std::optional<std::string> resumes;
-    /// Header fields that go to the upstream unchanged.
-    runtime::http_headers forwarded_headers;
+    /// Header fields that go to the upstream unchanged, serialized: many short ones take far more
+    /// memory than their bytes while the request runs.
+    std::string forwarded_fields;
 
     bool operator==(caller_request const&) const = default;
 };
 
+/// What the request occupies while it runs, in bytes.
+std::size_t memory_of(caller_request const& request);
+
 /// Ids of the prompt parts that other requests may share: all but the last one, which is specific
 /// to the request.
 std::vector<std::string> shared_part_ids(caller_request const& request);
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -191,6 +191,7 @@
                           }),
       settings_reload_(std::move(origin)), settings_file_(settings_file_path())
 {
+    context_.request_memory = std::make_shared<base::byte_account>(settings.request_memory_bytes);
     ready_server_.set_limits(status_limits());
     metrics_server_.set_limits(status_limits());
     server_.on_body_announced([this](std::shared_ptr<runtime::inbound_connection> const& client,
--- a/libraries/savorymount/gateway/gateway_request.cpp
+++ b/libraries/savorymount/gateway/gateway_request.cpp
@@ -20,6 +20,9 @@
 constexpr base::duration min_stall_timeout = 300ms;
 // Reading from the upstream pauses when this much is buffered for a slow caller.
 constexpr std::size_t max_client_buffer_bytes = std::size_t{256} * 1024;
+// A head of ordinary fields and prompt parts.
+constexpr std::size_t max_small_request_bytes = std::size_t{4} * 1024;
+constexpr base::duration memory_retry_delay = 300ms;
 constexpr int status_bad_gateway = 502;
 constexpr int status_gateway_timeout = 504;
 constexpr int first_error_status = 400;
@@ -38,7 +41,7 @@
     : context_(context), client_(std::move(client)),
       http_request_(std::make_shared<runtime::http_request>(std::move(request))),
       arrived_at_(http_request_->head_arrived_at.value_or(context.timers.now())),
-      failure_response_memory_(context.responses)
+      memory_(*context.request_memory), failure_response_memory_(context.responses)
 {
 }
 
@@ -54,6 +57,9 @@
         return;
     }
     caller_request_ = std::move(*decoded);
+    std::exchange(http_request_->head.headers, {});
+    if (!reserve_memory())
+        return;
     last_event_id_ = caller_request_.last_event_id;
     refusal refused;
     admitted_.emplace();
@@ -82,6 +88,20 @@
         dispatch_with_room();
 }
 
+bool gateway_request::reserve_memory()
+{
+    auto const bytes = memory_of(caller_request_);
+    // Ordinary requests take so little that those of other callers must not keep them out.
+    if (bytes <= max_small_request_bytes || memory_.resize(bytes))
+        return true;
+    refuse({{base::error_kind::overloaded,
+             "the memory for the heads of requests is in use; send the request later"},
+            memory_retry_delay,
+            0,
+            0});
+    return false;
+}
+
 bool gateway_request::resumes_stream() const
 {
     bool const is_stream = admitted_->route->kind == configuration::repeat_rule::streaming;
--- a/libraries/savorymount/gateway/gateway_request.hpp
+++ b/libraries/savorymount/gateway/gateway_request.hpp
@@ -30,6 +30,8 @@
 
 private:
     /// Whether the request resumes a stream that another one began.
+    /// Takes memory for what the request keeps of its head; without it, the request is refused.
+    bool reserve_memory();
     bool resumes_stream() const;
     /// Finds the software version that began the stream, and dispatches the request to it.
     void find_stream_origin();
@@ -114,6 +116,8 @@
     /// A failure response of an upstream, delivered if no retry succeeds.
     std::optional<runtime::http_head> failure_response_head_;
     std::string failure_response_body_;
+    /// What the request keeps of its head.
+    base::byte_account::share memory_;
     response_memory::share failure_response_memory_;
     bool finished_ = false;
     /// The time limit has passed, and a response that was ready had time to arrive.
--- a/libraries/savorymount/gateway/gateway_settings.cpp
+++ b/libraries/savorymount/gateway/gateway_settings.cpp
@@ -14,6 +14,8 @@
 constexpr double max_relay_weight = 1e9;
 constexpr double min_memory_mb = 32;
 constexpr double max_memory_mb = 1e6;
+// What running requests keep of their heads may use this share of the process's memory.
+constexpr double request_memory_share = 0.1;
 // Responses may use this share of the process's memory.
 constexpr double response_memory_share = 0.23;
 constexpr std::int64_t max_size_kib = std::int64_t{1024} * 1024;
@@ -176,6 +178,8 @@
     out.responses.max_total_bytes = std::min(
         out.responses.max_total_bytes,
         static_cast<std::size_t>(static_cast<double>(out.memory_bytes) * response_memory_share));
+    out.request_memory_bytes =
+        static_cast<std::size_t>(static_cast<double>(out.memory_bytes) * request_memory_share);
     if (!reader.is_valid())
         return std::nullopt;
     return out;
--- a/libraries/savorymount/gateway/gateway_settings.hpp
+++ b/libraries/savorymount/gateway/gateway_settings.hpp
@@ -50,6 +50,8 @@
     response_limits responses;
     /// Memory that the process may use.
     std::size_t memory_bytes = 0;
+    /// What running requests keep of their heads.
+    std::size_t request_memory_bytes = 0;
     /// Bytes of a response that belong to no body, for example heads and interim responses.
     std::size_t max_response_overhead_bytes = 0;
     /// Log lines per second; half of them are reserved for failures.
--- a/libraries/savorymount/runtime/http_message.cpp
+++ b/libraries/savorymount/runtime/http_message.cpp
@@ -39,7 +39,6 @@
         out += it.value;
         out += "\r\n";
     }
-    out += "\r\n";
 }
 
 } // namespace
@@ -93,9 +92,18 @@
 }
 
 std::string serialize_request_head(std::string const& method, std::string const& target,
-                                   http_headers const& headers)
+                                   http_headers const& headers, std::string_view fields)
 {
     std::string out = method + " " + target + " HTTP/1.1\r\n";
+    out += fields;
+    append_headers(out, headers);
+    out += "\r\n";
+    return out;
+}
+
+std::string serialize_fields(http_headers const& headers)
+{
+    std::string out;
     append_headers(out, headers);
     return out;
 }
@@ -105,6 +113,7 @@
     std::string out = "HTTP/1.1 " + std::to_string(status) + " " +
                       http_status_str(static_cast<http_status>(status)) + "\r\n";
     append_headers(out, headers);
+    out += "\r\n";
     return out;
 }
 
--- a/libraries/savorymount/runtime/http_message.hpp
+++ b/libraries/savorymount/runtime/http_message.hpp
@@ -58,9 +58,13 @@
 /// `headers` without those that concern only one connection.
 http_headers end_to_end_headers(http_headers const& headers);
 
-/// The serialised head of a request, its final empty line included.
+/// The serialised fields, without the empty line that ends a head.
+std::string serialize_fields(http_headers const& headers);
+
+/// The serialised head of a request, its final empty line included. `fields` are serialised fields
+/// that stand before `headers`.
 std::string serialize_request_head(std::string const& method, std::string const& target,
-                                   http_headers const& headers);
+                                   http_headers const& headers, std::string_view fields = {});
 
 /// The serialised head of a response, its final empty line included.
 std::string serialize_response_head(int status, http_headers const& headers);
