Drain no engine for a version that is not recorded yet

Read in the diff: an engine would have been drained, and so get no requests, for as long as the store takes no record of the version. Orders and drains both wait for it now. Guarded by weight_rollout.orders_and_drains_nothing_before_the_version_is_recorded; the delay after an answer that is none got a test too, an_engine_that_sent_no_answer_is_not_asked_again_at_once.

--- a/libraries/savorymount/orders/weight_rollout.cpp
+++ b/libraries/savorymount/orders/weight_rollout.cpp
@@ -25,14 +25,16 @@
                 out.report_requests.push_back(id);
             continue;
         }
+        // It is not drained either: nobody knows when the order may follow.
+        if (may_order_ && !may_order_(it.model, it.version))
+            continue;
         if (!state.drain_started_at && loading + draining >= max_unavailable)
             continue;
         if (!state.drain_started_at)
             state.drain_started_at = now;
         ++draining;
         out.draining.push_back(id);
-        bool const may_order = !may_order_ || may_order_(it.model, it.version);
-        bool const ready = may_order && (!drain_first || is_drained(now, it));
+        bool const ready = !drain_first || is_drained(now, it);
         if (loading >= options_.max_concurrent_loads || !ready)
             continue;
         ++loading;
--- a/tests/libraries/orders/weight_rollout_test.cpp
+++ b/tests/libraries/orders/weight_rollout_test.cpp
@@ -203,5 +203,51 @@
     EXPECT_EQ(rollout.next_step(at(1s), fencing_token, desired, cluster.engines).orders.size(), 1U);
 }
 
+// Guards against engines that get no requests for a load that may not be ordered yet, and against a
+// version that engines load before any record keeps it.
+TEST(weight_rollout, orders_and_drains_nothing_before_the_version_is_recorded)
+{
+    fake_cluster cluster(6, 1);
+    desired_weights desired;
+    desired.add_version("crew", 1, at(0s));
+    desired.add_version("crew", 2, at(0s));
+    weight_rollout rollout({});
+    bool is_recorded = false;
+    rollout.set_order_condition([&](std::string const& model, std::uint64_t version)
+                                { return is_recorded && model == "crew" && version == 2; });
+    for (auto time = at(0s); time < at(3s); time += 50ms)
+    {
+        auto const step = rollout.next_step(time, fencing_token, desired, cluster.engines);
+        EXPECT_TRUE(step.orders.empty() && step.draining.empty());
+        cluster.execute(time, rollout, step);
+    }
+    is_recorded = true;
+    auto const step = rollout.next_step(at(3s), fencing_token, desired, cluster.engines);
+    EXPECT_FALSE(step.draining.empty() && step.orders.empty());
+}
+
+// Guards against an engine that sends bytes without end and is asked again at once.
+TEST(weight_rollout, an_engine_that_sent_no_answer_is_not_asked_again_at_once)
+{
+    fake_cluster cluster(1, 0);
+    desired_weights desired;
+    desired.add_version("crew", 1, at(0s));
+    desired.add_version("crew", 2, at(0s));
+    weight_rollout rollout({});
+    EXPECT_EQ(rollout.next_step(at(0s), fencing_token, desired, cluster.engines).report_requests,
+              std::vector<std::string>{"engine-0"});
+    rollout.on_report_failed(at(0s), "engine-0", true);
+    EXPECT_EQ(rollout.next_step(at(1900ms), fencing_token, desired, cluster.engines),
+              rollout_step{});
+    auto const asked = rollout.next_step(at(2s), fencing_token, desired, cluster.engines);
+    EXPECT_EQ(asked.report_requests.size(), 1U);
+    rollout.on_report(at(2s), "engine-0", {});
+    auto const ordered = rollout.next_step(at(2s), fencing_token, desired, cluster.engines);
+    ASSERT_EQ(ordered.orders.size(), 1U);
+    rollout.on_order_response(at(2s), ordered.orders[0], order_outcome::invalid_answer);
+    EXPECT_EQ(rollout.next_step(at(3900ms), fencing_token, desired, cluster.engines),
+              rollout_step{});
+}
+
 } // namespace
 } // namespace savorymount::orders
