Let the stand-in of the store page its answers as the store does

followed_store.goes_on_after_odd_entries_among_the_upstreams did not end: the stand-in put all records into one answer of some 8 MB, which the bound of a page now refuses. The store's published protocol limits a list to 500 records or 1 MB and a page of records to 1,024 KB; the stand-in keeps to both and goes on after a key. The test demands what it did.

--- a/tests/stand_ins/users_platform/keyed_topics.cpp
+++ b/tests/stand_ins/users_platform/keyed_topics.cpp
@@ -9,6 +9,11 @@
 namespace
 {
 
+// What one answer holds at most: a page of a list, and a page of records.
+constexpr std::size_t max_list_items = 500;
+constexpr std::size_t max_list_bytes = 1'000'000;
+constexpr std::size_t max_page_bytes = std::size_t{1024} * 1024;
+
 std::string encode_base64(std::string const& bytes)
 {
     std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');
@@ -106,14 +111,23 @@
     std::map<std::string, std::size_t> last;
     for (std::size_t i = 0; i < all.size(); ++i)
         last[all[i].key] = i;
+    auto const after = target.query.find("after");
     json items = json::array();
+    std::size_t bytes = 0;
+    bool more = false;
     for (auto const& [key, offset] : last)
     {
-        if (!all[offset].value.empty())
-            items.push_back(
-                {{"key", key}, {"value", encode_base64(all[offset].value)}, {"offset", offset}});
+        auto const& value = all[offset].value;
+        bool const is_earlier = after != target.query.end() && key <= after->second;
+        if (value.empty() || is_earlier)
+            continue;
+        bytes += key.size() + value.size();
+        more = items.size() >= max_list_items || (!items.empty() && bytes > max_list_bytes);
+        if (more)
+            break;
+        items.push_back({{"key", key}, {"value", encode_base64(value)}, {"offset", offset}});
     }
-    reply(exchange, 200, {{"items", items}, {"more", false}, {"end", all.size()}});
+    reply(exchange, 200, {{"items", items}, {"more", more}, {"end", all.size()}});
 }
 
 void keyed_topics::read(exchange_ptr const& exchange, request_target const& target)
@@ -178,6 +192,9 @@
     for (std::size_t i = from; i < all.size(); ++i)
     {
         auto const& it = all[i];
+        bool const is_first = i == from;
+        if (!is_first && body.size() + it.key.size() + it.value.size() > max_page_bytes)
+            break;
         body += big_endian(1 + it.key.size() + it.value.size(), 4);
         body += static_cast<char>(it.key.size());
         body += it.key + it.value;
