--- a/libraries/savorymount/runtime/chunked_body_check.cpp
+++ b/libraries/savorymount/runtime/chunked_body_check.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr int hexadecimal = 16;
+// A size and its extensions. The reader of messages bounds trailers, as it does heads.
+constexpr std::size_t max_size_line_bytes = std::size_t{4} * 1024;
 
 } // namespace
 
@@ -25,7 +27,10 @@
             part_ = data_left_ == 0 ? part::data_end : part::data;
             continue;
         }
-        if (!take_line(bytes))
+        bool const is_whole = take_line(bytes);
+        if (part_ != part::trailer && line_.size() > max_size_line_bytes)
+            return "a line of its chunks is too long";
+        if (!is_whole)
             return {};
         if (auto fault = check_line(); !fault.empty())
             return fault;
--- a/tests/libraries/runtime/response_rules_test.cpp
+++ b/tests/libraries/runtime/response_rules_test.cpp
@@ -139,6 +139,25 @@
     }
 }
 
+// Guards against a chunk whose extension does not end and is kept until it does.
+TEST(response_rules, a_chunk_extension_without_end_is_refused_after_some_bytes)
+{
+    http_message_reader reader(http_message_kind::response, max_header_bytes,
+                               {[](http_head const&) {}, [](std::string_view) {},
+                                [] {
+                                }});
+    base::error reason;
+    ASSERT_TRUE(
+        reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;name=", reason));
+    constexpr std::size_t max_kept_bytes = std::size_t{8} * 1024;
+    std::string const piece(1024, 'v');
+    std::size_t taken = 0;
+    while (taken <= max_kept_bytes && reader.feed(piece, reason))
+        taken += piece.size();
+    EXPECT_LE(taken, max_kept_bytes);
+    EXPECT_EQ(reason.kind, base::error_kind::invalid_input);
+}
+
 // Guards against a sequence of bytes that nobody thought of and that is taken for a response.
 TEST(response_rules, no_generated_bytes_are_taken_for_a_head_that_is_none)
 {
