--- a/review/stand-ins-3/plain_service.py
+++ b/review/stand-ins-3/plain_service.py
@@ -5,8 +5,8 @@
 
 
 class PlainService:
-    def __init__(self, name, record):
-        self.name, self.record = name, record
+    def __init__(self, name, record, work_s=0):
+        self.name, self.record, self.work_s = name, record, work_s
         self.runs = []
         self.port = None
 
@@ -29,6 +29,8 @@
                 self.record.write("server %s runs %s: %s %s, tenant %s, body of %d bytes" % (
                     self.name, request_id, method, target, fields.get("x-tenant"), len(body)))
                 self.runs.append(request_id)
+                await asyncio.sleep(self.work_s)
+                self.record.write("server %s answers %s" % (self.name, request_id))
                 head = [("X-Request-Id", request_id), ("X-Instance-Id", self.name),
                         ("X-Response-Stamp", "stamp-" + request_id)]
                 writer.write(response(200, head, b"done " + request_id.encode()))
