--- a/review/13/run.py
+++ b/review/13/run.py
@@ -4,9 +4,9 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "stand-ins-3"))
-from deployment import *  # noqa: E402
-from model_engine import Engine  # noqa: E402
+sys.path.insert(0, os.path.dirname(FOLDER))
+from deployment_3 import *  # noqa: E402
+from model_engine_3 import Engine  # noqa: E402
 
 MODEL = "daka510000"
 KV_TOKENS = 20000
@@ -29,7 +29,7 @@
 ENGINES = 5
 
 
-async def main(record):
+async def main(record, trouble):
     store = Store()
     await store.start()
     await store.put("keyed.op", "config", CONFIGURATION)
@@ -103,7 +103,7 @@
                 await asyncio.sleep(0.15)
         if not runs_at(holder, "first") or not runs_at(holder, "second"):
             return COULD_NOT_RUN
-        if TROUBLE:
+        if trouble:
             record.write("the operator names version 2")
             await store.put("keyed.op", "version/" + MODEL, {"model": MODEL, "version": 2})
         await asyncio.sleep(1.0)
@@ -129,4 +129,4 @@
 
 
 if __name__ == "__main__":
-    run_case(main, FOLDER)
+    run_case(main)
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # to compile; this checks that they can be run.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - stand-ins-3/*.py 1[1-5]/*.py <<'PYTHON'
+python3 -B - *_3.py 1[1-5]/*.py <<'PYTHON'
 import sys
 if sys.version_info < (3, 9):
     sys.exit("python3 is older than 3.9")
--- a/review/stand-ins-3/deployment.py
+++ b/review/deployment_3.py
@@ -13,8 +13,7 @@
 import tempfile
 import time
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 MAX_RUN_S = 108
 # Exit codes of run.py. The one of an exception differs from BROKEN; run.sh turns them into those of a
 # case.
@@ -28,11 +27,10 @@
 
 
 class Record:
-    """record.txt: what was sent, answered and run."""
+    """What was sent, answered and run."""
 
-    def __init__(self, folder):
-        self.path = os.path.join(folder, "record.txt")
-        self.file = open(self.path, "w")
+    def __init__(self, path):
+        self.file = open(path, "w")
         self.began = time.monotonic()
 
     def write(self, text):
@@ -322,18 +320,19 @@
 
 
 def stand_in(name, *arguments):
-    """Starts another stand-in of this folder as a process of its own; its output is a pipe."""
+    """Starts a stand-in beside this file as a process of its own; its output is a pipe."""
     path = os.path.join(os.path.dirname(os.path.abspath(__file__)), name)
-    return subprocess.Popen(["python3", "-u", path, *map(str, arguments)], stdout=subprocess.PIPE,
+    return subprocess.Popen(["python3", "-B", "-u", path, *map(str, arguments)], stdout=subprocess.PIPE,
                             text=True)
 
 
-def run_case(main, folder):
-    """Runs a case to its end, within the time that a script has; the processes that it started end
-    also if it is stopped before."""
+def run_case(main):
+    """Runs a case as run.sh says in its arguments: "0" for no disruption, and the file of the record.
+    It ends within the time that a script has; the processes that it started end also if it is stopped
+    before."""
 
     async def guarded():
-        task = asyncio.create_task(main(Record(folder)))
+        task = asyncio.create_task(main(Record(sys.argv[2]), sys.argv[1] != "0"))
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         return await asyncio.wait_for(task, MAX_RUN_S)
 
--- a/review/stand-ins-3/model_engine.py
+++ b/review/model_engine_3.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from deployment import read_request, response
+from deployment_3 import read_request, response
 
 STEP_S = 0.1
 LOAD_S = 0.57
--- a/review/stand-ins-3/plain_service.py
+++ b/review/plain_service_3.py
@@ -1,7 +1,7 @@
 """A sound plain service in the process of a case. It notes each run in the record."""
 import asyncio
 
-from deployment import read_request, response
+from deployment_3 import read_request, response
 
 
 class PlainService:
--- a/review/stand-ins-3/unframed_service.py
+++ b/review/unframed_service_3.py
@@ -4,7 +4,7 @@
 import asyncio
 import sys
 
-from deployment import read_request, response
+from deployment_3 import read_request, response
 
 BODY_HALF = 400
 
