Let no request in without a key when the last workspace goes

Cause: "no workspaces" was read as "no keys needed". The decoder made no difference between an empty list and a configuration without one, and deployment_index::needs_keys asked for the list's size.

The log line of an adopted version tells whether it needs keys.

--- a/libraries/savorymount/configuration/deployment.hpp
+++ b/libraries/savorymount/configuration/deployment.hpp
@@ -114,7 +114,9 @@
     std::vector<service_route> routes;
     std::map<std::string, service_description> services;
     client_limits limits;
-    /// Empty when every route is open.
+    /// Whether requests on routes that are not open need the key of a workspace, also if there is
+    /// no workspace.
+    bool needs_keys = true;
     std::vector<workspace_account> workspaces;
 
     bool operator==(deployment const&) const = default;
@@ -146,7 +148,7 @@
     /// `workspace` is empty for a request without a key.
     std::string cache_scope(std::string const& workspace) const;
 
-    bool needs_keys() const { return !data_.workspaces.empty(); }
+    bool needs_keys() const { return data_.needs_keys; }
 
 private:
     deployment data_;
--- a/libraries/savorymount/gateway/gateway.cpp
+++ b/libraries/savorymount/gateway/gateway.cpp
@@ -422,6 +422,7 @@
     runtime::task_timer const timer("configuration");
     auto const limits = data.limits;
     auto const version = data.version;
+    bool const needs_keys = data.needs_keys;
     auto const now = timers_.now();
     auto const known_until = cluster_.configuration_complete_until();
     if (!cluster_.apply_deployment(now, std::move(data)))
@@ -430,6 +431,7 @@
     metrics_.configuration_adopted(version);
     runtime::log(events::configuration_adopted,
                  {{"version", version},
+                  {"needs_keys", needs_keys ? "yes" : "no"},
                   {"max_age_ms", known_until ? base::to_milliseconds(now - *known_until) : -1}});
     follow_cache_store();
 }
