Refuse CONNECT, whose body was read as the next request

Cause: the parser library ends a CONNECT request after the head, whatever length it names, and inbound_connection went on to read requests. The reader now refuses the method when the head is complete: 400, the connection is closed, and nothing after it is read. It works since no byte behind the head is given to the parser again.

Test: takes_no_body_for_the_next_request_whatever_the_method sends 384 requests whose body is a request.

--- a/libraries/savorymount/runtime/http_message_reader.cpp
+++ b/libraries/savorymount/runtime/http_message_reader.cpp
@@ -55,7 +55,7 @@
 std::optional<std::size_t> http_message_reader::feed(std::string_view bytes, base::error& reason)
 {
     if (kind_ == http_message_kind::request)
-        return execute(bytes, reason);
+        return execute_sound(bytes, reason);
     auto const head_bytes = head_check_.feed(bytes, fault_);
     std::optional<std::size_t> consumed = 0;
     // NOTE: The parser takes no bytes at all for the end of the connection.
@@ -76,7 +76,9 @@
 {
     auto const consumed = fault_.empty() ? execute(bytes, reason) : std::nullopt;
     if (!consumed && !fault_.empty())
-        reason = {base::error_kind::invalid_input, "the message is no response: " + fault_};
+        reason = {base::error_kind::invalid_input, kind_ == http_message_kind::request
+                                                       ? fault_
+                                                       : "the message is no response: " + fault_};
     return consumed;
 }
 
@@ -165,8 +167,8 @@
 int http_message_reader::on_headers_complete(::http_parser* parser)
 {
     auto& reader = self(parser);
-    bool const is_sound = parser->type == HTTP_REQUEST ? are_names_tokens(reader.head_.headers)
-                                                       : reader.check_response_head();
+    bool const is_sound =
+        parser->type == HTTP_REQUEST ? reader.check_request_head() : reader.check_response_head();
     if (!is_sound)
         return parsing_fails;
     reader.head_complete_ = true;
@@ -215,6 +217,15 @@
     return parsing_continues;
 }
 
+bool http_message_reader::check_request_head()
+{
+    // NOTE: The parser ends the message after the head, whatever length it names. Its body would be
+    // taken for the next request.
+    if (parser_.method == HTTP_CONNECT)
+        fault_ = "CONNECT is not supported; send the request itself";
+    return fault_.empty() && are_names_tokens(head_.headers);
+}
+
 bool http_message_reader::check_response_head()
 {
     fault_ = response_fault(static_cast<int>(parser_.status_code), head_.headers);
--- a/libraries/savorymount/runtime/http_message_reader.hpp
+++ b/libraries/savorymount/runtime/http_message_reader.hpp
@@ -70,8 +70,10 @@
     static ::http_parser_settings make_settings();
 
     std::optional<std::size_t> execute(std::string_view bytes, base::error& reason);
-    /// The same for a part of a response, unless a fault was found in it.
+    /// The same, unless a fault was found.
     std::optional<std::size_t> execute_sound(std::string_view bytes, base::error& reason);
+    /// Notes whether the end of the request can be told from its head.
+    bool check_request_head();
     /// Notes whether the head of a response is one; see `response_rules`.
     bool check_response_head();
     bool count_header_bytes(std::size_t n);
--- a/tests/libraries/runtime/inbound_server_test.cpp
+++ b/tests/libraries/runtime/inbound_server_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <functional>
 #include <stdexcept>
@@ -163,6 +164,51 @@
     EXPECT_EQ(requests, 0);
 }
 
+// Guards against the body of a request that runs as a request of its own, because its method or a
+// change of the protocol ends the message after the head.
+TEST_F(inbound_server_test, takes_no_body_for_the_next_request_whatever_the_method)
+{
+    std::vector<std::string> targets;
+    on_request = [&](auto const& client, http_request const& it)
+    {
+        targets.push_back(it.head.target);
+        client->respond(200, {}, it.body);
+    };
+    std::string const smuggled = "POST /smuggled HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+    std::string const with_length =
+        "Content-Length: " + std::to_string(smuggled.size()) + "\r\n\r\n" + smuggled;
+    std::string const in_chunk =
+        "Transfer-Encoding: chunked\r\n\r\n37\r\n" + smuggled + "\r\n0\r\n\r\n";
+    ASSERT_EQ(smuggled.size(), 0x37U);
+    for (std::string const method : {"CONNECT", "GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS",
+                                     "TRACE", "PATCH", "PRI", "UNKNOWN", "connect"})
+    {
+        for (std::string const target : {"/it", "h:80", "http://h/it", "*"})
+        {
+            for (std::string const fields : {"", "Connection: Upgrade\r\nUpgrade: tcp\r\n",
+                                             "Connection: close\r\n", "Expect: 100-continue\r\n"})
+            {
+                for (auto const& body : {with_length, in_chunk})
+                {
+                    std::string request = method;
+                    request += " " + target + " HTTP/1.1\r\nHost: h\r\n";
+                    request += fields;
+                    request += body;
+                    // Ends the connection also if it is kept.
+                    request += "GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+                    targets.clear();
+                    auto const answer = answer_to(request);
+                    EXPECT_EQ(std::count(targets.begin(), targets.end(), "/smuggled"), 0)
+                        << request;
+                    EXPECT_TRUE(answer.starts_with("HTTP/1.1 ")) << request;
+                    bool const is_refused = targets.empty() && answer.starts_with("HTTP/1.1 400 ");
+                    EXPECT_TRUE(is_refused || method != "CONNECT") << request << answer;
+                }
+            }
+        }
+    }
+}
+
 // Guards against a client that waits for a permission that never comes.
 TEST_F(inbound_server_test, lets_a_waiting_client_send_its_body)
 {
