Carry no call on a connection whose reading is paused

Cause: when a client reads slowly, the gateway stops reading from the upstream. If the rest of the response was read already, the call ends and the connection goes back to the pool with reading off, so that the next answer is never read. Whether a connection reads is now part of the one check that decides if it may carry another call; the pool closes what may not.

--- a/libraries/savorymount/runtime/outbound_connection.cpp
+++ b/libraries/savorymount/runtime/outbound_connection.cpp
@@ -123,6 +123,7 @@
 
 void outbound_connection::pause_reading(bool paused)
 {
+    is_paused_ = paused;
     if (paused)
         bufferevent_disable(buffer_, EV_READ);
     else
@@ -131,7 +132,7 @@
 
 bool outbound_connection::reusable() const
 {
-    return connected_ && !in_call_ && !broken_ && keep_alive_;
+    return connected_ && !in_call_ && !broken_ && !is_paused_ && keep_alive_;
 }
 
 void outbound_connection::handle_read(bufferevent*, void* self)
--- a/libraries/savorymount/runtime/outbound_connection.hpp
+++ b/libraries/savorymount/runtime/outbound_connection.hpp
@@ -79,7 +79,7 @@
     /// Stops or resumes reading, so that a slow reader holds the sender back.
     void pause_reading(bool paused);
 
-    /// Whether another call may be made now.
+    /// Whether another call may be made now. False as long as reading is paused.
     bool reusable() const;
     bool connected() const { return connected_; }
     /// Whether another call was made before the present one.
@@ -126,6 +126,7 @@
     std::size_t calls_ = 0;
     bool skipping_ = false;
     bool broken_ = false;
+    bool is_paused_ = false;
     bool keep_alive_ = true;
     bool complete_ = false;
     /// Bytes that this call received, and those of them that were delivered as the body.
--- a/tests/libraries/runtime/outbound_connection_test.cpp
+++ b/tests/libraries/runtime/outbound_connection_test.cpp
@@ -51,6 +51,8 @@
         hooks.body = [&](std::string_view it)
         {
             out.body += it;
+            if (pauses_reading)
+                connection->pause_reading(true);
         };
         hooks.done = [&]
         {
@@ -78,6 +80,7 @@
     timer_service timers{loop};
     std::unique_ptr<outbound_connection> connection;
     std::function<bool()> may_send;
+    bool pauses_reading = false;
 };
 
 // Guards against a late answer to an earlier request that is delivered as the answer to this one,
@@ -91,6 +94,21 @@
     EXPECT_TRUE(result.reusable);
 }
 
+// Guards against a request whose answer is never read, since the connection stopped reading for a
+// slow client of the request before.
+TEST_F(outbound_connection_test, a_connection_that_does_not_read_carries_no_further_call)
+{
+    scripted_server server(loop, {own_answer, own_answer}, afterwards::keep);
+    pauses_reading = true;
+    auto const result = call(server.address());
+    EXPECT_TRUE(result.done);
+    EXPECT_FALSE(result.reusable);
+    connection->pause_reading(false);
+    pauses_reading = false;
+    EXPECT_TRUE(connection->reusable());
+    EXPECT_TRUE(call_again().done);
+}
+
 // Shows why evhttp does not carry the requests to upstreams: it takes the foreign answer, and the
 // true one is lost with the connection.
 TEST_F(outbound_connection_test, evhttp_takes_an_answer_to_another_request)
