--- a/libraries/savorymount/runtime/inbound_connection.cpp
+++ b/libraries/savorymount/runtime/inbound_connection.cpp
@@ -351,6 +351,13 @@
         shutdown(bufferevent_getfd(buffer_), SHUT_WR);
 }
 
+base::error inbound_connection::body_too_large() const
+{
+    return {base::error_kind::too_large, "the body is larger than " +
+                                             std::to_string(limits().max_body_bytes) +
+                                             " bytes; send a smaller one"};
+}
+
 void inbound_connection::take_head(http_head const& head)
 {
     request_ = {head, {}};
@@ -359,10 +366,7 @@
     reads_chunks_ = head.reads_chunks;
     if (head.content_length.value_or(0) > limits().max_body_bytes)
     {
-        refusal_ =
-            base::error{base::error_kind::too_large, "the body is larger than " +
-                                                         std::to_string(limits().max_body_bytes) +
-                                                         " bytes; send a smaller one"};
+        refusal_ = body_too_large();
         return;
     }
     head_memory_ = memory_of(head);
@@ -376,10 +380,7 @@
         return;
     if (request_.body.size() + bytes.size() > limits().max_body_bytes)
     {
-        refusal_ =
-            base::error{base::error_kind::too_large, "the body is larger than " +
-                                                         std::to_string(limits().max_body_bytes) +
-                                                         " bytes; send a smaller one"};
+        refusal_ = body_too_large();
         return;
     }
     request_.body += bytes;
--- a/libraries/savorymount/runtime/inbound_connection.hpp
+++ b/libraries/savorymount/runtime/inbound_connection.hpp
@@ -132,6 +132,7 @@
     static void handle_event(bufferevent*, short what, void* self);
 
     void read_input();
+    base::error body_too_large() const;
     void take_head(http_head const& head);
     void take_body(std::string_view bytes);
     void announce_body();
