--- a/libraries/savorymount/gateway/cluster_state.cpp
+++ b/libraries/savorymount/gateway/cluster_state.cpp
@@ -200,9 +200,10 @@
 std::optional<std::uint64_t> cluster_state::oldest_shared_version(base::time_point now,
                                                                   std::string const& model) const
 {
-    // A request that continues after its engine loaded newer weights makes parts with these under
-    // the salt of the older version: at that engine, and in the cache store. Who knows the orders
-    // knows these engines. Who does not uses no part that a newer version may have made.
+    // A request that continues while its engine loads newer weights keeps the salt of the older
+    // version, and the newer weights may make parts under it. An instance that knows all orders
+    // knows which engines that concerns. Without the orders, it can rule it out only for the newest
+    // version.
     if (knows_orders(now))
         return 0;
     if (!knows_operators_records(now))
