Excuse a refusal at once while planned work left no upstream of a service

The check was wrong for that time only.

In its place: the deployment notes the time in which every upstream of a service leaves by planned work. A call that starts in it, or within the bound on draining after it, has to be refused with 503 within 500 ms and must not run; anything else (504, a closed connection, a late refusal, a run) is reported as before, as is every refusal outside that time. The comment that promised a successor before the drain was not true and is gone.

The checker's new test fails for each of these by itself. Tests only, no change of the product.

--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -156,6 +156,23 @@
             report("whole answers", call.id + " ended after \"" + call.body + "\"");
     }
 
+    bool was_refused_at_once(call_record const& call) const
+    {
+        return call.status == status_unavailable && runs_of(call) == 0 &&
+               call.ended - call.started <= bounds_.refusal;
+    }
+
+    /// Whether no upstream took the call, or its instance did not know yet of the one that did.
+    bool falls_into_service_gap(call_record const& call) const
+    {
+        return std::any_of(history_.service_gaps.begin(), history_.service_gaps.end(),
+                           [&](service_gap const& it)
+                           {
+                               return it.kind == call.kind && it.from <= call.started &&
+                                      call.started <= it.to + bounds_.drain;
+                           });
+    }
+
     void check_planned_work(call_record const& call)
     {
         if (!calm(call.started, call.ended) || (call.status == status_ok && call.whole))
@@ -169,6 +186,8 @@
         // Nobody may know the software version that began the stream, or it has left.
         if (call.status == status_unavailable && !call.resumes.empty())
             return;
+        if (was_refused_at_once(call) && falls_into_service_gap(call))
+            return;
         bool const crossed_close = call.kept_connection && call.status == 0 && runs_of(call) == 0 &&
                                    call.ended - call.started < bounds_.loss_slack;
         if (!crossed_close)
--- a/tests/soak/promise_checker.hpp
+++ b/tests/soak/promise_checker.hpp
@@ -47,6 +47,8 @@
     base::duration limit_window = std::chrono::milliseconds(4000);
     double limit_factor = 1.5;
     double limit_slack = 5;
+    /// The longest time to the refusal of a request that no upstream can take.
+    base::duration refusal = std::chrono::milliseconds(500);
     /// From an answer that says that its upstream leaves to the last request that it gets.
     base::duration drain = std::chrono::milliseconds(2000);
     /// How long an upstream that rejected a request wants none, when that begins to count, and
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -411,9 +411,9 @@
     auto& it = upstreams_[index];
     if (std::exchange(it.busy, true))
         return;
-    // Its successor is there before it leaves.
     it.leaving = true;
     list(it, "draining");
+    begin_service_gap(it.engine);
     later(drain_time, [this, index] { finish_drain(index); });
 }
 
@@ -424,10 +424,30 @@
     it.program->send_signal(SIGTERM);
     it.program->wait();
     ended_outputs_.emplace_back(it.id, it.program->output());
+    end_service_gap(it.engine);
     start_upstream(index);
     it.busy = false;
 }
 
+void soak_deployment::begin_service_gap(bool engines)
+{
+    bool const is_gap =
+        std::all_of(upstreams_.begin(), upstreams_.end(),
+                    [engines](upstream const& it) { return it.engine != engines || it.leaving; });
+    if (is_gap)
+        service_gap_since_.try_emplace(engines, timers_.now());
+}
+
+void soak_deployment::end_service_gap(bool engines)
+{
+    auto const it = service_gap_since_.find(engines);
+    if (it == service_gap_since_.end())
+        return;
+    history_.service_gaps.push_back(
+        {engines ? call_kind::stream : call_kind::booking, it->second, timers_.now()});
+    service_gap_since_.erase(it);
+}
+
 void soak_deployment::end_answers_with_connection(std::size_t index, base::duration length)
 {
     auto& it = upstreams_[index];
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -100,6 +101,9 @@
     void await_exit(std::size_t index, base::time_point since);
     void kill_upstream(std::size_t index, base::duration length);
     void drain_upstream(std::size_t index);
+    /// Notes the time in which every upstream of the engines, or of the plain service, leaves.
+    void begin_service_gap(bool engines);
+    void end_service_gap(bool engines);
     void finish_drain(std::size_t index);
     void end_answers_with_connection(std::size_t index, base::duration length);
     void close_inside_event(std::size_t index);
@@ -128,6 +132,8 @@
 
     runtime::timer_service& timers_;
     runtime::outbound_client client_;
+    /// Since when no upstream of the engines (true) or of the plain service (false) takes requests.
+    std::map<bool, base::time_point> service_gap_since_;
     soak_history history_;
     std::unique_ptr<tests::process> platform_;
     runtime::network_address store_;
--- a/tests/soak/soak_history.hpp
+++ b/tests/soak/soak_history.hpp
@@ -104,6 +104,17 @@
     bool operator==(leaving_notice const&) const = default;
 };
 
+/// Planned work had taken away every upstream that runs calls of a kind, so that none took new
+/// ones.
+struct service_gap
+{
+    call_kind kind = call_kind::stream;
+    base::time_point from{};
+    base::time_point to{};
+
+    bool operator==(service_gap const&) const = default;
+};
+
 /// An upstream rejected a request and wanted none for some time.
 struct rejection_record
 {
@@ -153,6 +164,7 @@
     std::vector<disturbance> gateway_outages;
     std::vector<named_limit> limits;
     std::vector<leaving_notice> leaving;
+    std::vector<service_gap> service_gaps;
     std::vector<rejection_record> rejected_for_now;
     std::vector<weights_named> weights;
     std::vector<key_change> key_changes;
--- a/tests/system/soak/promise_checker_test.cpp
+++ b/tests/system/soak/promise_checker_test.cpp
@@ -132,6 +132,33 @@
     EXPECT_EQ(broken_promises(history), promises{"planned work loses nothing"});
 }
 
+// Guards against a checker that excuses a refusal while an upstream of the service took requests, a
+// late one, or one of a request that ran.
+TEST(promise_checker, excuses_only_refusals_at_once_while_no_upstream_took_the_call)
+{
+    auto history = good_history();
+    auto& call = history.calls[0];
+    call.status = 503;
+    call.stamped = false;
+    call.body = "";
+    call.ended = call.started + 500ms;
+    history.runs.erase(history.runs.begin());
+    history.service_gaps = {{call_kind::booking, call.started - 1s, call.started + 1s}};
+    EXPECT_EQ(broken_promises(history), promises{"planned work loses nothing"});
+    history.service_gaps[0].kind = call_kind::stream;
+    EXPECT_EQ(broken_promises(history), promises{});
+    call.ended = call.started + 501ms;
+    EXPECT_EQ(broken_promises(history), promises{"planned work loses nothing"});
+    call.ended = call.started + 500ms;
+    call.status = 504;
+    EXPECT_EQ(broken_promises(history), promises{"planned work loses nothing"});
+    call.status = 503;
+    history.service_gaps[0].to = call.started - 2001ms;
+    EXPECT_EQ(broken_promises(history), promises{"planned work loses nothing"});
+    history.service_gaps[0] = {call_kind::stream, call.started + 1ms, call.started + 1s};
+    EXPECT_EQ(broken_promises(history), promises{"planned work loses nothing"});
+}
+
 // Guards against a checker that misses a key that is served after its withdrawal.
 TEST(promise_checker, finds_a_withdrawn_key_that_is_served)
 {
